Thin whole path: configuration, announcement and one request across processes

Cause: nothing existed. The first need is a path that is whole, in separate processes, so that every later change is measured on the real thing.

What stands: kernel types (ids, clock, storage, transport, findings, plug-in registry, decision log), a declared configuration in TOML, routing to a service by a registered balancer, a ledger of revisions, announcements under leases, JSON-RPC between processes, an entry server that streams bodies, laburnumd, laburnumctl, a stand-in upstream and tools/demo.

Not yet: the ledger lives in one control host's memory, spread is a broadcast, no retries, limits, detection or claims.

--- /dev/null
+++ b/src/include/laburnumroute/configuration.h
@@ -0,0 +1,68 @@
+/// The declared configuration: what operators create and every host puts in force.
+/// Aggregates only; readConfiguration() fills them, printConfiguration() writes them back.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <laburnumroute/clock.h>
+#include <laburnumroute/findings.h>
+#include <laburnumroute/ids.h>
+
+namespace laburnum {
+
+/// How a service weighs detection time against false ejections.
+enum class Weighting {
+    /// Eject on strong evidence only.
+    FewFalseEjections,
+    /// Eject early; a wrong ejection costs less than a slow one.
+    QuickDetection,
+};
+
+/// One service and the rules for its capacity.
+struct ServiceSpec {
+    ServiceId name;
+    /// Healthy capacity, in slots, below which ejections never take the service.
+    std::uint32_t floorSlots = 0;
+    Weighting weighting = Weighting::FewFalseEjections;
+    /// Name of a registered balancer.
+    std::string balancer = "round-robin";
+    /// Time after which a request without an answer is given up.
+    Duration deadline = std::chrono::seconds(10);
+    /// Retries allowed, as a percentage of requests.
+    std::uint32_t retryPercent = 10;
+    /// Requests that one host lets wait for a free slot.
+    std::uint32_t queueLimit = 16;
+};
+
+/// Sends requests that match to a service. The longest matching prefix wins.
+struct RouteSpec {
+    /// Host name of the request, without port; empty matches every host.
+    std::string host;
+    /// Path prefix, matched at segment borders.
+    std::string prefix = "/";
+    /// Methods; empty matches every method.
+    std::vector<std::string> methods;
+    ServiceId service;
+};
+
+/// Everything that one revision declares.
+struct Configuration {
+    std::vector<ServiceSpec> services;
+    std::vector<RouteSpec> routes;
+};
+
+/// Reads TOML `text`. Every problem goes to `findings` with its place in `fileName`; the result is
+/// usable only when `findings` has no errors.
+Configuration readConfiguration(
+    std::string_view text, const std::string& fileName, Findings& findings);
+
+/// Writes `configuration` as TOML that readConfiguration() reads back to the same value.
+std::string printConfiguration(const Configuration& configuration);
+
+/// The spelling of `weighting` in TOML.
+const char* weightingName(Weighting weighting) noexcept;
+
+} // namespace laburnum
--- /dev/null
+++ b/src/include/laburnumroute/endpoint.h
@@ -0,0 +1,26 @@
+/// IP endpoints as settings and announcements name them.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <laburnumroute/error.h>
+
+namespace laburnum {
+
+/// An IP address and TCP port.
+struct Endpoint {
+    std::string address;
+    std::uint16_t port = 0;
+
+    friend bool operator==(const Endpoint&, const Endpoint&) = default;
+    friend auto operator<=>(const Endpoint&, const Endpoint&) = default;
+};
+
+/// Parses `IP:PORT` (IPv6 as `[IP]:PORT`); InvalidArgument names the text. Port 0 is refused.
+Expected<Endpoint> parseEndpoint(std::string_view text);
+/// The inverse of parseEndpoint().
+std::string formatEndpoint(const Endpoint& endpoint);
+
+} // namespace laburnum
--- /dev/null
+++ b/src/include/laburnumroute/findings.h
@@ -0,0 +1,44 @@
+/// Findings: problems in the operators' input, collected with their place and reported together.
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace laburnum {
+
+enum class Severity { Warning, Error };
+
+/// Where in a file a finding lies. Lines and columns count from 1; 0 means "whole file".
+struct SourcePlace {
+    std::string file;
+    std::size_t line = 0;
+    std::size_t column = 0;
+};
+
+/// One problem.
+struct Finding {
+    SourcePlace place;
+    Severity severity = Severity::Error;
+    std::string message;
+};
+
+/// Renders `finding` as `FILE:LINE:COL: severity: message`.
+std::string formatFinding(const Finding& finding);
+
+/// Collects findings while input is read to its end.
+class Findings {
+public:
+    void error(SourcePlace place, std::string message);
+    void warning(SourcePlace place, std::string message);
+
+    /// All findings in file order: by line, then column, then order of addition.
+    std::vector<Finding> sorted() const;
+    bool hasErrors() const noexcept;
+    bool empty() const noexcept { return m_items.empty(); }
+
+private:
+    std::vector<Finding> m_items;
+};
+
+} // namespace laburnum
--- /dev/null
+++ b/src/laburnumd/main.cpp
@@ -0,0 +1,65 @@
+// laburnumd: the serving process. Its settings file gives it its roles.
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <cxxopts.hpp>
+
+#include "node.h"
+
+namespace {
+
+constexpr int exitFindings = 1;
+constexpr int exitUsage = 2;
+constexpr int exitStart = 3;
+
+int serve(const std::string& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        std::cerr << "laburnumd: cannot read '" << path << "'\n";
+        return exitUsage;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    laburnum::Findings findings;
+    laburnum::Settings settings = laburnum::readSettings(text.str(), path, findings);
+    for (const auto& finding : findings.sorted())
+        std::cerr << laburnum::formatFinding(finding) << '\n';
+    if (findings.hasErrors())
+        return exitFindings;
+    laburnum::Node node(std::move(settings));
+    if (const auto started = node.start(); !started) {
+        std::cerr << "laburnumd: " << started.error().message << '\n';
+        return exitStart;
+    }
+    node.run();
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("laburnumd", "Serves requests and takes part in the fleet.");
+    options.add_options()("settings", "settings file", cxxopts::value<std::string>())(
+        "help", "this text");
+    options.positional_help("parserSettings.toml");
+    options.parse_positional({ "settings" });
+    try {
+        const auto arguments = options.parse(argc, argv);
+        if (arguments.count("help") != 0) {
+            std::cout << options.help();
+            return EXIT_SUCCESS;
+        }
+        if (arguments.count("settings") == 0) {
+            std::cerr << options.help();
+            return exitUsage;
+        }
+        return serve(arguments["settings"].as<std::string>());
+    } catch (const std::exception& e) {
+        std::cerr << "laburnumd: " << e.what() << '\n';
+        return exitUsage;
+    }
+}
--- /dev/null
+++ b/src/libdeclare/toml_table.cpp
@@ -0,0 +1,100 @@
+#include <laburnumroute/toml_table.h>
+
+#include <sstream>
+
+namespace laburnum {
+
+std::optional<toml::value> parseToml(
+    std::string_view text, const std::string& fileName, Findings& findings)
+{
+    std::istringstream stream { std::string(text) };
+    try {
+        return toml::parse(stream, fileName);
+    } catch (const toml::exception& e) {
+        const auto& location = e.location();
+        findings.error({ fileName, location.line(), location.column() }, "not TOML");
+        return std::nullopt;
+    }
+}
+
+TableReader::TableReader(const toml::value& table, std::string file, Findings& findings)
+    : m_table(table)
+    , m_file(std::move(file))
+    , m_findings(findings)
+{
+}
+
+SourcePlace TableReader::placeOf(const toml::value& value) const
+{
+    const auto location = value.location();
+    return { m_file, location.line(), location.column() };
+}
+
+const toml::value* TableReader::find(const std::string& key)
+{
+    m_known.insert(key);
+    const auto& members = m_table.as_table();
+    const auto found = members.find(key);
+    return found == members.end() ? nullptr : &found->second;
+}
+
+void TableReader::errorAt(const std::string& key, std::string message)
+{
+    const toml::value* value = find(key);
+    m_findings.error(placeOf(value ? *value : m_table), std::move(message));
+}
+
+std::string TableReader::text(const std::string& key, std::string fallback, bool required)
+{
+    const toml::value* value = find(key);
+    if (value && value->is_string())
+        return value->as_string().str;
+    if (value)
+        errorAt(key, "'" + key + "' must be a string");
+    else if (required)
+        errorAt(key, "key '" + key + "' is missing");
+    return fallback;
+}
+
+std::vector<std::string> TableReader::texts(const std::string& key)
+{
+    std::vector<std::string> result;
+    const toml::value* value = find(key);
+    if (!value)
+        return result;
+    if (!value->is_array()) {
+        errorAt(key, "'" + key + "' must be an array of strings");
+        return result;
+    }
+    for (const auto& item : value->as_array()) {
+        if (item.is_string())
+            result.push_back(item.as_string().str);
+        else
+            m_findings.error(placeOf(item), "'" + key + "' must hold strings");
+    }
+    return result;
+}
+
+std::int64_t TableReader::integer(
+    const std::string& key, std::int64_t fallback, std::int64_t low, std::int64_t high)
+{
+    const toml::value* value = find(key);
+    if (!value)
+        return fallback;
+    if (value->is_integer() && value->as_integer() >= low && value->as_integer() <= high)
+        return value->as_integer();
+    errorAt(key,
+        "'" + key + "' must be an integer from " + std::to_string(low) + " to "
+            + std::to_string(high));
+    return fallback;
+}
+
+void TableReader::refuseUnknownKeys()
+{
+    for (const auto& [key, value] : m_table.as_table()) {
+        if (!m_known.contains(key))
+            m_findings.error(placeOf(value), "unknown key '" + key + "'");
+    }
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/src/libnet/http_decoder_test.cpp
@@ -0,0 +1,58 @@
+#include <catch2/catch.hpp>
+
+#include <laburnumroute/http_decoder.h>
+
+using namespace laburnum;
+
+namespace {
+
+/// Feeds `text` in parts of `step` bytes until the message is complete or refused.
+Expected<std::string> decodeBody(HttpDecoder& decoder, std::string text, std::size_t step)
+{
+    std::string body;
+    while (!text.empty() && !decoder.messageComplete()) {
+        const auto taken = decoder.feed(std::string_view(text).substr(0, step));
+        if (!taken)
+            return tl::unexpected<Error>(taken.error());
+        text.erase(0, *taken);
+        body += decoder.takeBody();
+    }
+    return body;
+}
+
+} // namespace
+
+TEST_CASE("a chunked request decodes the same at every split")
+{
+    const std::string text = "POST /a?b HTTP/1.1\r\nHost: x\r\nX-A: 1\r\nX-A: 2\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    for (std::size_t step = 1; step <= text.size(); ++step) {
+        HttpDecoder decoder(MessageKind::Request);
+        REQUIRE(decodeBody(decoder, text, step).value() == "abcde");
+        REQUIRE(decoder.messageComplete());
+        REQUIRE(decoder.head().target == "/a?b");
+        REQUIRE(decoder.head().fields.size() == 4);
+        REQUIRE(decoder.head().fields[2].value == "2");
+    }
+}
+
+TEST_CASE("requests that could be read two ways are refused")
+{
+    const auto text = GENERATE(as<std::string>(),
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length : 1\r\n\r\na",
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n");
+    HttpDecoder decoder(MessageKind::Request);
+    REQUIRE_FALSE(decodeBody(decoder, text, text.size()).has_value());
+}
+
+TEST_CASE("an answer cut short is not complete")
+{
+    HttpDecoder decoder(MessageKind::Response);
+    REQUIRE(
+        decodeBody(decoder, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", 7).value() == "abc");
+    REQUIRE(decoder.feedEnd().error().code == ErrorCode::Closed);
+}
--- /dev/null
+++ b/src/libnet/http_message.cpp
@@ -0,0 +1,102 @@
+#include <laburnumroute/http_message.h>
+
+#include <algorithm>
+#include <array>
+
+namespace laburnum {
+
+namespace {
+
+    char lower(char c) noexcept
+    {
+        return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+    }
+
+    constexpr std::array<std::string_view, 9> hopByHop { "connection", "keep-alive",
+        "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "proxy-authenticate",
+        "proxy-authorization" };
+
+    std::vector<std::string_view> connectionTokens(const HttpHead& head)
+    {
+        std::vector<std::string_view> tokens;
+        for (const auto& field : head.fields) {
+            if (!equalNames(field.name, "connection"))
+                continue;
+            std::string_view rest = field.value;
+            while (!rest.empty()) {
+                const auto comma = rest.find(',');
+                std::string_view token = rest.substr(0, comma);
+                while (!token.empty() && (token.front() == ' ' || token.front() == '\t'))
+                    token.remove_prefix(1);
+                while (!token.empty() && (token.back() == ' ' || token.back() == '\t'))
+                    token.remove_suffix(1);
+                tokens.push_back(token);
+                rest
+                    = comma == std::string_view::npos ? std::string_view() : rest.substr(comma + 1);
+            }
+        }
+        return tokens;
+    }
+
+    template <class Names> bool containsName(const Names& names, std::string_view name)
+    {
+        return std::any_of(names.begin(), names.end(),
+            [&](std::string_view known) { return equalNames(known, name); });
+    }
+
+    void appendFields(std::string& out, const std::vector<HeaderField>& fields)
+    {
+        for (const auto& field : fields) {
+            out += field.name;
+            out += ": ";
+            out += field.value;
+            out += "\r\n";
+        }
+        out += "\r\n";
+    }
+
+} // namespace
+
+bool equalNames(std::string_view a, std::string_view b) noexcept
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+        [](char x, char y) { return lower(x) == lower(y); });
+}
+
+std::string_view HttpHead::field(std::string_view name) const
+{
+    for (const auto& candidate : fields) {
+        if (equalNames(candidate.name, name))
+            return candidate.value;
+    }
+    return {};
+}
+
+std::vector<HeaderField> endToEndFields(const HttpHead& head)
+{
+    const auto tokens = connectionTokens(head);
+    std::vector<HeaderField> result;
+    result.reserve(head.fields.size());
+    for (const auto& field : head.fields) {
+        const bool framing = equalNames(field.name, "content-length");
+        if (!framing && !containsName(hopByHop, field.name) && !containsName(tokens, field.name))
+            result.push_back(field);
+    }
+    return result;
+}
+
+std::string renderRequestHead(const HttpHead& head, const std::vector<HeaderField>& fields)
+{
+    std::string out = head.method + ' ' + head.target + " HTTP/1.1\r\n";
+    appendFields(out, fields);
+    return out;
+}
+
+std::string renderResponseHead(const HttpHead& head, const std::vector<HeaderField>& fields)
+{
+    std::string out = "HTTP/1.1 " + std::to_string(head.status) + ' ' + head.reason + "\r\n";
+    appendFields(out, fields);
+    return out;
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/src/libnet/json_rpc_test.cpp
@@ -0,0 +1,20 @@
+#include <catch2/catch.hpp>
+
+#include <laburnumroute/json_rpc.h>
+
+using namespace laburnum;
+
+TEST_CASE("a notification reaches the handler of its method")
+{
+    NotificationDispatcher dispatcher;
+    int seen = 0;
+    dispatcher.add("fleet.test", [&](const Json::Value& params) { seen = params["n"].asInt(); });
+    Json::Value params(Json::objectValue);
+    params["n"] = 7;
+    REQUIRE(dispatcher.dispatch(encodeNotification("fleet.test", params)));
+    REQUIRE(seen == 7);
+    REQUIRE_FALSE(dispatcher.dispatch("{"));
+    params["n"] = 8;
+    dispatcher.dispatch(encodeNotification("fleet.unknown", params));
+    REQUIRE(seen == 7);
+}
--- /dev/null
+++ b/testsuite/catch_main.cpp
@@ -0,0 +1,3 @@
+// Entry point that every test program shares.
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
