--- /dev/null
+++ b/testsuite/fakes/fake_network.h
@@ -0,0 +1,86 @@
+/// A network in memory that drives participants on a paused clock, with faults on each direction.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <vector>
+
+#include <laburnumroute/participant.h>
+#include <laburnumroute/random.h>
+
+namespace laburnum::fakes {
+
+/// How messages fare. Probabilities lie between 0 and 1.
+struct NetworkFaults {
+    double lose = 0.0;
+    double duplicate = 0.0;
+    /// Extra delay, uniform from 0 to this, which reorders messages.
+    Duration jitter {};
+};
+
+/// Delivers messages between hosts. Deterministic for a seed.
+class FakeNetwork {
+public:
+    using Delay = std::function<Duration(const HostId& from, const HostId& to)>;
+
+    explicit FakeNetwork(std::uint64_t seed)
+        : m_random(seed)
+    {
+    }
+
+    /// Attaches a participant; several may share a host if their methods differ. Not owned; must
+    /// stay alive until detach().
+    void attach(const HostId& host, Participant& participant);
+    /// Takes every participant of `host` away, as when its process dies.
+    void detach(const HostId& host);
+
+    /// One-way delay of every message; 1 ms unless set.
+    void setDelay(Delay delay) { m_delay = std::move(delay); }
+    void setFaults(NetworkFaults faults) { m_faults = faults; }
+    /// Cuts the direction `from` to `to`, or mends it.
+    void cut(const HostId& from, const HostId& to, bool isCut = true);
+    /// Cuts or mends both directions between `host` and every other host.
+    void isolate(const HostId& host, bool isCut = true);
+    /// A frozen host neither ticks nor receives; what arrives meanwhile is handled when it thaws.
+    void freeze(const HostId& host, bool isFrozen = true);
+
+    /// Runs for `time`, in steps of one millisecond, calling `check` after each step.
+    void run(Duration time, const std::function<void()>& check = {});
+    /// Sends what `out` holds; for calls made on a participant from outside.
+    void flush(Outbox& out);
+
+    TimePoint now() const noexcept { return m_now; }
+    /// Decisions that participants logged, in order.
+    const std::vector<Decision>& decisions() const noexcept { return m_decisions; }
+    std::uint64_t messagesSent() const noexcept { return m_messagesSent; }
+    /// Bytes of all messages sent, as JSON text.
+    std::uint64_t bytesSent() const noexcept { return m_bytesSent; }
+
+private:
+    struct InFlight {
+        TimePoint due;
+        PeerMessage message;
+    };
+
+    void enqueue(const PeerMessage& message);
+    void deliverDue();
+    void deliver(const PeerMessage& message);
+    void tickAll();
+
+    Random m_random;
+    Delay m_delay;
+    NetworkFaults m_faults;
+    TimePoint m_now { std::chrono::seconds(1) };
+    std::map<HostId, std::vector<Participant*>> m_hosts;
+    std::map<Participant*, TimePoint> m_nextTick;
+    std::set<std::pair<HostId, HostId>> m_cuts;
+    std::set<HostId> m_isolated;
+    std::set<HostId> m_frozen;
+    std::vector<InFlight> m_inFlight;
+    std::vector<Decision> m_decisions;
+    std::uint64_t m_messagesSent = 0;
+    std::uint64_t m_bytesSent = 0;
+};
+
+} // namespace laburnum::fakes
