Claims: at most one run per idempotency key, by majority of three claim hosts

Cause: a caller that resends an order through another entry host must not run it twice, also when the first entry host died and the control hosts are away.

Ruled out: entries in the configuration log (orders would stop with its quorum), a leased owner (needs the same replication and waits after failures), a quorum of one region's two data centres (either loss stops claims).

Not yet wired into laburnumd.

--- /dev/null
+++ b/src/include/laburnumroute/base64.h
@@ -0,0 +1,16 @@
+/// Base64, for bytes that travel inside JSON.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include <laburnumroute/error.h>
+
+namespace laburnum {
+
+/// Encodes `bytes` with padding.
+std::string encodeBase64(std::string_view bytes);
+/// Decodes; InvalidArgument when `text` is not padded base64.
+Expected<std::string> decodeBase64(std::string_view text);
+
+} // namespace laburnum
--- /dev/null
+++ b/src/libclaim/claim_replica_recovery.cpp
@@ -0,0 +1,221 @@
+// Opening, fetching from other claim hosts, and rewriting the journal; see claim_replica.h.
+
+#include <laburnumroute/claim_replica.h>
+
+#include <algorithm>
+
+#include <laburnumroute/json.h>
+
+#include "claim_journal_pvt.h"
+#include "claim_messages_pvt.h"
+
+namespace laburnum {
+
+using namespace pvt;
+
+namespace {
+
+    constexpr auto fetchInterval = std::chrono::milliseconds(500);
+    constexpr Duration grantSettleTime = 2 * ClaimCoordinator::requestTimeout;
+    constexpr std::size_t fetchEntries = 500;
+    constexpr std::size_t fetchBytes = std::size_t { 1024 } * 1024;
+
+    /// The journal's first line: the placement for which the host became ready.
+    Json::Value readyEntry(std::uint64_t epoch)
+    {
+        Json::Value entry(Json::objectValue);
+        entry["ready"] = Json::UInt64(epoch);
+        return entry;
+    }
+
+    bool contains(const std::vector<HostId>& hosts, const HostId& host)
+    {
+        return std::find(hosts.begin(), hosts.end(), host) != hosts.end();
+    }
+
+} // namespace
+
+ClaimReplica::ClaimReplica(
+    HostId self, ClaimPlacement placement, ClaimLimits limits, Storage& storage)
+    : m_self(std::move(self))
+    , m_placement(std::move(placement))
+    , m_limits(limits)
+    , m_storage(storage)
+{
+    for (const auto& host : m_placement.hosts()) {
+        if (host.host != m_self)
+            m_peers[host.host] = {};
+    }
+}
+
+Expected<void> ClaimReplica::open(TimePoint now)
+{
+    m_started = now;
+    const auto text = m_storage.read(journalName);
+    if (!text && text.error().code == ErrorCode::NotFound)
+        return {};
+    if (!text)
+        return tl::unexpected<Error>(text.error());
+    const auto content = readJournal(*text);
+    if (!content)
+        return tl::unexpected<Error>(content.error());
+    if (content->wholeBytes < text->size()) {
+        if (auto cut = m_storage.truncate(journalName, content->wholeBytes); !cut)
+            return cut;
+    }
+    m_journalBytes = content->wholeBytes;
+    for (const auto& entry : content->entries) {
+        if (auto loaded = loadEntry(entry, now); !loaded)
+            return loaded;
+    }
+    return {};
+}
+
+Expected<void> ClaimReplica::loadEntry(const Json::Value& entry, TimePoint now)
+{
+    if (entry.isMember("ready")) {
+        const auto epoch = unsignedMember(entry, "ready");
+        m_ready = epoch && *epoch == m_placement.epoch();
+        m_hasHistory = true;
+        return {};
+    }
+    if (entry.isMember("drop")) {
+        const auto key = decodeKey(entry);
+        if (!key)
+            return tl::unexpected<Error>(key.error());
+        const auto held = m_claims.find(*key);
+        if (held != m_claims.end() && held->second.answer)
+            m_answerBytes -= held->second.answer->body.size();
+        m_claims.erase(*key);
+        return {};
+    }
+    auto record = decodeRecord(entry, now);
+    if (!record)
+        return tl::unexpected<Error>(record.error());
+    // The time that the host was down is not known, so an ended claim starts its retention anew.
+    if (record->second.end)
+        record->second.expires = now + m_limits.retention;
+    const auto old = m_claims.find(record->first);
+    if (old != m_claims.end() && old->second.answer)
+        m_answerBytes -= old->second.answer->body.size();
+    if (record->second.answer) {
+        m_answerBytes += record->second.answer->body.size();
+        m_answerOrder.push_back(record->first);
+    }
+    m_claims[record->first] = std::move(record->second);
+    return {};
+}
+
+bool ClaimReplica::mayGrant(const ClaimKey& key) const
+{
+    return m_ready && contains(m_placement.replicasOf(key), m_self);
+}
+
+void ClaimReplica::updateReady(TimePoint now)
+{
+    if (m_ready)
+        return;
+    const auto all = [&](auto member) {
+        return std::all_of(
+            m_peers.begin(), m_peers.end(), [&](const auto& peer) { return peer.second.*member; });
+    };
+    // Either every peer was fetched, or the whole fleet of claim hosts is new, or every claim that
+    // this host may have known is past its retention.
+    m_ready = all(&PeerFetch::complete) || (!m_hasHistory && all(&PeerFetch::alsoNew))
+        || now - m_started > m_limits.retention;
+    if (!m_ready)
+        return;
+    m_hasHistory = true;
+    journal(readyEntry(m_placement.epoch()));
+}
+
+void ClaimReplica::fetch(TimePoint now, Outbox& out)
+{
+    // A grant that this host gave before its disk was lost may still be counted; by then the other
+    // hosts of that claim have it, or its coordinator has given up.
+    if (now < m_nextFetch || now < m_started + grantSettleTime)
+        return;
+    m_nextFetch = now + fetchInterval;
+    for (const auto& [host, state] : m_peers) {
+        if (!state.complete)
+            sendFetch(host, state, out);
+    }
+}
+
+void ClaimReplica::sendFetch(const HostId& peer, const PeerFetch& state, Outbox& out)
+{
+    out.send(peer, methodFetch, encode(ClaimFetch { m_placement.epoch(), state.position }));
+}
+
+void ClaimReplica::onFetch(const PeerMessage& message, TimePoint now, Outbox& out)
+{
+    const auto request = decodeFetch(message.params);
+    if (!request || request->epoch != m_placement.epoch())
+        return;
+    ClaimFetched reply { m_placement.epoch() };
+    reply.alsoNew = !m_hasHistory;
+    reply.complete = m_hasHistory;
+    std::size_t bytes = 0;
+    auto next = m_claims.begin();
+    if (!request->position.empty()) {
+        const auto after = parseJson(request->position);
+        const auto key
+            = after ? decodeKey(*after) : Expected<ClaimKey>(tl::unexpected<Error>(after.error()));
+        next = key ? m_claims.upper_bound(*key) : next;
+    }
+    for (; next != m_claims.end(); ++next) {
+        if (!contains(m_placement.replicasOf(next->first), message.from))
+            continue;
+        if (reply.entries.size() >= fetchEntries || bytes > fetchBytes) {
+            reply.complete = false;
+            break;
+        }
+        reply.entries.push_back(encodeRecord(next->first, next->second, now));
+        reply.position = positionOf(next->first);
+        bytes += next->second.answer ? next->second.answer->body.size() : 0;
+    }
+    out.send(message.from, methodFetched, encode(reply));
+}
+
+void ClaimReplica::onFetched(const PeerMessage& message, TimePoint now, Outbox& out)
+{
+    const auto part = decodeFetched(message.params);
+    const auto peer = m_peers.find(message.from);
+    if (!part || part->epoch != m_placement.epoch() || peer == m_peers.end()
+        || peer->second.complete)
+        return;
+    for (const auto& entry : part->entries) {
+        auto record = decodeRecord(entry, now);
+        if (!record)
+            return;
+        const auto held = m_claims.find(record->first);
+        const bool better = held == m_claims.end() || (!held->second.end && record->second.end);
+        if (better)
+            put(record->first, std::move(record->second), now);
+    }
+    peer->second.alsoNew = part->alsoNew;
+    peer->second.complete = part->complete;
+    if (!part->position.empty())
+        peer->second.position = part->position;
+    if (!part->complete && !part->alsoNew)
+        sendFetch(message.from, peer->second, out);
+}
+
+void ClaimReplica::rewriteJournal(TimePoint now)
+{
+    constexpr std::size_t wasteFactor = 2;
+    if (m_journalBytes < m_limits.minRewriteBytes)
+        return;
+    std::string text;
+    if (m_ready)
+        text += journalLine(readyEntry(m_placement.epoch()));
+    for (const auto& [key, record] : m_claims)
+        text += journalLine(encodeRecord(key, record, now));
+    if (text.size() * wasteFactor > m_journalBytes)
+        return;
+    m_broken = !m_storage.replace(journalName, text).has_value();
+    m_journalBytes = text.size();
+    m_unwritten.clear();
+}
+
+} // namespace laburnum
