Dispatcher API: attempt reports, retry budget, waiting for a slot

Cause: the request shell needs its calls settled before placement and detection are written. finish() takes status, latency and bytes and returns the waiters to start; takeRetry() spends from a share of requests with a slow drip; begin() answers NoSlot when every instance is full, enqueue() lets the request wait in a bounded FIFO with deadlines or refuses it as not run. Ruled out: a retry count per request (it multiplies load when all fail).

--- a/src/include/laburnumroute/dispatcher.h
+++ b/src/include/laburnumroute/dispatcher.h
@@ -19,7 +19,9 @@
 #include <laburnumroute/decision.h>
 #include <laburnumroute/instance.h>
 #include <laburnumroute/random.h>
+#include <laburnumroute/retry_budget.h>
 #include <laburnumroute/route_table.h>
+#include <laburnumroute/wait_queue.h>
 
 namespace laburnum {
 
@@ -50,8 +52,18 @@
     Duration deadline {};
 };
 
-/// Why a request was refused before any attempt.
-enum class RefusalReason { NoRoute, NoInstance, NoSlot };
+/// Why a request was refused before any attempt. A refused request was not run.
+enum class RefusalReason {
+    NoRoute,
+    /// No instance of the service is known and serving.
+    NoInstance,
+    /// All instances that the request may go to are full; it may wait by Dispatcher::enqueue().
+    NoSlot,
+    /// As many requests wait already as the service allows.
+    QueueFull,
+    /// The expected wait is longer than the time that remains to the request's deadline.
+    WaitTooLong,
+};
 
 /// Stable word for `reason`, as it stands in logs and response headers.
 const char* refusalName(RefusalReason reason) noexcept;
@@ -72,6 +84,17 @@
     CallerFault,
 };
 
+/// What the shell knows of an attempt that ended.
+struct AttemptReport {
+    AttemptResult result = AttemptResult::Succeeded;
+    /// Status of the answer; 0 when no answer head arrived.
+    unsigned status = 0;
+    /// Time from the attempt's start to the head of the answer, or to its end without one.
+    Duration latency {};
+    /// Bytes of bodies and heads that passed both ways.
+    std::uint64_t bytes = 0;
+};
+
 /// Not thread-safe; the shell serializes calls.
 class Dispatcher {
 public:
@@ -88,8 +111,20 @@
     /// Chooses an instance, excluding those in `tried`.
     tl::expected<Assignment, RefusalReason> begin(
         const RequestFacts& request, const std::set<InstanceId>& tried, TimePoint now);
-    /// Ends an attempt that begin() granted. Unknown attempts are ignored.
-    void finish(AttemptId attempt, AttemptResult result, TimePoint now);
+    /// Ends an attempt that begin() granted and returns the waiters that should call begin() now;
+    /// they wait no longer. Unknown attempts are ignored.
+    std::vector<WaiterId> finish(AttemptId attempt, const AttemptReport& report, TimePoint now);
+    /// Takes one retry from the service's budget; false when the budget is used up. Call it before
+    /// each begin() of a request after its first.
+    bool takeRetry(const ServiceId& service, TimePoint now);
+
+    /// Lets a request wait after begin() refused it with NoSlot, or refuses it at once (QueueFull,
+    /// WaitTooLong). The waiter waits until finish() returns it, abandon() or `deadline`; a waiter
+    /// whose begin() is refused again may enqueue again.
+    tl::expected<WaiterId, RefusalReason> enqueue(
+        const RequestFacts& request, TimePoint deadline, TimePoint now);
+    /// Takes a waiter out of its queue; for callers that went away and deadlines that passed.
+    void abandon(WaiterId waiter);
 
 private:
     struct Service;
@@ -101,6 +136,7 @@
 
     std::vector<Candidate> candidatesOf(
         const Service& service, const std::set<InstanceId>& tried) const;
+    bool hasInstance(const ServiceId& service) const;
     void recordRoute(
         const RequestFacts& request, const Assignment& assignment, std::size_t candidates);
     void recordRefusal(const RequestFacts& request, RefusalReason reason);
@@ -113,6 +149,7 @@
     std::map<InstanceId, Instance> m_instances;
     std::unordered_map<AttemptId, Attempt> m_attempts;
     AttemptId m_lastAttempt;
+    WaiterId m_lastWaiter;
 };
 
 } // namespace laburnum
--- a/src/libnet/entry_server.cpp
+++ b/src/libnet/entry_server.cpp
@@ -106,7 +106,8 @@
             }
             const auto result = co_await exchange(request, *assigned);
             m_table.with([&](Dispatcher& dispatcher, TimePoint now) {
-                dispatcher.finish(assigned->attempt, result, now);
+                return dispatcher.finish(
+                    assigned->attempt, AttemptReport { result, 0, Duration::zero(), 0 }, now);
             });
             co_return m_keep;
         }
--- a/src/libroute/dispatcher.cpp
+++ b/src/libroute/dispatcher.cpp
@@ -22,6 +22,10 @@
         return "no-instance";
     case RefusalReason::NoSlot:
         return "no-slot";
+    case RefusalReason::QueueFull:
+        return "queue-full";
+    case RefusalReason::WaitTooLong:
+        return "wait-too-long";
     }
     return "unknown";
 }
@@ -29,6 +33,8 @@
 struct Dispatcher::Service {
     ServiceSpec spec;
     std::unique_ptr<Balancer> balancer;
+    RetryBudget budget;
+    WaitQueue queue;
 };
 
 struct Dispatcher::Instance {
@@ -53,7 +59,13 @@
         auto balancer = BalancerRegistry::instance().create(spec.balancer);
         if (!balancer)
             balancer = BalancerRegistry::instance().create(ServiceSpec {}.balancer);
-        services[spec.name] = Service { spec, std::move(*balancer) };
+        Service& service = services[spec.name];
+        if (const auto known = m_services.find(spec.name); known != m_services.end())
+            service = std::move(known->second);
+        service.balancer = std::move(*balancer);
+        service.budget.setPercent(spec.retryPercent);
+        service.queue.setLimit(spec.queueLimit);
+        service.spec = spec;
     }
     m_services = std::move(services);
 }
@@ -66,7 +78,7 @@
 void Dispatcher::removeInstance(const InstanceId& id, TimePoint /*now*/) { m_instances.erase(id); }
 
 tl::expected<Assignment, RefusalReason> Dispatcher::begin(
-    const RequestFacts& request, const std::set<InstanceId>& tried, TimePoint /*now*/)
+    const RequestFacts& request, const std::set<InstanceId>& tried, TimePoint now)
 {
     const auto refuse = [&](RefusalReason reason) {
         recordRefusal(request, reason);
@@ -76,9 +88,11 @@
     const auto service = name ? m_services.find(*name) : m_services.end();
     if (service == m_services.end())
         return refuse(RefusalReason::NoRoute);
+    if (tried.empty())
+        service->second.budget.onRequest(now);
     const auto candidates = candidatesOf(service->second, tried);
     if (candidates.empty())
-        return refuse(RefusalReason::NoInstance);
+        return refuse(hasInstance(*name) ? RefusalReason::NoSlot : RefusalReason::NoInstance);
     const std::size_t index = service->second.balancer->pick(candidates, m_random);
     Instance& instance = m_instances[candidates[index].id];
     m_lastAttempt = next(m_lastAttempt);
@@ -90,15 +104,60 @@
     return assignment;
 }
 
-void Dispatcher::finish(AttemptId attempt, AttemptResult /*result*/, TimePoint /*now*/)
+std::vector<WaiterId> Dispatcher::finish(
+    AttemptId attempt, const AttemptReport& /*report*/, TimePoint now)
 {
     const auto found = m_attempts.find(attempt);
     if (found == m_attempts.end())
-        return;
-    const auto instance = m_instances.find(found->second.instance);
+        return {};
+    const Attempt ended = found->second;
+    m_attempts.erase(found);
+    const auto instance = m_instances.find(ended.instance);
     if (instance != m_instances.end() && instance->second.inFlight > 0)
         --instance->second.inFlight;
-    m_attempts.erase(found);
+    const auto service = m_services.find(ended.service);
+    if (service == m_services.end())
+        return {};
+    service->second.queue.onSlotFreed(now);
+    const auto waiter = service->second.queue.pop(now);
+    return waiter ? std::vector<WaiterId> { *waiter } : std::vector<WaiterId> {};
+}
+
+bool Dispatcher::takeRetry(const ServiceId& service, TimePoint now)
+{
+    const auto found = m_services.find(service);
+    return found != m_services.end() && found->second.budget.take(now);
+}
+
+tl::expected<WaiterId, RefusalReason> Dispatcher::enqueue(
+    const RequestFacts& request, TimePoint deadline, TimePoint now)
+{
+    const auto name = m_routes.match(request.method, request.host, request.target);
+    const auto service = name ? m_services.find(*name) : m_services.end();
+    if (service == m_services.end())
+        return tl::unexpected<RefusalReason>(RefusalReason::NoRoute);
+    m_lastWaiter = next(m_lastWaiter);
+    const auto refusal = service->second.queue.push(m_lastWaiter, deadline, now);
+    if (!refusal)
+        return m_lastWaiter;
+    const RefusalReason reason = *refusal == WaitRefusal::QueueFull ? RefusalReason::QueueFull
+                                                                    : RefusalReason::WaitTooLong;
+    recordRefusal(request, reason);
+    return tl::unexpected<RefusalReason>(reason);
+}
+
+void Dispatcher::abandon(WaiterId waiter)
+{
+    for (auto& [name, service] : m_services)
+        service.queue.remove(waiter);
+}
+
+bool Dispatcher::hasInstance(const ServiceId& service) const
+{
+    return std::any_of(m_instances.begin(), m_instances.end(), [&](const auto& item) {
+        return item.second.record.service == service
+            && item.second.record.phase == InstancePhase::Serving;
+    });
 }
 
 std::vector<Candidate> Dispatcher::candidatesOf(
@@ -108,7 +167,7 @@
     for (const auto& [id, instance] : m_instances) {
         const InstanceRecord& record = instance.record;
         if (record.service != service.spec.name || record.phase != InstancePhase::Serving
-            || tried.contains(id))
+            || tried.contains(id) || instance.inFlight >= record.slots)
             continue;
         candidates.push_back({ id, record.slots, instance.inFlight, record.load, 1.0 });
     }
--- a/testsuite/bench/routing_bench.cpp
+++ b/testsuite/bench/routing_bench.cpp
@@ -33,7 +33,7 @@
         for (int i = 0; i < rounds; ++i) {
             const auto assigned = dispatcher.begin({ "GET", "h", "/" }, {}, clock.now());
             if (assigned)
-                dispatcher.finish(assigned->attempt, AttemptResult::Succeeded, clock.now());
+                dispatcher.finish(assigned->attempt, { AttemptResult::Succeeded }, clock.now());
         }
         return std::chrono::duration<double, std::micro>(clock.now() - start).count() / rounds;
     }
