--- a/src/include/laburnumroute/dispatcher.h
+++ b/src/include/laburnumroute/dispatcher.h
@@ -17,19 +17,13 @@
 #include <laburnumroute/clock.h>
 #include <laburnumroute/configuration.h>
 #include <laburnumroute/decision.h>
+#include <laburnumroute/host_place.h>
 #include <laburnumroute/instance.h>
 #include <laburnumroute/random.h>
 #include <laburnumroute/route_table.h>
 
 namespace laburnum {
 
-/// Where a host stands; placement prefers what is near.
-struct HostPlace {
-    HostId host;
-    DataCentreId dataCentre;
-    RegionId region;
-};
-
 /// What the dispatcher needs to know of a request.
 struct RequestFacts {
     std::string method;
--- a/testsuite/fakes/fake_network.cpp
+++ b/testsuite/fakes/fake_network.cpp
@@ -1,7 +1,5 @@
 #include "fakes/fake_network.h"
 
-#include <algorithm>
-
 #include <laburnumroute/json.h>
 
 namespace laburnum::fakes {
@@ -10,13 +8,17 @@
 
     constexpr auto stepTime = std::chrono::milliseconds(1);
     constexpr auto defaultDelay = std::chrono::milliseconds(1);
+    /// Length prefix, JSON-RPC members and the sender's id around the text of a message.
+    constexpr std::size_t frameBytes = 70;
 
 } // namespace
 
 void FakeNetwork::attach(const HostId& host, Participant& participant)
 {
     m_hosts[host].push_back(&participant);
-    m_nextTick[&participant] = m_now;
+    m_nextTick[&participant] = localNow(host);
+    for (const auto& method : participant.methods())
+        m_receivers[host][method] = &participant;
 }
 
 void FakeNetwork::detach(const HostId& host)
@@ -24,6 +26,16 @@
     for (Participant* participant : m_hosts[host])
         m_nextTick.erase(participant);
     m_hosts.erase(host);
+    m_receivers.erase(host);
+}
+
+TimePoint FakeNetwork::localNow(const HostId& host) const
+{
+    const auto rate = m_clockRates.find(host);
+    if (rate == m_clockRates.end())
+        return m_now;
+    const auto elapsed = static_cast<double>(m_now.time_since_epoch().count());
+    return TimePoint(Duration(static_cast<Duration::rep>(elapsed * rate->second)));
 }
 
 void FakeNetwork::cut(const HostId& from, const HostId& to, bool isCut)
@@ -72,8 +84,14 @@
 
 void FakeNetwork::enqueue(const PeerMessage& message)
 {
+    const std::size_t bytes = toJsonText(message.params).size() + message.method.size();
     ++m_messagesSent;
-    m_bytesSent += toJsonText(message.params).size() + message.method.size();
+    ++m_sentByMethod[message.method];
+    m_bytesSent += bytes;
+    if (message.from != message.to) {
+        ++m_sent[message.from].messages;
+        m_sent[message.from].bytes += bytes + frameBytes;
+    }
     const bool local = message.from == message.to;
     const bool blocked = m_cuts.contains({ message.from, message.to })
         || m_isolated.contains(message.from) || m_isolated.contains(message.to);
@@ -85,38 +103,41 @@
         if (m_faults.jitter.count() > 0)
             delay += Duration(
                 uniformBelow(m_random, static_cast<std::uint64_t>(m_faults.jitter.count())));
-        m_inFlight.push_back({ m_now + (local ? Duration::zero() : delay), message });
+        m_inFlight.insert({ m_now + (local ? Duration::zero() : delay), { message, bytes } });
     }
 }
 
 void FakeNetwork::deliverDue()
 {
     std::vector<InFlight> due;
-    const auto isDue = [&](const InFlight& item) {
-        return item.due <= m_now && !m_frozen.contains(item.message.to);
-    };
-    std::copy_if(m_inFlight.begin(), m_inFlight.end(), std::back_inserter(due), isDue);
-    std::erase_if(m_inFlight, isDue);
-    std::stable_sort(
-        due.begin(), due.end(), [](const InFlight& a, const InFlight& b) { return a.due < b.due; });
+    for (auto item = m_inFlight.begin(); item != m_inFlight.end() && item->first <= m_now;) {
+        if (m_frozen.contains(item->second.message.to)) {
+            ++item;
+            continue;
+        }
+        due.push_back(std::move(item->second));
+        item = m_inFlight.erase(item);
+    }
     for (const auto& item : due)
-        deliver(item.message);
+        deliver(item);
 }
 
-void FakeNetwork::deliver(const PeerMessage& message)
+void FakeNetwork::deliver(const InFlight& item)
 {
-    const auto host = m_hosts.find(message.to);
-    if (host == m_hosts.end())
-        return;
-    for (Participant* participant : host->second) {
-        const auto methods = participant->methods();
-        if (std::find(methods.begin(), methods.end(), message.method) == methods.end())
-            continue;
-        Outbox out(message.to);
-        participant->receive(message, m_now, out);
-        flush(out);
+    const PeerMessage& message = item.message;
+    const auto host = m_receivers.find(message.to);
+    if (host == m_receivers.end())
         return;
+    if (message.from != message.to) {
+        ++m_received[message.to].messages;
+        m_received[message.to].bytes += item.bytes + frameBytes;
     }
+    const auto receiver = host->second.find(message.method);
+    if (receiver == host->second.end())
+        return;
+    Outbox out(message.to);
+    receiver->second->receive(message, localNow(message.to), out);
+    flush(out);
 }
 
 void FakeNetwork::tickAll()
@@ -124,12 +145,14 @@
     for (const auto& [host, participants] : m_hosts) {
         if (m_frozen.contains(host))
             continue;
+        const TimePoint now = localNow(host);
         for (Participant* participant : participants) {
-            if (m_nextTick[participant] > m_now)
+            TimePoint& next = m_nextTick[participant];
+            if (next > now)
                 continue;
-            m_nextTick[participant] = m_now + participant->tickInterval();
+            next = now + participant->tickInterval();
             Outbox out(host);
-            participant->tick(m_now, out);
+            participant->tick(now, out);
             flush(out);
         }
     }
--- a/testsuite/fakes/fake_network.h
+++ b/testsuite/fakes/fake_network.h
@@ -19,6 +19,13 @@
     Duration jitter {};
 };
 
+/// Messages of one host in one direction. Bytes are frames as libnet writes them: JSON text and
+/// JSON-RPC envelope, without the headers of TCP and IP.
+struct Traffic {
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
+};
+
 /// Delivers messages between hosts. Deterministic for a seed.
 class FakeNetwork {
 public:
@@ -45,6 +52,11 @@
     /// A frozen host neither ticks nor receives; what arrives meanwhile is handled when it thaws.
     void freeze(const HostId& host, bool isFrozen = true);
 
+    /// Lets the clock of `host` run at `rate` seconds per second; before attach().
+    void setClockRate(const HostId& host, double rate) { m_clockRates[host] = rate; }
+    /// What the clock of `host` shows.
+    TimePoint localNow(const HostId& host) const;
+
     /// Runs for `time`, in steps of one millisecond, calling `check` after each step.
     void run(Duration time, const std::function<void()>& check = {});
     /// Sends what `out` holds; for calls made on a participant from outside.
@@ -54,18 +66,23 @@
     /// Decisions that participants logged, in order.
     const std::vector<Decision>& decisions() const noexcept { return m_decisions; }
     std::uint64_t messagesSent() const noexcept { return m_messagesSent; }
+    /// Messages of `method` sent so far.
+    std::uint64_t messagesSent(const std::string& method) { return m_sentByMethod[method]; }
     /// Bytes of all messages sent, as JSON text.
     std::uint64_t bytesSent() const noexcept { return m_bytesSent; }
+    /// What `host` sent, including what was lost, and what it received.
+    const Traffic& sentBy(const HostId& host) { return m_sent[host]; }
+    const Traffic& receivedBy(const HostId& host) { return m_received[host]; }
 
 private:
     struct InFlight {
-        TimePoint due;
         PeerMessage message;
+        std::size_t bytes = 0;
     };
 
     void enqueue(const PeerMessage& message);
     void deliverDue();
-    void deliver(const PeerMessage& message);
+    void deliver(const InFlight& item);
     void tickAll();
 
     Random m_random;
@@ -77,7 +94,12 @@
     std::set<std::pair<HostId, HostId>> m_cuts;
     std::set<HostId> m_isolated;
     std::set<HostId> m_frozen;
-    std::vector<InFlight> m_inFlight;
+    std::multimap<TimePoint, InFlight> m_inFlight;
+    std::map<HostId, std::map<std::string, Participant*>> m_receivers;
+    std::map<HostId, double> m_clockRates;
+    std::map<std::string, std::uint64_t> m_sentByMethod;
+    std::map<HostId, Traffic> m_sent;
+    std::map<HostId, Traffic> m_received;
     std::vector<Decision> m_decisions;
     std::uint64_t m_messagesSent = 0;
     std::uint64_t m_bytesSent = 0;
