--- a/src/include/laburnumroute/dispatcher.h
+++ b/src/include/laburnumroute/dispatcher.h
@@ -17,6 +17,7 @@
 #include <laburnumroute/clock.h>
 #include <laburnumroute/configuration.h>
 #include <laburnumroute/decision.h>
+#include <laburnumroute/host_place.h>
 #include <laburnumroute/instance.h>
 #include <laburnumroute/random.h>
 #include <laburnumroute/retry_budget.h>
@@ -25,13 +26,6 @@
 
 namespace laburnum {
 
-/// Where a host stands; placement prefers what is near.
-struct HostPlace {
-    HostId host;
-    DataCentreId dataCentre;
-    RegionId region;
-};
-
 /// What the dispatcher needs to know of a request.
 struct RequestFacts {
     std::string method;
