Configuration: every finding at its place; a library with which operators print it

Cause: cross-table findings had no place (0:0), a syntax error said only 'not TOML', and most mistakes that make a route unreachable passed unseen. 20,000 nested brackets crashed the process (SIGSEGV in the recursive parser, seen in a trial program): a posted configuration could stop a control host. Change: the reader keeps the place of each value; checks across tables, route and method rules, known balancers and announced capacity (ConfigContext), one line per syntax error at toml11's caret, nesting bounded at 64 before the parser runs. Ruled out: toml::format for strings: it breaks long ones over lines; own escaping reads back in 200 seeded random configurations.

--- a/src/include/laburnumroute/configuration.h
+++ b/src/include/laburnumroute/configuration.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,6 +36,8 @@
     std::uint32_t retryPercent = 10;
     /// Requests that one host lets wait for a free slot.
     std::uint32_t queueLimit = 16;
+
+    friend bool operator==(const ServiceSpec&, const ServiceSpec&) = default;
 };
 
 /// Sends requests that match to a service. The longest matching prefix wins.
@@ -46,18 +49,30 @@
     /// Methods; empty matches every method.
     std::vector<std::string> methods;
     ServiceId service;
+
+    friend bool operator==(const RouteSpec&, const RouteSpec&) = default;
 };
 
 /// Everything that one revision declares.
 struct Configuration {
     std::vector<ServiceSpec> services;
     std::vector<RouteSpec> routes;
+
+    friend bool operator==(const Configuration&, const Configuration&) = default;
+};
+
+/// What the reader is told besides the text. Checks whose facts are missing are left out.
+struct ConfigContext {
+    /// Names of the linked balancers; empty when they are not known.
+    std::vector<std::string> balancers;
+    /// Slots that the instances of each service announced, as a control host knows them.
+    std::map<ServiceId, std::uint64_t> announcedSlots;
 };
 
 /// Reads TOML `text`. Every problem goes to `findings` with its place in `fileName`; the result is
 /// usable only when `findings` has no errors.
-Configuration readConfiguration(
-    std::string_view text, const std::string& fileName, Findings& findings);
+Configuration readConfiguration(std::string_view text, const std::string& fileName,
+    Findings& findings, const ConfigContext& context = {});
 
 /// Writes `configuration` as TOML that readConfiguration() reads back to the same value.
 std::string printConfiguration(const Configuration& configuration);
--- /dev/null
+++ b/src/include/laburnumroute/declare.h
@@ -0,0 +1,39 @@
+/// The operators' library: programs that create services and routes in C++ and print the
+/// configuration, which `laburnumctl apply` then submits.
+///
+///     Deployment deployment("Night desk");
+///     const ServiceId desk = deployment.addService({ ServiceId("desk"), 24 });
+///     deployment.addRoute({ "desk.example", "/", {}, desk });
+///     return deployment.print(std::cout, std::cerr);
+#pragma once
+
+#include <iosfwd>
+#include <string>
+
+#include <laburnumroute/configuration.h>
+
+namespace laburnum {
+
+/// Collects the services and routes of one configuration.
+class Deployment {
+public:
+    /// `title` becomes the comment at the head of the file; one line each.
+    explicit Deployment(std::string title);
+
+    /// Adds a service and returns its id, for its routes.
+    ServiceId addService(ServiceSpec service);
+    void addRoute(RouteSpec route);
+
+    const Configuration& configuration() const noexcept { return m_configuration; }
+    /// The configuration as TOML.
+    std::string text() const;
+    /// Checks the configuration and writes it to `out`; findings go to `errors`. Returns the exit
+    /// code for main(): 0, or 1 when there are errors and nothing was written.
+    int print(std::ostream& out, std::ostream& errors) const;
+
+private:
+    std::string m_title;
+    Configuration m_configuration;
+};
+
+} // namespace laburnum
--- a/src/include/laburnumroute/toml_table.h
+++ b/src/include/laburnumroute/toml_table.h
@@ -14,7 +14,10 @@
 
 namespace laburnum {
 
-/// Parses `text`; a syntax error goes to `findings` and gives nothing.
+/// Arrays and inline tables may nest this deep; the parser works recursively.
+constexpr std::size_t maxTomlDepth = 64;
+
+/// Parses `text`; a syntax error goes to `findings`, in one line, and gives nothing.
 std::optional<toml::value> parseToml(
     std::string_view text, const std::string& fileName, Findings& findings);
 
@@ -26,6 +29,10 @@
 
     /// Where `value` stands.
     SourcePlace placeOf(const toml::value& value) const;
+    /// Where the value of `key` stands, or the table when the key is missing.
+    SourcePlace placeOfValue(const std::string& key);
+    /// Where the name of `key`, which holds `value`, stands.
+    SourcePlace placeOfKey(const std::string& key, const toml::value& value) const;
     /// The value of `key`, or null.
     const toml::value* find(const std::string& key);
     /// True when `key` is present; counts as known from then on.
--- a/src/laburnumctl/main.cpp
+++ b/src/laburnumctl/main.cpp
@@ -9,6 +9,7 @@
 #include <cxxopts.hpp>
 #include <httplib.h>
 
+#include <laburnumroute/balancer.h>
 #include <laburnumroute/configuration.h>
 #include <laburnumroute/json.h>
 
@@ -38,9 +39,9 @@
 bool checkText(const std::string& text, const std::string& path)
 {
     Findings findings;
-    readConfiguration(text, path, findings);
+    readConfiguration(text, path, findings, { BalancerRegistry::instance().names(), {} });
     for (const auto& finding : findings.sorted())
-        std::cerr << formatFinding(finding) << '\n';
+        std::cout << formatFinding(finding) << '\n';
     return !findings.hasErrors();
 }
 
--- a/src/libdeclare/config_printer.cpp
+++ b/src/libdeclare/config_printer.cpp
@@ -1,8 +1,7 @@
 #include <laburnumroute/configuration.h>
 
 #include <sstream>
-
-#include <toml.hpp>
+#include <utility>
 
 namespace laburnum {
 
@@ -13,7 +12,37 @@
 
 namespace {
 
-    std::string quoted(const std::string& text) { return toml::format(toml::value(text)); }
+    /// `text` as a basic string of TOML.
+    std::string quoted(std::string_view text)
+    {
+        constexpr std::string_view hexDigits = "0123456789ABCDEF";
+        constexpr unsigned char deleteCharacter = 0x7f;
+        std::string result = "\"";
+        for (const char c : text) {
+            const auto byte = static_cast<unsigned char>(c);
+            if (byte < ' ' || byte == deleteCharacter) {
+                result += "\\u00";
+                result += hexDigits[byte >> 4];
+                result += hexDigits[byte & 0xf];
+                continue;
+            }
+            if (c == '"' || c == '\\')
+                result += '\\';
+            result += c;
+        }
+        return result + '"';
+    }
+
+    void printMethods(std::ostream& out, const std::vector<std::string>& methods)
+    {
+        out << "methods = [";
+        const char* separator = "";
+        for (const auto& method : methods) {
+            out << separator << quoted(method);
+            separator = ", ";
+        }
+        out << "]\n";
+    }
 
     void printService(std::ostream& out, const ServiceSpec& service)
     {
@@ -24,22 +53,18 @@
         out << "balancer = " << quoted(service.balancer) << '\n';
         out << "deadline_ms = " << toMillis(service.deadline) << '\n';
         out << "retry_percent = " << service.retryPercent << '\n';
-        out << "queue_limit = " << service.queueLimit << "\n\n";
+        out << "queue_limit = " << service.queueLimit << '\n';
     }
 
     void printRoute(std::ostream& out, const RouteSpec& route)
     {
         out << "[[route]]\n";
-        out << "host = " << quoted(route.host) << '\n';
+        if (!route.host.empty())
+            out << "host = " << quoted(route.host) << '\n';
         out << "prefix = " << quoted(route.prefix) << '\n';
-        out << "methods = [";
-        const char* separator = "";
-        for (const auto& method : route.methods) {
-            out << separator << quoted(method);
-            separator = ", ";
-        }
-        out << "]\n";
-        out << "service = " << quoted(route.service.value()) << "\n\n";
+        if (!route.methods.empty())
+            printMethods(out, route.methods);
+        out << "service = " << quoted(route.service.value()) << '\n';
     }
 
 } // namespace
@@ -47,10 +72,15 @@
 std::string printConfiguration(const Configuration& configuration)
 {
     std::ostringstream out;
-    for (const auto& service : configuration.services)
+    const char* separator = "";
+    for (const auto& service : configuration.services) {
+        out << std::exchange(separator, "\n");
         printService(out, service);
-    for (const auto& route : configuration.routes)
+    }
+    for (const auto& route : configuration.routes) {
+        out << std::exchange(separator, "\n");
         printRoute(out, route);
+    }
     return out.str();
 }
 
--- /dev/null
+++ b/src/libdeclare/config_printer_test.cpp
@@ -0,0 +1,101 @@
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <sstream>
+
+#include <laburnumroute/declare.h>
+#include <laburnumroute/random.h>
+
+using namespace laburnum;
+
+namespace {
+
+constexpr std::uint64_t firstSeed = 20'261;
+constexpr std::uint64_t seedCount = 200;
+
+template <std::size_t count>
+std::string anyOf(Random& random, const std::array<const char*, count>& choices)
+{
+    return choices[uniformBelow(random, count)];
+}
+
+/// A name with characters that TOML must escape.
+std::string randomName(Random& random, std::size_t serial)
+{
+    static constexpr std::array<const char*, 10> parts { "a", "\"", "\\", "\n", "\t", "#", "'''",
+        "\x7f", "\xc3\xa9", "a very long part that a printer may want to break over lines " };
+    std::string name = std::to_string(serial);
+    for (std::uint64_t i = uniformBelow(random, 6); i > 0; --i)
+        name += anyOf(random, parts);
+    return name;
+}
+
+ServiceSpec randomService(Random& random, std::size_t serial)
+{
+    ServiceSpec service;
+    service.name = ServiceId(randomName(random, serial));
+    service.floorSlots = static_cast<std::uint32_t>(1 + uniformBelow(random, 10'000'000));
+    service.weighting
+        = uniformBelow(random, 2) == 0 ? Weighting::FewFalseEjections : Weighting::QuickDetection;
+    service.balancer = randomName(random, serial);
+    service.deadline = std::chrono::milliseconds(1 + uniformBelow(random, 3'600'000));
+    service.retryPercent = static_cast<std::uint32_t>(uniformBelow(random, 101));
+    service.queueLimit = static_cast<std::uint32_t>(uniformBelow(random, 1'000'001));
+    return service;
+}
+
+RouteSpec randomRoute(Random& random, const ServiceSpec& service, std::size_t serial)
+{
+    static constexpr std::array<const char*, 3> hosts { "", "book.example", "[::1]" };
+    static constexpr std::array<const char*, 4> methods { "GET", "POST", "PROPFIND", "M'`|~" };
+    RouteSpec route;
+    route.host = anyOf(random, hosts);
+    route.prefix = "/" + std::to_string(serial) + "/\"\\'%20";
+    for (std::size_t i = uniformBelow(random, methods.size() + 1); i > 0; --i)
+        route.methods.emplace_back(methods[i - 1]);
+    route.service = service.name;
+    return route;
+}
+
+Configuration randomConfiguration(Random& random)
+{
+    Configuration configuration;
+    for (std::size_t i = 1 + uniformBelow(random, 5); i > 0; --i) {
+        configuration.services.push_back(randomService(random, i));
+        configuration.routes.push_back(randomRoute(random, configuration.services.back(), i));
+    }
+    return configuration;
+}
+
+} // namespace
+
+TEST_CASE("any configuration reads back as it was printed")
+{
+    for (std::uint64_t seed = firstSeed; seed < firstSeed + seedCount; ++seed) {
+        CAPTURE(seed);
+        Random random(seed);
+        const Configuration printed = randomConfiguration(random);
+        const std::string text = printConfiguration(printed);
+        CAPTURE(text);
+        Findings findings;
+        const Configuration again = readConfiguration(text, "x.toml", findings);
+        REQUIRE(findings.empty());
+        REQUIRE(again == printed);
+    }
+}
+
+TEST_CASE("a deployment with errors is reported and not printed")
+{
+    Deployment deployment("Title");
+    const ServiceId desk = deployment.addService({ ServiceId("desk"), 24 });
+    deployment.addRoute({ "", "/", {}, desk });
+    std::ostringstream out;
+    std::ostringstream errors;
+    REQUIRE(deployment.print(out, errors) == EXIT_SUCCESS);
+    REQUIRE(out.str().starts_with("# Title\n\n[[service]]\nname = \"desk\"\n"));
+    deployment.addRoute({ "", "/other", {}, ServiceId("other") });
+    std::ostringstream nothing;
+    REQUIRE(deployment.print(nothing, errors) == EXIT_FAILURE);
+    REQUIRE(nothing.str().empty());
+    REQUIRE(errors.str().find("unknown service 'other'") != std::string::npos);
+}
--- /dev/null
+++ b/src/libdeclare/text_rules.cpp
@@ -0,0 +1,78 @@
+// Rules for the texts of a configuration; see config_reader_pvt.h.
+
+#include "config_reader_pvt.h"
+
+#include <algorithm>
+
+namespace laburnum::pvt {
+
+namespace {
+
+    constexpr std::size_t maxHostBytes = 253;
+    constexpr std::size_t maxLabelBytes = 63;
+
+    bool isAlphanumeric(char c) noexcept
+    {
+        return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+    }
+
+    bool isLabel(std::string_view label) noexcept
+    {
+        const auto isInner = [](char c) { return isAlphanumeric(c) || c == '-' || c == '_'; };
+        return !label.empty() && label.size() <= maxLabelBytes && label.front() != '-'
+            && label.back() != '-' && std::all_of(label.begin(), label.end(), isInner);
+    }
+
+    bool isBracketedAddress(std::string_view text) noexcept
+    {
+        return text.size() > 2 && text.front() == '[' && text.back() == ']'
+            && text.find_first_not_of("0123456789abcdefABCDEF:.", 1) == text.size() - 1;
+    }
+
+    std::string mapped(std::string_view text, char first, char last, int shift)
+    {
+        std::string result(text);
+        for (char& c : result) {
+            if (c >= first && c <= last)
+                c = static_cast<char>(c + shift);
+        }
+        return result;
+    }
+
+} // namespace
+
+bool isToken(std::string_view text) noexcept
+{
+    constexpr std::string_view special = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [&](char c) {
+        return isAlphanumeric(c) || special.find(c) != std::string_view::npos;
+    });
+}
+
+bool isHostName(std::string_view text) noexcept
+{
+    if (isBracketedAddress(text))
+        return true;
+    if (text.empty() || text.size() > maxHostBytes)
+        return false;
+    while (true) {
+        const std::size_t dot = text.find('.');
+        if (!isLabel(text.substr(0, dot)))
+            return false;
+        if (dot == std::string_view::npos)
+            return true;
+        text.remove_prefix(dot + 1);
+    }
+}
+
+bool isPathPrefix(std::string_view text) noexcept
+{
+    return text.starts_with('/') && std::all_of(text.begin(), text.end(), [](char c) {
+        return c > ' ' && c <= '~' && c != '?' && c != '#';
+    });
+}
+
+std::string lowerCase(std::string_view text) { return mapped(text, 'A', 'Z', 'a' - 'A'); }
+std::string upperCase(std::string_view text) { return mapped(text, 'a', 'z', 'A' - 'a'); }
+
+} // namespace laburnum::pvt
--- /dev/null
+++ b/src/libdeclare/toml_syntax.cpp
@@ -0,0 +1,127 @@
+// Parses TOML by toml11 and turns its errors into findings; see toml_table.h.
+
+#include <laburnumroute/toml_table.h>
+
+#include <algorithm>
+#include <sstream>
+
+namespace laburnum {
+
+namespace {
+
+    constexpr std::string_view caret = "^---";
+
+    /// True when brackets outside of strings and comments nest deeper than maxTomlDepth.
+    class DepthScanner {
+    public:
+        bool tooDeep(std::string_view text)
+        {
+            return std::any_of(text.begin(), text.end(), [this](char c) { return feed(c); });
+        }
+
+        SourcePlace place(const std::string& file) const { return { file, m_line, m_column }; }
+
+    private:
+        bool feed(char c)
+        {
+            ++m_column;
+            if (c == '\n') {
+                ++m_line;
+                m_column = 0;
+                m_comment = false;
+            } else if (m_escaped) {
+                m_escaped = false;
+            } else if (m_quote != 0) {
+                m_escaped = m_quote == '"' && c == '\\';
+                m_quote = c == m_quote ? '\0' : m_quote;
+            } else if (!m_comment) {
+                return feedToken(c);
+            }
+            return false;
+        }
+
+        bool feedToken(char c)
+        {
+            if (c == '"' || c == '\'')
+                m_quote = c;
+            m_comment = c == '#';
+            if (c == '[' || c == '{')
+                ++m_depth;
+            else if ((c == ']' || c == '}') && m_depth > 0)
+                --m_depth;
+            return m_depth > maxTomlDepth;
+        }
+
+        std::size_t m_line = 1;
+        std::size_t m_column = 0;
+        std::size_t m_depth = 0;
+        char m_quote = '\0';
+        bool m_escaped = false;
+        bool m_comment = false;
+    };
+
+    std::vector<std::string> linesOf(const std::string& text)
+    {
+        std::vector<std::string> lines;
+        std::istringstream stream(text);
+        for (std::string line; std::getline(stream, line);)
+            lines.push_back(line);
+        return lines;
+    }
+
+    /// The headline of a report by toml11 without its decoration.
+    std::string headline(const std::vector<std::string>& report)
+    {
+        std::string line = report.empty() ? "not TOML" : report.front();
+        for (const std::string_view decoration : { "[error] ", "toml::" }) {
+            if (line.starts_with(decoration))
+                line.erase(0, decoration.size());
+        }
+        const std::size_t colon = line.find(": ");
+        const bool namesFunction = colon != std::string::npos && line.find(' ') > colon;
+        return namesFunction ? line.substr(colon + 2) : line;
+    }
+
+    /// Turns a report by toml11 (a headline, then source lines with a caret below) into a finding.
+    void addSyntaxError(const std::string& what, SourcePlace place, Findings& findings)
+    {
+        const auto report = linesOf(what);
+        std::string message = headline(report);
+        const std::string source = ' ' + std::to_string(place.line) + " | ";
+        for (std::size_t i = 0; i + 1 < report.size(); ++i) {
+            const std::size_t mark = report[i + 1].find(caret);
+            if (!report[i].starts_with(source) || mark == std::string::npos)
+                continue;
+            place.column = mark >= source.size() ? mark - source.size() + 1 : place.column;
+            const std::string hint = report[i + 1].substr(mark + caret.size());
+            if (hint != " here")
+                message += ':' + hint;
+            break;
+        }
+        findings.error(std::move(place), std::move(message));
+    }
+
+} // namespace
+
+std::optional<toml::value> parseToml(
+    std::string_view text, const std::string& fileName, Findings& findings)
+{
+    DepthScanner scanner;
+    if (scanner.tooDeep(text)) {
+        findings.error(scanner.place(fileName),
+            "arrays and tables nest deeper than " + std::to_string(maxTomlDepth));
+        return std::nullopt;
+    }
+    std::istringstream stream { std::string(text) };
+    try {
+        return toml::parse(stream, fileName);
+    } catch (const toml::exception& e) {
+        const auto& location = e.location();
+        addSyntaxError(e.what(), { fileName, location.line(), location.column() }, findings);
+    } catch (const std::exception& e) {
+        findings.error({ fileName, 1, 1 }, std::string("not TOML: ") + e.what());
+    }
+    return std::nullopt;
+}
+
+} // namespace laburnum
--- a/src/libdeclare/toml_table.cpp
+++ b/src/libdeclare/toml_table.cpp
@@ -1,22 +1,7 @@
 #include <laburnumroute/toml_table.h>
 
-#include <sstream>
-
 namespace laburnum {
 
-std::optional<toml::value> parseToml(
-    std::string_view text, const std::string& fileName, Findings& findings)
-{
-    std::istringstream stream { std::string(text) };
-    try {
-        return toml::parse(stream, fileName);
-    } catch (const toml::exception& e) {
-        const auto& location = e.location();
-        findings.error({ fileName, location.line(), location.column() }, "not TOML");
-        return std::nullopt;
-    }
-}
-
 TableReader::TableReader(const toml::value& table, std::string file, Findings& findings)
     : m_table(table)
     , m_file(std::move(file))
@@ -30,6 +15,22 @@
     return { m_file, location.line(), location.column() };
 }
 
+SourcePlace TableReader::placeOfValue(const std::string& key)
+{
+    const toml::value* value = find(key);
+    return placeOf(value ? *value : m_table);
+}
+
+SourcePlace TableReader::placeOfKey(const std::string& key, const toml::value& value) const
+{
+    SourcePlace place = placeOf(value);
+    const std::string line = value.location().line_str();
+    const std::size_t found = line.substr(0, place.column - 1).rfind(key);
+    if (found != std::string::npos && line[found + key.size()] != '"')
+        place.column = found + 1;
+    return place;
+}
+
 const toml::value* TableReader::find(const std::string& key)
 {
     m_known.insert(key);
@@ -40,8 +41,7 @@
 
 void TableReader::errorAt(const std::string& key, std::string message)
 {
-    const toml::value* value = find(key);
-    m_findings.error(placeOf(value ? *value : m_table), std::move(message));
+    m_findings.error(placeOfValue(key), std::move(message));
 }
 
 std::string TableReader::text(const std::string& key, std::string fallback, bool required)
@@ -93,7 +93,8 @@
 {
     for (const auto& [key, value] : m_table.as_table()) {
         if (!m_known.contains(key))
-            m_findings.error(placeOf(value), "unknown key '" + key + "'");
+            m_findings.error(placeOfKey(key, value),
+                (value.is_table() ? "unknown table '" : "unknown key '") + key + "'");
     }
 }
 
--- /dev/null
+++ b/testsuite/cases/run_case.py
@@ -0,0 +1,40 @@
+#!/usr/bin/env python3
+"""Runs one end-to-end case and compares what it prints with the case's reference output.
+
+Usage: run_case.py CASE_FOLDER BIN_FOLDER [--update]
+
+`command` is a shell script that runs from the root of the tree with the programs' folder on its PATH and CASE naming
+the case's folder. `expected` holds its standard output and error, and as last line its exit code. --update writes
+`expected` anew; read the difference before you commit it."""
+
+import difflib
+import os
+import pathlib
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+
+
+def run(case, programs):
+    """What the case prints, and its exit code as last line."""
+    environment = os.environ | {"PATH": f"{programs}:{os.environ['PATH']}", "CASE": str(case.relative_to(ROOT))}
+    done = subprocess.run(["sh", case / "command"], cwd=ROOT, env=environment, stdout=subprocess.PIPE,
+                          stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL, text=True, check=False)
+    return f"{done.stdout}exit {done.returncode}\n"
+
+
+def main():
+    case, programs = pathlib.Path(sys.argv[1]).resolve(), pathlib.Path(sys.argv[2]).resolve()
+    reference = case / "expected"
+    actual = run(case, programs)
+    if "--update" in sys.argv:
+        reference.write_text(actual)
+        return 0
+    wanted = reference.read_text()
+    sys.stdout.writelines(difflib.unified_diff(wanted.splitlines(True), actual.splitlines(True), "expected", "actual"))
+    return 0 if actual == wanted else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
