--- a/src/include/laburnumroute/claims.h
+++ b/src/include/laburnumroute/claims.h
@@ -26,11 +26,12 @@
 };
 
 /// One try to run a request; unique over all hosts and restarts.
-using ClaimId = StrongId<struct ClaimTag, std::string>;
+using ClaimToken = StrongId<struct ClaimTokenTag, std::string>;
 
 /// A whole answer kept for callers that resend. Bytes of the body as they were sent.
 struct StoredAnswer {
     unsigned status = 0;
+    std::string reason;
     std::vector<HeaderField> fields;
     std::string body;
 };
@@ -67,10 +68,10 @@
 const char* claimVerdictName(ClaimVerdict verdict) noexcept;
 
 /// Verdict with what belongs to it.
-struct ClaimDecision {
+struct ClaimResult {
     ClaimVerdict verdict = ClaimVerdict::OutOfReach;
     /// The claim to finish; set with Run.
-    ClaimId claim;
+    ClaimToken claim;
     /// Set with Replay.
     StoredAnswer answer;
 };
--- a/src/include/laburnumroute/toml_table.h
+++ b/src/include/laburnumroute/toml_table.h
@@ -45,6 +45,8 @@
     /// An integer in [low, high]; `fallback` when the key is missing or wrong.
     std::int64_t integer(
         const std::string& key, std::int64_t fallback, std::int64_t low, std::int64_t high);
+    /// true or false; `fallback` when the key is missing or wrong.
+    bool flag(const std::string& key, bool fallback);
     /// Every key that no call asked for is a finding.
     void refuseUnknownKeys();
 
--- /dev/null
+++ b/src/laburnumd/fleet_role.cpp
@@ -0,0 +1,119 @@
+#include "fleet_role.h"
+
+#include <random>
+
+#include <laburnumroute/disk_storage.h>
+
+namespace laburnum {
+
+namespace {
+
+    std::vector<HostId> peersOf(const Settings& settings)
+    {
+        std::vector<HostId> hosts;
+        hosts.reserve(settings.peers.size());
+        for (const auto& peer : settings.peers)
+            hosts.push_back(peer.place.host);
+        return hosts;
+    }
+
+} // namespace
+
+FleetRole::FleetRole(asio::io_context& context, const Settings& settings, PeerTransport& transport,
+    const Clock& clock, DecisionLog& log, DispatchTable& table)
+    : m_runner(context, settings.place.host, transport, clock, log)
+    , m_clock(clock)
+    , m_log(log)
+    , m_table(table)
+{
+}
+
+Expected<void> FleetRole::open(const Settings& settings)
+{
+    if (!settings.dataFolder.empty()) {
+        auto storage = openDiskStorage(settings.dataFolder + "/config");
+        if (!storage)
+            return tl::unexpected<Error>(storage.error());
+        m_storage = std::move(*storage);
+    }
+    std::random_device seeds;
+    const auto peers = peersOf(settings);
+    m_config = std::make_unique<ConfigSpread>(settings.place.host, peers, m_storage.get(), seeds());
+    m_instances = std::make_unique<InstanceSpread>(settings.place.host, peers, seeds());
+    m_runner.add(*m_config);
+    m_runner.add(*m_instances);
+    m_runner.setAfterEach([this] { carryChanges(); });
+    m_table.with([&](Dispatcher& dispatcher, TimePoint) {
+        dispatcher.setHostCount(static_cast<unsigned>(peers.size() + 1));
+    });
+    return {};
+}
+
+AnnounceResult FleetRole::announce(const InstanceRecord& record)
+{
+    return m_runner.call([&](TimePoint now, Outbox&) { return m_instances->announce(record, now); });
+}
+
+Expected<void> FleetRole::drain(const InstanceId& id)
+{
+    return m_runner.call([&](TimePoint now, Outbox&) -> Expected<void> {
+        const DirectoryEntry* entry = m_instances->directory().find(id);
+        if (!entry || entry->departed)
+            return fail(ErrorCode::NotFound, "no instance '" + id.value() + "'");
+        InstanceRecord record = entry->record;
+        record.phase = InstancePhase::Draining;
+        ++record.version;
+        m_instances->announce(record, now);
+        return {};
+    });
+}
+
+void FleetRole::publish(ConfigVersion version)
+{
+    m_runner.post([this, version = std::move(version)](TimePoint now, Outbox& out) {
+        m_config->adopt(version, now, out);
+    });
+}
+
+FleetStatus FleetRole::status()
+{
+    return m_runner.call([&](TimePoint now, Outbox&) {
+        return FleetStatus { m_config->current().revision, m_instances->directory().size(),
+            m_config->revisions(now) };
+    });
+}
+
+ConfigVersion FleetRole::current()
+{
+    return m_runner.call([&](TimePoint, Outbox&) { return m_config->current(); });
+}
+
+void FleetRole::carryChanges()
+{
+    if (const auto version = m_config->takeNewVersion())
+        putInForce(*version);
+    const auto changes = m_instances->takeChanges();
+    if (changes.empty())
+        return;
+    m_table.with([&](Dispatcher& dispatcher, TimePoint now) {
+        for (const auto& change : changes) {
+            if (change.removed)
+                dispatcher.removeInstance(change.record.id, now);
+            else
+                dispatcher.upsertInstance(change.record, now);
+        }
+    });
+}
+
+void FleetRole::putInForce(const ConfigVersion& version)
+{
+    Findings findings;
+    const Configuration configuration = readConfiguration(version.content, "content", findings);
+    m_table.with([&](Dispatcher& dispatcher, TimePoint) { dispatcher.setConfiguration(configuration); });
+    Decision decision { "config", "in-force" };
+    decision.facts["revision"] = Json::UInt64(version.revision.value());
+    decision.facts["change"] = version.change.value();
+    m_log.record(decision);
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/src/laburnumd/fleet_role.h
@@ -0,0 +1,61 @@
+/// The process's part in the fleet: configuration, instances, ownership and ejections, and how they
+/// reach the dispatcher.
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include <laburnumroute/config_spread.h>
+#include <laburnumroute/dispatch_table.h>
+#include <laburnumroute/instance_spread.h>
+
+#include "participant_runner.h"
+#include "settings.h"
+
+namespace laburnum {
+
+/// What a host knows of the fleet, for status calls.
+struct FleetStatus {
+    Revision revision;
+    std::size_t instances = 0;
+    std::vector<HostRevision> hosts;
+};
+
+/// Owns the fleet participants and their strand. Lock order: the strand, then the dispatch table.
+class FleetRole {
+public:
+    /// Keeps references to all arguments but `settings`.
+    FleetRole(asio::io_context& context, const Settings& settings, PeerTransport& transport,
+        const Clock& clock, DecisionLog& log, DispatchTable& table);
+
+    /// Takes up the configuration that the data folder holds and registers the participants.
+    Expected<void> open(const Settings& settings);
+    void start() { m_runner.start(); }
+    void stop() { m_runner.stop(); }
+
+    /// Handles an announcement of an upstream. Blocks; not for the control context.
+    AnnounceResult announce(const InstanceRecord& record);
+    /// Drains an instance on an operator's behalf; NotFound when it is not known. Blocks; not for the
+    /// control context.
+    Expected<void> drain(const InstanceId& id);
+    /// Spreads a version that the control hosts accepted; safe from any thread.
+    void publish(ConfigVersion version);
+    /// Blocks; not for the control context.
+    FleetStatus status();
+    /// The version in force. Blocks; not for the control context.
+    ConfigVersion current();
+
+private:
+    void carryChanges();
+    void putInForce(const ConfigVersion& version);
+
+    ParticipantRunner m_runner;
+    const Clock& m_clock;
+    DecisionLog& m_log;
+    DispatchTable& m_table;
+    std::unique_ptr<Storage> m_storage;
+    std::unique_ptr<ConfigSpread> m_config;
+    std::unique_ptr<InstanceSpread> m_instances;
+};
+
+} // namespace laburnum
--- a/src/laburnumd/main.cpp
+++ b/src/laburnumd/main.cpp
@@ -29,12 +29,13 @@
         std::cerr << laburnum::formatFinding(finding) << '\n';
     if (findings.hasErrors())
         return exitFindings;
-    laburnum::Node node(std::move(settings));
-    if (const auto started = node.start(); !started) {
+    auto node = laburnum::Node::create(std::move(settings));
+    const auto started = node ? node->start() : tl::unexpected<laburnum::Error>(node.error());
+    if (!started) {
         std::cerr << "laburnumd: " << started.error().message << '\n';
         return exitStart;
     }
-    node.run();
+    node->run();
     return EXIT_SUCCESS;
 }
 
--- a/src/laburnumd/node.cpp
+++ b/src/laburnumd/node.cpp
@@ -1,316 +1,206 @@
 #include "node.h"
 
-#include <future>
+#include <atomic>
+#include <random>
 #include <thread>
 
+#include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
-#include <asio/post.hpp>
 #include <asio/signal_set.hpp>
-#include <asio/steady_timer.hpp>
-#include <asio/strand.hpp>
 
 #include <laburnumroute/admin_server.h>
-#include <laburnumroute/config_holder.h>
 #include <laburnumroute/entry_server.h>
-#include <laburnumroute/instance_directory.h>
-#include <laburnumroute/json.h>
 #include <laburnumroute/log_sink.h>
 #include <laburnumroute/peer_transport.h>
 
+#include "claim_role.h"
+#include "cluster_claim_gate.h"
+#include "control_role.h"
+#include "fleet_role.h"
+#include "http_api.h"
+
 namespace laburnum {
 
 namespace {
 
-    constexpr auto tickInterval = std::chrono::milliseconds(250);
-
-    constexpr int statusOk = 200;
-    constexpr int statusBadRequest = 400;
-    constexpr int statusConflict = 409;
-    constexpr int statusUnavailable = 503;
-
-    constexpr const char* methodInstances = "fleet.instances";
-    constexpr const char* methodVersion = "config.version";
-    constexpr const char* methodRevision = "config.revision";
+    /// Threads of the control context: one for each strand that may wait for a disk, and one besides.
+    constexpr unsigned controlThreads = 3;
 
     std::map<HostId, Endpoint> endpointsOf(const std::vector<PeerSettings>& peers)
     {
         std::map<HostId, Endpoint> result;
         for (const auto& peer : peers)
-            result[peer.host] = peer.endpoint;
+            result[peer.place.host] = peer.endpoint;
         return result;
     }
 
-    Json::Value encodeVersion(const ConfigVersion& version)
-    {
-        Json::Value value(Json::objectValue);
-        value["revision"] = Json::UInt64(version.revision.value());
-        value["change"] = version.change.value();
-        value["content"] = version.content;
-        return value;
-    }
-
-    Expected<ConfigVersion> decodeVersion(const Json::Value& value)
-    {
-        const auto revision = unsignedMember(value, "revision");
-        const auto change = stringMember(value, "change");
-        const auto content = stringMember(value, "content");
-        if (!revision || !change || !content)
-            return fail(ErrorCode::InvalidArgument, "not a configuration version");
-        return ConfigVersion { Revision(*revision), ChangeId(*change), *content };
-    }
-
-    AdminResponse errorResponse(const Error& error)
-    {
-        Json::Value body(Json::objectValue);
-        body["error"] = errorCodeName(error.code);
-        body["message"] = error.message;
-        const int status = error.code == ErrorCode::Conflict ? statusConflict
-            : error.code == ErrorCode::Unavailable           ? statusUnavailable
-                                                             : statusBadRequest;
-        return { status, "application/json", toJsonText(body) + '\n' };
-    }
-
-    AdminResponse jsonResponse(const Json::Value& body)
+    /// Reads the shared key when the settings name one.
+    Expected<std::optional<SharedKey>> readKey(const Settings& settings)
     {
-        return { statusOk, "application/json", toJsonText(body) + '\n' };
+        if (settings.keyFile.empty())
+            return std::nullopt;
+        auto key = readKeyFile(settings.keyFile);
+        if (!key)
+            return tl::unexpected<Error>(key.error());
+        return std::move(*key);
     }
 
 } // namespace
 
 class Node::Impl {
 public:
-    explicit Impl(Settings settings)
+    Impl(Settings settings, std::optional<SharedKey> key)
         : m_settings(std::move(settings))
         , m_log(openDecisionLog(m_settings.place.host, m_settings.logFile))
-        , m_strand(asio::make_strand(m_context))
         , m_dispatcher(m_settings.place, std::random_device {}(), *m_log)
         , m_table(m_dispatcher, m_clock)
-        , m_transport(
-              m_context.get_executor(), m_settings.place.host, endpointsOf(m_settings.peers))
-        , m_entry(m_context, m_table)
-        , m_tick(m_strand)
+        , m_transport(m_controlContext.get_executor(), m_settings.place.host, endpointsOf(m_settings.peers), key)
+        , m_fleet(m_controlContext, m_settings, m_transport, m_clock, *m_log, m_table)
+        , m_claims(m_controlContext, m_settings, m_transport, m_clock, *m_log)
+        , m_gate(m_claims)
+        , m_entry(m_context, m_table, {}, &m_gate)
+        , m_operators(key)
+        , m_open(!key)
     {
+        if (m_settings.control)
+            m_control = std::make_unique<ControlRole>(m_controlContext, m_settings, m_transport, m_clock, *m_log,
+                [this](const ConfigVersion& version) { m_fleet.publish(version); });
     }
 
     Expected<void> start()
     {
-        registerPeerMethods();
-        registerAdminPaths();
-        if (auto bound = m_transport.listen(m_settings.peer); !bound)
-            return bound;
-        if (auto bound = m_admin.listen(m_settings.admin); !bound)
+        if (m_open)
+            m_log->record({ "start", "no-shared-key" });
+        if (auto opened = openRoles(); !opened)
+            return opened;
+        const ApiParts parts { m_settings, m_fleet, m_control.get(), m_table, m_serving,
+            [this] { return renderMetrics(); } };
+        registerOpenCalls(m_admin, parts);
+        if (m_control)
+            registerOperatorCalls(m_operators, parts);
+        if (auto bound = listen(); !bound)
             return bound;
-        if (m_settings.entry) {
-            if (auto bound = m_entry.listen(*m_settings.entry); !bound)
-                return bound;
-        }
-        scheduleTick();
+        m_fleet.start();
+        m_claims.start();
+        if (m_control)
+            m_control->start();
+        for (unsigned i = 0; i < controlThreads; ++i)
+            m_threads.emplace_back([this] { m_controlContext.run(); });
         return {};
     }
 
     void run()
     {
         asio::signal_set signals(m_context, SIGTERM, SIGINT);
-        signals.async_wait([this](std::error_code, int) { stop(); });
-        std::vector<std::thread> workers;
+        waitForSignal(signals);
         for (unsigned i = 0; i < m_settings.workers; ++i)
-            workers.emplace_back([this] { m_context.run(); });
-        for (auto& worker : workers)
-            worker.join();
+            m_threads.emplace_back([this] { m_context.run(); });
+        for (auto& thread : m_threads)
+            thread.join();
         m_admin.stop();
+        m_operators.stop();
     }
 
 private:
-    void stop()
-    {
-        m_entry.drain([this] {
-            m_transport.stop();
-            m_context.stop();
-        });
-    }
-
-    /// Runs `function` on the control strand and waits; for admin threads only.
-    template <class Function> AdminResponse onStrand(Function function)
-    {
-        std::promise<AdminResponse> promise;
-        auto future = promise.get_future();
-        asio::post(m_strand, [&] { promise.set_value(function()); });
-        return future.get();
-    }
-
-    void registerPeerMethods()
-    {
-        acceptOnStrand(methodInstances, [this](const PeerMessage& message) {
-            for (const auto& item : message.params["records"]) {
-                if (const auto record = decodeInstance(item))
-                    mergeInstance(*record);
-            }
-        });
-        acceptOnStrand(methodVersion, [this](const PeerMessage& message) {
-            if (const auto version = decodeVersion(message.params))
-                adopt(*version);
-        });
-        acceptOnStrand(methodRevision, [this](const PeerMessage& message) {
-            const auto revision = unsignedMember(message.params, "revision");
-            if (revision && Revision(*revision) < m_config.current().revision)
-                send(message.from, methodVersion, encodeVersion(m_config.current()));
-        });
-    }
-
-    void acceptOnStrand(const char* method, std::function<void(const PeerMessage&)> handler)
-    {
-        m_transport.accept(method, [this, handler = std::move(handler)](PeerMessage message) {
-            asio::post(m_strand, [handler, message = std::move(message)] { handler(message); });
-        });
-    }
-
-    void registerAdminPaths()
+    Expected<void> openRoles()
     {
-        m_admin.handle("GET", "/healthz", [](const AdminRequest&) {
-            return AdminResponse { statusOk, "text/plain", "ok\n" };
-        });
-        m_admin.handle("POST", "/v1/announce", [this](const AdminRequest& request) {
-            return onStrand([&] { return announce(request); });
-        });
-        m_admin.handle("GET", "/v1/status",
-            [this](const AdminRequest&) { return onStrand([&] { return status(); }); });
-        if (m_settings.control)
-            m_admin.handle("POST", "/v1/config", [this](const AdminRequest& request) {
-                return onStrand([&] { return submit(request); });
-            });
+        if (auto opened = m_fleet.open(m_settings); !opened)
+            return opened;
+        if (auto opened = m_claims.open(m_settings, m_clock); !opened)
+            return opened;
+        return m_control ? m_control->open(m_settings, m_clock) : Expected<void> {};
     }
 
-    AdminResponse announce(const AdminRequest& request)
+    Expected<void> listen()
     {
-        const auto value = parseJson(request.body);
-        if (!value)
-            return errorResponse(value.error());
-        const auto record = decodeInstance(*value);
-        if (!record)
-            return errorResponse(record.error());
-        if (mergeInstance(*record)) {
-            Json::Value params(Json::objectValue);
-            params["records"].append(encodeInstance(*record));
-            broadcast(methodInstances, params);
+        if (auto bound = m_transport.listen(m_settings.peer); !bound)
+            return bound;
+        if (auto bound = m_admin.listen(m_settings.admin); !bound)
+            return bound;
+        if (m_control && m_settings.operators) {
+            if (auto bound = m_operators.listen(*m_settings.operators); !bound)
+                return bound;
         }
-        return jsonResponse(Json::Value(Json::objectValue));
-    }
-
-    AdminResponse status()
-    {
-        Json::Value body(Json::objectValue);
-        body["host"] = m_settings.place.host.value();
-        body["revision"] = Json::UInt64(m_config.current().revision.value());
-        body["instances"] = Json::UInt64(m_directory.size());
-        return jsonResponse(body);
-    }
-
-    AdminResponse submit(const AdminRequest& request)
-    {
-        const auto value = parseJson(request.body);
-        if (!value)
-            return errorResponse(value.error());
-        const auto id = stringMember(*value, "change");
-        const auto expected = unsignedMember(*value, "expected");
-        const auto content = stringMember(*value, "content");
-        if (!id || !expected || !content)
-            return errorResponse(
-                { ErrorCode::InvalidArgument, "a change needs change, expected and content" });
-        Findings findings;
-        readConfiguration(*content, "content", findings);
-        if (findings.hasErrors())
-            return errorResponse(
-                { ErrorCode::InvalidArgument, formatFinding(findings.sorted().front()) });
-        const auto revision = m_ledger.apply({ ChangeId(*id), Revision(*expected), *content });
-        if (!revision)
-            return errorResponse(revision.error());
-        if (adopt(m_ledger.current()))
-            broadcast(methodVersion, encodeVersion(m_ledger.current()));
-        Json::Value body(Json::objectValue);
-        body["revision"] = Json::UInt64(revision->value());
-        return jsonResponse(body);
-    }
-
-    bool mergeInstance(const InstanceRecord& record)
-    {
-        if (!m_directory.merge(record, m_clock.now()))
-            return false;
-        m_table.with([&](Dispatcher& dispatcher, TimePoint now) {
-            dispatcher.upsertInstance(record, now);
-            return true;
-        });
-        return true;
-    }
-
-    bool adopt(const ConfigVersion& version)
-    {
-        if (!m_config.offer(version))
-            return false;
-        Findings findings;
-        const Configuration configuration = readConfiguration(version.content, "content", findings);
-        m_table.with(
-            [&](Dispatcher& dispatcher, TimePoint) { dispatcher.setConfiguration(configuration); });
-        Decision decision { "config", "in-force" };
-        decision.facts["revision"] = Json::UInt64(version.revision.value());
-        m_log->record(decision);
-        return true;
+        return m_settings.entry ? m_entry.listen(*m_settings.entry) : Expected<void> {};
     }
 
-    void scheduleTick()
+    /// The first signal starts a planned stop; a second one cuts what is still in flight.
+    void waitForSignal(asio::signal_set& signals)
     {
-        m_tick.expires_after(tickInterval);
-        m_tick.async_wait([this](std::error_code code) {
+        signals.async_wait([this, &signals](std::error_code code, int) {
             if (code)
                 return;
-            tick();
-            scheduleTick();
+            m_serving = false;
+            m_entry.drain([this](DrainReport report) { finishStop(report); });
+            waitForSignal(signals);
         });
     }
 
-    void tick()
-    {
-        for (const auto& id : m_directory.expire(m_clock.now()))
-            m_table.with(
-                [&](Dispatcher& dispatcher, TimePoint now) { dispatcher.removeInstance(id, now); });
-        Json::Value params(Json::objectValue);
-        params["revision"] = Json::UInt64(m_config.current().revision.value());
-        broadcast(methodRevision, params);
-    }
-
-    void send(const HostId& to, const char* method, const Json::Value& params)
+    void finishStop(const DrainReport& report)
     {
-        m_transport.send({ m_settings.place.host, to, method, params });
+        Decision decision { "stop", report.cut == 0 ? "drained" : "cut" };
+        decision.facts["cut"] = Json::UInt64(report.cut);
+        m_log->record(decision);
+        m_fleet.stop();
+        m_claims.stop();
+        if (m_control)
+            m_control->stop();
+        m_transport.stop();
+        m_controlContext.stop();
+        m_context.stop();
     }
 
-    void broadcast(const char* method, const Json::Value& params)
+    std::string renderMetrics()
     {
-        for (const auto& peer : m_settings.peers)
-            send(peer.host, method, params);
+        const PeerTransportCounts counts = m_transport.counts();
+        std::string text = m_entry.metrics().render();
+        const auto add = [&](const char* name, std::uint64_t value) {
+            text += std::string("# TYPE ") + name + " counter\n" + name + ' ' + std::to_string(value) + '\n';
+        };
+        add("laburnum_peer_sent_bytes_total", counts.sentBytes);
+        add("laburnum_peer_received_bytes_total", counts.receivedBytes);
+        add("laburnum_peer_dropped_messages_total", counts.droppedMessages);
+        add("laburnum_peer_refused_frames_total", counts.refusedFrames);
+        return text;
     }
 
     Settings m_settings;
     SteadyClock m_clock;
     std::unique_ptr<DecisionLog> m_log;
     asio::io_context m_context;
-    asio::strand<asio::io_context::executor_type> m_strand;
+    asio::io_context m_controlContext;
+    asio::executor_work_guard<asio::io_context::executor_type> m_controlWork { m_controlContext.get_executor() };
     Dispatcher m_dispatcher;
     DispatchTable m_table;
     PeerTransport m_transport;
+    FleetRole m_fleet;
+    ClaimRole m_claims;
+    ClusterClaimGate m_gate;
+    std::unique_ptr<ControlRole> m_control;
     EntryServer m_entry;
     AdminServer m_admin;
-    ConfigLedger m_ledger;
-    ConfigHolder m_config;
-    InstanceDirectory m_directory;
-    asio::steady_timer m_tick;
+    AdminServer m_operators;
+    std::atomic<bool> m_serving { true };
+    bool m_open;
+    std::vector<std::thread> m_threads;
 };
 
-Node::Node(Settings settings)
-    : m_impl(std::make_unique<Impl>(std::move(settings)))
+Node::Node(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl))
 {
 }
 
+Node::Node(Node&&) noexcept = default;
 Node::~Node() = default;
 
+Expected<Node> Node::create(Settings settings)
+{
+    auto key = readKey(settings);
+    if (!key)
+        return tl::unexpected<Error>(key.error());
+    return Node(std::make_unique<Impl>(std::move(settings), std::move(*key)));
+}
+
 Expected<void> Node::start() { return m_impl->start(); }
 void Node::run() { m_impl->run(); }
 
--- a/src/laburnumd/node.h
+++ b/src/laburnumd/node.h
@@ -7,10 +7,13 @@
 
 namespace laburnum {
 
-/// Lock order: the control strand, then the DispatchTable's lock; the latter is a leaf.
+/// Requests and control work run on io_contexts of their own, so that neither waits for the other's
+/// threads. Lock order: a participants' strand, then the DispatchTable's lock; the latter is a leaf.
 class Node {
 public:
-    explicit Node(Settings settings);
+    /// PermissionDenied or InvalidArgument when the shared key cannot be used.
+    static Expected<Node> create(Settings settings);
+    Node(Node&&) noexcept;
     ~Node();
 
     /// Opens state, binds all addresses and starts serving.
@@ -20,6 +23,8 @@
 
 private:
     class Impl;
+    explicit Node(std::unique_ptr<Impl> impl);
+
     std::unique_ptr<Impl> m_impl;
 };
 
--- a/src/laburnumd/settings.cpp
+++ b/src/laburnumd/settings.cpp
@@ -28,13 +28,23 @@
         return role == "control";
     }
 
+    HostPlace readPlace(TableReader& reader)
+    {
+        HostPlace place;
+        place.host = HostId(reader.text("host", "", true));
+        place.dataCentre = DataCentreId(reader.text("data_centre", "", true));
+        place.region = RegionId(reader.text("region", "", true));
+        return place;
+    }
+
     PeerSettings readPeer(const toml::value& table, const std::string& file, Findings& findings)
     {
         TableReader reader(table, file, findings);
         PeerSettings peer;
-        peer.host = HostId(reader.text("host", "", true));
+        peer.place = readPlace(reader);
         peer.endpoint = readEndpoint(reader, "address");
         peer.control = readRole(reader);
+        peer.claims = reader.flag("claims", false);
         reader.refuseUnknownKeys();
         return peer;
     }
@@ -48,15 +58,17 @@
     if (!root)
         return settings;
     TableReader reader(*root, fileName, findings);
-    settings.place.host = HostId(reader.text("host", "", true));
-    settings.place.dataCentre = DataCentreId(reader.text("data_centre", "", true));
-    settings.place.region = RegionId(reader.text("region", "", true));
+    settings.place = readPlace(reader);
     settings.control = readRole(reader);
     if (reader.has("entry"))
         settings.entry = readEndpoint(reader, "entry");
     settings.admin = readEndpoint(reader, "admin");
     settings.peer = readEndpoint(reader, "peer_address");
-    settings.dataFolder = reader.text("data_folder", "", settings.control);
+    settings.claims = reader.flag("claims", false);
+    settings.dataFolder = reader.text("data_folder", "", settings.control || settings.claims);
+    settings.keyFile = reader.text("key_file", "", false);
+    if (reader.has("operators"))
+        settings.operators = readEndpoint(reader, "operators");
     settings.logFile = reader.text("log_file", "", false);
     settings.workers
         = static_cast<unsigned>(reader.integer("workers", settings.workers, 1, maxWorkers));
--- a/src/laburnumd/settings.h
+++ b/src/laburnumd/settings.h
@@ -15,10 +15,12 @@
 
 /// Another laburnumd process that this one talks to.
 struct PeerSettings {
-    HostId host;
+    HostPlace place;
     Endpoint endpoint;
     /// The peer is a voter of the replicated log.
     bool control = false;
+    /// The peer keeps claims on idempotency keys.
+    bool claims = false;
 };
 
 /// Everything that a process is told at its start.
@@ -26,14 +28,21 @@
     HostPlace place;
     /// Serves callers when set.
     std::optional<Endpoint> entry;
-    /// Announcements, health, metrics and operators.
+    /// Announcements, health and metrics.
     Endpoint admin;
+    /// Operators' calls, signed with the shared key; set on control hosts.
+    std::optional<Endpoint> operators;
     /// Messages from other laburnumd processes.
     Endpoint peer;
     /// The process is a voter of the replicated log.
     bool control = false;
-    /// Folder for durable state; control hosts need one.
+    /// The process keeps claims on idempotency keys.
+    bool claims = false;
+    /// Folder for durable state; empty on a host without a disk. Control hosts and hosts that keep
+    /// claims need one.
     std::string dataFolder;
+    /// File with the key that hosts and operators share; empty leaves the fleet open.
+    std::string keyFile;
     /// File of the decision log; empty for standard output.
     std::string logFile;
     /// Threads that serve requests.
--- a/src/libdeclare/toml_table.cpp
+++ b/src/libdeclare/toml_table.cpp
@@ -89,6 +89,17 @@
     return fallback;
 }
 
+bool TableReader::flag(const std::string& key, bool fallback)
+{
+    const toml::value* value = find(key);
+    if (!value)
+        return fallback;
+    if (value->is_boolean())
+        return value->as_boolean();
+    errorAt(key, "'" + key + "' must be true or false");
+    return fallback;
+}
+
 void TableReader::refuseUnknownKeys()
 {
     for (const auto& [key, value] : m_table.as_table()) {
--- /dev/null
+++ b/testsuite/e2e/gray_upstream.py
@@ -0,0 +1,65 @@
+#!/usr/bin/env python3
+"""One of six instances fails all its work while its probes pass. Lookups go on being answered, the
+instance is ejected, it returns by itself once it is well, and the floor holds throughout."""
+
+import sys
+import time
+
+import harness
+from harness import fleets
+
+ROUND = 60
+
+
+def lookups(fleet, count):
+    """Sends lookups through all entry hosts in turn; returns how many were answered with 200."""
+    good = 0
+    for i in range(count):
+        entry = fleet.entries[i % len(fleet.entries)]
+        status, _, _ = fleets.http("GET", f"http://{entry.entry}/claims/{i}", None, {"Host": harness.HOST_NAME})
+        good += status == 200
+    return good
+
+
+def decisions(fleet, kind):
+    return [d for host in fleet.entries for d in host.decisions() if d["kind"] == kind]
+
+
+def main():
+    checks = harness.Checks()
+    fleet = fleets.Fleet(["claimdesk"], upstreams_per_service=6)
+    try:
+        harness.start_with_config(fleet)
+        checks.check(lookups(fleet, ROUND) == ROUND, "all lookups are answered while all is well")
+        sick = fleet.upstreams[0]
+        sick.set_mode("fail")
+        started = time.monotonic()
+        sent, good = 0, 0
+
+        def ejected():
+            nonlocal sent, good
+            good += lookups(fleet, ROUND)
+            sent += ROUND
+            return any(d.get("instance") == sick.name for d in decisions(fleet, "eject"))
+
+        fleets.wait_until(ejected, "the sick instance is ejected", 60)
+        print(f"ejected after {time.monotonic() - started:.1f} s; {good} of {sent} lookups answered meanwhile")
+        others = {d.get("instance") for d in decisions(fleet, "eject")} - {sick.name}
+        checks.check(not others, f"healthy instances were ejected: {others}")
+        checks.check(lookups(fleet, ROUND) == ROUND, "all lookups are answered while the instance is ejected")
+        sick.set_mode("ok")
+
+        def returned():
+            lookups(fleet, ROUND)
+            return any(d.get("instance") == sick.name for d in decisions(fleet, "return"))
+
+        fleets.wait_until(returned, "the instance returns by itself", 120)
+        checks.check(lookups(fleet, ROUND) == ROUND, "all lookups are answered after the return")
+    finally:
+        failed = fleet.stop()
+    checks.check(not failed, f"did not stop cleanly: {failed}")
+    return checks.exit_code()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/testsuite/fleet.py
+++ b/testsuite/fleet.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import shutil
 import signal
 import socket
 import subprocess
@@ -54,22 +55,31 @@
         self.name, self.region, self.data_centre, self.control = name, region, data_centre, control
         self.folder = folder / name
         self.folder.mkdir()
+        self.claims = not control
         self.entry = None if control else f"127.0.0.1:{free_port()}"
+        self.operators = f"127.0.0.1:{free_port()}" if control else None
         self.admin = f"127.0.0.1:{free_port()}"
         self.peer = f"127.0.0.1:{free_port()}"
         self.log = self.folder / "decisions.jsonl"
         self.process = None
 
+    def place(self):
+        """Lines that name the host and where it stands."""
+        return [f'host = "{self.name}"', f'region = "{self.region}"', f'data_centre = "{self.data_centre}"',
+                f'role = "{"control" if self.control else "entry"}"',
+                f'claims = {"true" if self.claims else "false"}']
+
     def write_settings(self, hosts):
-        lines = [f'host = "{self.name}"', f'region = "{self.region}"', f'data_centre = "{self.data_centre}"',
-                 f'role = "{"control" if self.control else "entry"}"', f'admin = "{self.admin}"',
-                 f'peer_address = "{self.peer}"', f'data_folder = "{self.folder}/data"', f'log_file = "{self.log}"']
+        lines = self.place() + [
+            f'admin = "{self.admin}"', f'peer_address = "{self.peer}"', f'data_folder = "{self.folder}/data"',
+            f'log_file = "{self.log}"']
         if self.entry:
             lines.append(f'entry = "{self.entry}"')
+        if self.operators:
+            lines.append(f'operators = "{self.operators}"')
         for other in hosts:
             if other is not self:
-                lines += ["[[peer]]", f'host = "{other.name}"', f'address = "{other.peer}"',
-                          f'role = "{"control" if other.control else "entry"}"']
+                lines += ["[[peer]]", f'address = "{other.peer}"'] + other.place()
         (self.folder / "settings.toml").write_text("\n".join(lines) + "\n")
 
     def start(self):
@@ -77,6 +87,25 @@
             self.process = subprocess.Popen([BIN / "laburnumd", self.folder / "settings.toml"],
                                             stdout=output, stderr=output)
 
+    def kill(self):
+        """Ends the process at once, as a crash does."""
+        self.process.kill()
+        self.process.wait()
+
+    def freeze(self):
+        self.process.send_signal(signal.SIGSTOP)
+
+    def thaw(self):
+        self.process.send_signal(signal.SIGCONT)
+
+    def wipe(self):
+        """Empties the data folder of a host that is not running."""
+        shutil.rmtree(self.folder / "data", ignore_errors=True)
+
+    def decisions(self):
+        """All lines of the decision log, parsed."""
+        return [json.loads(line) for line in self.log.read_text().splitlines()] if self.log.exists() else []
+
     def status(self):
         code, _, body = http("GET", f"http://{self.admin}/v1/status", timeout=2.0)
         return json.loads(body) if code == 200 else None
@@ -85,21 +114,38 @@
 class Upstream:
     """One stand-in upstream process."""
 
-    def __init__(self, name, service, region, data_centre, admin):
+    def __init__(self, folder, name, service, region, data_centre, admin, work_ms=0):
         self.name = name
         self.listen = f"127.0.0.1:{free_port()}"
+        self.runs_file = folder / f"{name}.runs"
+        self.mode_file = folder / f"{name}.mode"
         self.command = [BIN / "standin_upstream", "--id", name, "--service", service, "--listen", self.listen,
-                        "--region", region, "--data-centre", data_centre, "--admin", f"http://{admin}"]
+                        "--region", region, "--data-centre", data_centre, "--admin", f"http://{admin}",
+                        "--runs", self.runs_file, "--mode", self.mode_file, "--work-ms", str(work_ms)]
         self.process = None
 
     def start(self):
         self.process = subprocess.Popen(self.command)
 
+    def kill(self):
+        self.process.kill()
+        self.process.wait()
+
+    def set_mode(self, mode):
+        """ok, fail, slow or shed; takes hold with the next request."""
+        fresh = self.mode_file.with_suffix(".new")
+        fresh.write_text(mode)
+        fresh.rename(self.mode_file)
+
+    def runs(self):
+        """The X-Order header of each request that ran, in order."""
+        return self.runs_file.read_text().split() if self.runs_file.exists() else []
+
 
 class Fleet:
     """Entry hosts in every data centre, control hosts, and stand-ins for the named services."""
 
-    def __init__(self, services, controls=1, upstreams_per_service=3):
+    def __init__(self, services, controls=3, upstreams_per_service=3, work_ms=0):
         self.scratch = tempfile.TemporaryDirectory(prefix="laburnum-")
         folder = pathlib.Path(self.scratch.name)
         places = [(region, centre) for region, centres in REGIONS.items() for centre in centres]
@@ -112,7 +158,8 @@
             for i in range(upstreams_per_service):
                 region, centre = places[(2 * i) % len(places)]
                 entry = self.entries[(2 * i) % len(places)]
-                self.upstreams.append(Upstream(f"{service}-{i + 1}", service, region, centre, entry.admin))
+                self.upstreams.append(
+                    Upstream(folder, f"{service}-{i + 1}", service, region, centre, entry.admin, work_ms))
 
     def start(self):
         for host in self.hosts:
@@ -124,18 +171,39 @@
         wait_until(lambda: all(host.status()["instances"] == len(self.upstreams) for host in self.entries),
                    "every entry host knows every instance")
 
-    def ctl(self, *arguments):
-        """Runs laburnumctl against the first control host; returns the completed process."""
-        command = [BIN / "laburnumctl", "--control", f"http://{self.controls[0].admin}", *arguments]
+    def ctl(self, *arguments, control=None):
+        """Runs laburnumctl against a control host, the first unless named; returns the finished process."""
+        host = control or self.controls[0]
+        command = [BIN / "laburnumctl", *arguments, "--control", f"http://{host.operators}"]
         return subprocess.run(command, capture_output=True, text=True, check=False)
 
     def wait_in_force(self, revision):
         wait_until(lambda: all(host.status()["revision"] >= revision for host in self.entries),
                    f"revision {revision} in force at every entry host")
 
+    def instances_of(self, service):
+        return [upstream for upstream in self.upstreams if upstream.name.startswith(service + "-")]
+
+    def leader(self):
+        """The control host that leads the log, as it says itself; None while there is none."""
+        for host in self.controls:
+            status = host.status()
+            if status and status.get("role") == "leader":
+                return host
+        return None
+
+    def apply(self, path, change_id):
+        """Applies a configuration at the control hosts in turn until one accepts; returns its revision."""
+        answers = []
+        for host in self.controls:
+            answers.append(self.ctl("apply", str(path), "--change-id", change_id, "--json", control=host))
+            if answers[-1].returncode == 0:
+                return json.loads(answers[-1].stdout)["revision"]
+        raise RuntimeError("no control host accepted: " + " | ".join(a.stdout + a.stderr for a in answers))
+
     def stop(self):
         """Asks every process to stop; returns the names of those that did not exit with 0."""
-        running = [item for item in self.upstreams + self.hosts if item.process]
+        running = [item for item in self.upstreams + self.hosts if item.process and item.process.poll() is None]
         for item in running:
             item.process.send_signal(signal.SIGTERM)
         failed = []
--- a/testsuite/standin/upstream.cpp
+++ b/testsuite/standin/upstream.cpp
@@ -1,8 +1,15 @@
-// Stand-in upstream: answers every request with its own name and announces itself to an entry host.
+// Stand-in upstream: answers with what it was sent, announces itself, and can be told to fail.
+//
+// A file given by --mode holds one word that sets how work fares: ok, fail (500 at once), slow (ten
+// times the work time) or shed (503, marked as not run). Probes (/probe) always pass. A file given by
+// --runs gets one line for each request other than GET and HEAD that ran: the X-Order header.
 
 #include <atomic>
+#include <chrono>
 #include <csignal>
+#include <fstream>
 #include <iostream>
+#include <mutex>
 #include <thread>
 
 #include <cxxopts.hpp>
@@ -15,73 +22,182 @@
 
 using namespace laburnum;
 
-constexpr auto announceInterval = std::chrono::seconds(1);
+constexpr auto announceInterval = std::chrono::milliseconds(1000);
+constexpr auto pollInterval = std::chrono::milliseconds(20);
+/// Time between the announcement of a drain and the end of the listener.
+constexpr auto drainTime = std::chrono::seconds(3);
 constexpr std::size_t workerCount = 64;
+constexpr int slowFactor = 10;
+constexpr int statusError = 500;
+constexpr int statusShed = 503;
 std::atomic<bool> stopping { false };
 
-InstanceRecord recordFrom(const cxxopts::ParseResult& arguments)
-{
+struct StandinOptions {
     InstanceRecord record;
-    record.id = InstanceId(arguments["id"].as<std::string>());
-    record.service = ServiceId(arguments["service"].as<std::string>());
-    record.endpoint = parseEndpoint(arguments["listen"].as<std::string>()).value();
-    record.dataCentre = DataCentreId(arguments["data-centre"].as<std::string>());
-    record.region = RegionId(arguments["region"].as<std::string>());
-    record.slots = 6;
-    record.connections = 400;
-    return record;
-}
+    std::string admin;
+    std::string runsFile;
+    std::string modeFile;
+    std::chrono::milliseconds work {};
+};
 
-void announceUntilStopped(InstanceRecord record, const std::string& admin)
+std::uint64_t wallMillis()
 {
-    while (!stopping) {
-        record.version = static_cast<std::uint64_t>(std::time(nullptr));
-        httplib::Client client(admin);
-        client.Post("/v1/announce", toJsonText(encodeInstance(record)), "application/json");
-        std::this_thread::sleep_for(announceInterval);
-    }
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
-void serve(const InstanceRecord& record)
+/// Keeps the instance announced until it is told to stop, then announces its drain.
+class Announcer {
+public:
+    Announcer(InstanceRecord record, std::string admin)
+        : m_record(std::move(record))
+        , m_admin(std::move(admin))
+        , m_thread([this] { run(); })
+    {
+    }
+
+    void drain()
+    {
+        m_draining = true;
+        m_thread.join();
+        m_record.phase = InstancePhase::Draining;
+        announce();
+    }
+
+private:
+    void run()
+    {
+        while (!m_draining) {
+            announce();
+            for (auto waited = pollInterval; waited < announceInterval && !m_draining; waited += pollInterval)
+                std::this_thread::sleep_for(pollInterval);
+        }
+    }
+
+    void announce()
+    {
+        ++m_record.version;
+        httplib::Client client(m_admin);
+        client.set_connection_timeout(std::chrono::seconds(1));
+        client.Post("/v1/announce", toJsonText(encodeInstance(m_record)), "application/json");
+    }
+
+    InstanceRecord m_record;
+    std::string m_admin;
+    std::atomic<bool> m_draining { false };
+    std::thread m_thread;
+};
+
+/// Answers requests by the current mode and counts what ran.
+class Desk {
+public:
+    explicit Desk(const StandinOptions& options)
+        : m_options(options)
+    {
+    }
+
+    void serve(const httplib::Request& request, httplib::Response& response)
+    {
+        response.set_header("X-Instance", m_options.record.id.value());
+        const std::string mode = currentMode();
+        if (mode == "shed") {
+            response.status = statusShed;
+            response.set_header("Laburnum-Outcome", "not-run");
+            return;
+        }
+        if (mode == "fail") {
+            response.status = statusError;
+            return;
+        }
+        countRun(request);
+        std::this_thread::sleep_for(m_options.work * (mode == "slow" ? slowFactor : 1));
+        response.set_content(request.method + ' ' + request.target + '\n' + request.body, "text/plain");
+    }
+
+private:
+    std::string currentMode() const
+    {
+        std::string mode = "ok";
+        if (!m_options.modeFile.empty())
+            std::ifstream(m_options.modeFile) >> mode;
+        return mode;
+    }
+
+    void countRun(const httplib::Request& request)
+    {
+        if (m_options.runsFile.empty() || request.method == "GET" || request.method == "HEAD")
+            return;
+        const std::lock_guard lock(m_mutex);
+        std::ofstream(m_options.runsFile, std::ios::app) << request.get_header_value("X-Order") << std::endl;
+    }
+
+    const StandinOptions& m_options;
+    std::mutex m_mutex;
+};
+
+void serve(const StandinOptions& options)
 {
     httplib::Server server;
+    Desk desk(options);
     server.new_task_queue = [] { return new httplib::ThreadPool(workerCount); };
-    const auto answer = [&](const httplib::Request& request, httplib::Response& response) {
-        response.set_header("X-Instance", record.id.value());
-        response.set_content(
-            request.method + ' ' + request.target + '\n' + request.body, "text/plain");
-    };
-    server.Get(".*", answer);
-    server.Post(".*", answer);
-    server.Put(".*", answer);
-    std::thread watcher([&] {
-        while (!stopping)
-            std::this_thread::sleep_for(std::chrono::milliseconds(20));
-        server.stop();
+    server.set_keep_alive_max_count(std::numeric_limits<std::size_t>::max());
+    server.set_tcp_nodelay(true);
+    const auto work = [&](const httplib::Request& request, httplib::Response& response) { desk.serve(request, response); };
+    server.Get("/probe", [](const httplib::Request&, httplib::Response& response) { response.set_content("ok", "text/plain"); });
+    server.Get(".*", work);
+    server.Post(".*", work);
+    server.Put(".*", work);
+    server.Delete(".*", work);
+    server.Patch(".*", work);
+    std::thread listener([&] {
+        const Endpoint& endpoint = options.record.endpoint;
+        if (!server.listen(endpoint.address, endpoint.port))
+            stopping = true;
     });
-    server.listen(record.endpoint.address, record.endpoint.port);
-    stopping = true;
-    watcher.join();
+    Announcer announcer(options.record, options.admin);
+    while (!stopping)
+        std::this_thread::sleep_for(pollInterval);
+    announcer.drain();
+    std::this_thread::sleep_for(drainTime);
+    server.stop();
+    listener.join();
+}
+
+StandinOptions optionsFrom(const cxxopts::ParseResult& arguments)
+{
+    StandinOptions options;
+    InstanceRecord& record = options.record;
+    record.id = InstanceId(arguments["id"].as<std::string>());
+    record.service = ServiceId(arguments["service"].as<std::string>());
+    record.endpoint = parseEndpoint(arguments["listen"].as<std::string>()).value();
+    record.dataCentre = DataCentreId(arguments["data-centre"].as<std::string>());
+    record.region = RegionId(arguments["region"].as<std::string>());
+    record.incarnation = wallMillis();
+    record.slots = 6;
+    record.connections = 400;
+    options.admin = arguments["admin"].as<std::string>();
+    options.runsFile = arguments["runs"].as<std::string>();
+    options.modeFile = arguments["mode"].as<std::string>();
+    options.work = std::chrono::milliseconds(arguments["work-ms"].as<int>());
+    return options;
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
+    const auto text = [](const char* fallback) { return cxxopts::value<std::string>()->default_value(fallback); };
     cxxopts::Options options("standin_upstream", "Stand-in upstream for demonstrations and tests.");
     options.add_options()("id", "instance", cxxopts::value<std::string>())("service", "service",
-        cxxopts::value<std::string>())("listen", "IP:PORT", cxxopts::value<std::string>())(
-        "data-centre", "data centre", cxxopts::value<std::string>())(
-        "region", "region", cxxopts::value<std::string>())(
-        "admin", "admin address of an entry host", cxxopts::value<std::string>());
+        cxxopts::value<std::string>())("listen", "IP:PORT", cxxopts::value<std::string>())("data-centre",
+        "data centre", cxxopts::value<std::string>())("region", "region", cxxopts::value<std::string>())(
+        "admin", "admin address of an entry host", cxxopts::value<std::string>())("runs", "file of runs", text(""))(
+        "mode", "file that holds the mode", text(""))(
+        "work-ms", "time that a request takes", cxxopts::value<int>()->default_value("0"));
     try {
-        const auto arguments = options.parse(argc, argv);
-        const InstanceRecord record = recordFrom(arguments);
         std::signal(SIGTERM, [](int) { stopping = true; });
         std::signal(SIGINT, [](int) { stopping = true; });
-        std::thread announcer(announceUntilStopped, record, arguments["admin"].as<std::string>());
-        serve(record);
-        announcer.join();
+        serve(optionsFrom(options.parse(argc, argv)));
         return EXIT_SUCCESS;
     } catch (const std::exception& e) {
         std::cerr << "standin_upstream: " << e.what() << '\n';
