--- a/src/include/laburnumroute/balancer.h
+++ b/src/include/laburnumroute/balancer.h
@@ -20,7 +20,7 @@
     std::uint32_t inFlight = 0;
     /// Share of slots in use as the instance reported it, 0 to 1.
     double reportedLoad = 0.0;
-    /// Relative share of traffic, 0 to 1; below 1 during slow start.
+    /// Slow start, 0 to 1. For information: the dispatcher has thinned the candidates by it.
     double weight = 1.0;
 };
 
--- a/src/include/laburnumroute/dispatcher.h
+++ b/src/include/laburnumroute/dispatcher.h
@@ -16,7 +16,10 @@
 #include <laburnumroute/balancer.h>
 #include <laburnumroute/clock.h>
 #include <laburnumroute/configuration.h>
+#include <laburnumroute/cross_region_meter.h>
 #include <laburnumroute/decision.h>
+#include <laburnumroute/ejection.h>
+#include <laburnumroute/explanation.h>
 #include <laburnumroute/instance.h>
 #include <laburnumroute/random.h>
 #include <laburnumroute/retry_budget.h>
@@ -95,11 +98,16 @@
     std::uint64_t bytes = 0;
 };
 
+namespace pvt {
+    class InstancePool;
+    struct PooledInstance;
+}
+
 /// Not thread-safe; the shell serializes calls.
-class Dispatcher {
+class Dispatcher final : public TrafficView {
 public:
     Dispatcher(HostPlace place, std::uint64_t seed, DecisionLog& log);
-    ~Dispatcher();
+    ~Dispatcher() override;
 
     /// Puts `configuration` in force for the requests that begin from now on.
     void setConfiguration(const Configuration& configuration);
@@ -107,6 +115,10 @@
     void upsertInstance(const InstanceRecord& record, TimePoint now);
     /// Forgets an instance; attempts in flight at it may still finish.
     void removeInstance(const InstanceId& id, TimePoint now);
+    /// Number of hosts that share an instance's connections; 1 unless set.
+    void setHostCount(unsigned hosts) noexcept { m_hosts = hosts; }
+    /// This host's share of the bandwidth to each other region.
+    void setCrossRegionLimit(std::uint64_t bytesPerSecond) { m_meter.setLimit(bytesPerSecond); }
 
     /// Chooses an instance, excluding those in `tried`.
     tl::expected<Assignment, RefusalReason> begin(
@@ -119,34 +131,70 @@
     bool takeRetry(const ServiceId& service, TimePoint now);
 
     /// Lets a request wait after begin() refused it with NoSlot, or refuses it at once (QueueFull,
-    /// WaitTooLong). The waiter waits until finish() returns it, abandon() or `deadline`; a waiter
-    /// whose begin() is refused again may enqueue again.
+    /// WaitTooLong). The waiter waits until finish() or wakeWaiters() returns it, abandon() or
+    /// `deadline`; a waiter whose begin() is refused again may enqueue again.
     tl::expected<WaiterId, RefusalReason> enqueue(
         const RequestFacts& request, TimePoint deadline, TimePoint now);
     /// Takes a waiter out of its queue; for callers that went away and deadlines that passed.
     void abandon(WaiterId waiter);
+    /// Waiters for whom room came up otherwise than by finish(), such as by a new instance or a
+    /// lapsed permit; they wait no longer. To be called every 50 ms or so.
+    std::vector<WaiterId> wakeWaiters(TimePoint now);
+
+    /// What begin() would weigh for `request` now. Changes nothing.
+    Explanation explain(const RequestFacts& request, TimePoint now) const;
+    /// Bytes sent to and received from other regions, by region.
+    std::map<RegionId, std::uint64_t> crossRegionBytes() const { return m_meter.totals(); }
+
+    std::vector<ServiceSpec> declaredServices() const override;
+    ServingSlots servingSlots(const ServiceId& service) const override;
+    std::vector<EvidenceDelta> takeEvidence(TimePoint now) override;
+    void applyPermits(const ServiceId& service, const PermitSet& permits, TimePoint now) override;
 
 private:
     struct Service;
-    struct Instance;
     struct Attempt {
         ServiceId service;
         InstanceId instance;
+        RegionId region;
+        TimePoint start;
+        /// Counted as slow already while it was still in flight.
+        bool overdue = false;
+    };
+    /// What one look over a service's instances gave.
+    struct Selection {
+        std::vector<Candidate> candidates;
+        std::size_t distance = 0;
+        bool anyServing = false;
+        bool onTrial = false;
     };
 
-    std::vector<Candidate> candidatesOf(
-        const Service& service, const std::set<InstanceId>& tried) const;
-    bool hasInstance(const ServiceId& service) const;
-    void recordRoute(
-        const RequestFacts& request, const Assignment& assignment, std::size_t candidates);
-    void recordRefusal(const RequestFacts& request, RefusalReason reason);
+    pvt::InstancePool& poolOf(const ServiceId& service);
+    Service* serviceOf(const RequestFacts& request);
+    void refreshStandings(const ServiceId& service, TimePoint now);
+    Selection select(const Service& service, const RequestFacts& request,
+        const std::set<InstanceId>& tried, TimePoint now);
+    std::vector<Candidate> candidatesAt(const std::vector<pvt::PooledInstance*>& tier,
+        bool idempotent, const std::set<InstanceId>& tried, TimePoint now);
+    pvt::PooledInstance* dueTrial(const Service& service, TimePoint now);
+    std::size_t freeSlots(const ServiceId& service, TimePoint now) const;
+    void countOutcome(const Attempt& attempt, pvt::PooledInstance& instance,
+        const AttemptReport& report, TimePoint now);
+    void countOverdue(TimePoint now);
+    void recordRoute(const RequestFacts& request, const Assignment& assignment,
+        const Selection& selection, const Candidate& candidate);
+    void recordRefusal(const RequestFacts& request, RefusalReason reason, const Service* service);
+    void recordStanding(const ServiceId& service, const pvt::PooledInstance& instance);
 
     HostPlace m_place;
     Random m_random;
     DecisionLog& m_log;
     RouteTable m_routes;
+    unsigned m_hosts = 1;
+    CrossRegionMeter m_meter;
     std::map<ServiceId, Service> m_services;
-    std::map<InstanceId, Instance> m_instances;
+    std::map<ServiceId, std::unique_ptr<pvt::InstancePool>> m_pools;
+    std::unordered_map<InstanceId, ServiceId> m_serviceOfInstance;
     std::unordered_map<AttemptId, Attempt> m_attempts;
     AttemptId m_lastAttempt;
     WaiterId m_lastWaiter;
--- a/src/libroute/dispatcher.cpp
+++ b/src/libroute/dispatcher.cpp
@@ -3,8 +3,17 @@
 #include <algorithm>
 #include <array>
 
+#include "dispatcher_pvt.h"
+
 namespace laburnum {
 
+namespace {
+
+    /// Time for which an instance that shed is left alone.
+    constexpr auto shedPause = std::chrono::milliseconds(50);
+
+} // namespace
+
 bool isIdempotentMethod(std::string_view method) noexcept
 {
     static constexpr std::array<std::string_view, 6> idempotentMethods { "GET", "HEAD", "OPTIONS",
@@ -13,35 +22,6 @@
         != idempotentMethods.end();
 }
 
-const char* refusalName(RefusalReason reason) noexcept
-{
-    switch (reason) {
-    case RefusalReason::NoRoute:
-        return "no-route";
-    case RefusalReason::NoInstance:
-        return "no-instance";
-    case RefusalReason::NoSlot:
-        return "no-slot";
-    case RefusalReason::QueueFull:
-        return "queue-full";
-    case RefusalReason::WaitTooLong:
-        return "wait-too-long";
-    }
-    return "unknown";
-}
-
-struct Dispatcher::Service {
-    ServiceSpec spec;
-    std::unique_ptr<Balancer> balancer;
-    RetryBudget budget;
-    WaitQueue queue;
-};
-
-struct Dispatcher::Instance {
-    InstanceRecord record;
-    std::uint32_t inFlight = 0;
-};
-
 Dispatcher::Dispatcher(HostPlace place, std::uint64_t seed, DecisionLog& log)
     : m_place(std::move(place))
     , m_random(seed)
@@ -70,51 +50,73 @@
     m_services = std::move(services);
 }
 
-void Dispatcher::upsertInstance(const InstanceRecord& record, TimePoint /*now*/)
+void Dispatcher::upsertInstance(const InstanceRecord& record, TimePoint now)
 {
-    m_instances[record.id].record = record;
+    const auto known = m_serviceOfInstance.find(record.id);
+    if (known != m_serviceOfInstance.end() && known->second != record.service)
+        removeInstance(record.id, now);
+    m_serviceOfInstance[record.id] = record.service;
+    poolOf(record.service).upsert(record, m_place, now);
+    refreshStandings(record.service, now);
 }
 
-void Dispatcher::removeInstance(const InstanceId& id, TimePoint /*now*/) { m_instances.erase(id); }
+void Dispatcher::removeInstance(const InstanceId& id, TimePoint now)
+{
+    const auto found = m_serviceOfInstance.find(id);
+    if (found == m_serviceOfInstance.end())
+        return;
+    const ServiceId service = found->second;
+    m_serviceOfInstance.erase(found);
+    poolOf(service).remove(id, m_place, now);
+    refreshStandings(service, now);
+}
 
 tl::expected<Assignment, RefusalReason> Dispatcher::begin(
     const RequestFacts& request, const std::set<InstanceId>& tried, TimePoint now)
 {
+    Service* service = serviceOf(request);
     const auto refuse = [&](RefusalReason reason) {
-        recordRefusal(request, reason);
+        recordRefusal(request, reason, service);
         return tl::unexpected<RefusalReason>(reason);
     };
-    const auto name = m_routes.match(request.method, request.host, request.target);
-    const auto service = name ? m_services.find(*name) : m_services.end();
-    if (service == m_services.end())
+    if (!service)
         return refuse(RefusalReason::NoRoute);
     if (tried.empty())
-        service->second.budget.onRequest(now);
-    const auto candidates = candidatesOf(service->second, tried);
-    if (candidates.empty())
-        return refuse(hasInstance(*name) ? RefusalReason::NoSlot : RefusalReason::NoInstance);
-    const std::size_t index = service->second.balancer->pick(candidates, m_random);
-    Instance& instance = m_instances[candidates[index].id];
+        service->budget.onRequest(now);
+    const Selection selection = select(*service, request, tried, now);
+    if (selection.candidates.empty())
+        return refuse(selection.anyServing ? RefusalReason::NoSlot : RefusalReason::NoInstance);
+    const std::size_t index
+        = selection.onTrial ? 0 : service->balancer->pick(selection.candidates, m_random);
+    const Candidate& candidate = selection.candidates[index];
+    pvt::PooledInstance& instance = *poolOf(service->spec.name).find(candidate.id);
     m_lastAttempt = next(m_lastAttempt);
-    const Assignment assignment { m_lastAttempt, *name, instance.record.id,
-        instance.record.endpoint, service->second.spec.deadline };
+    const Assignment assignment { m_lastAttempt, service->spec.name, candidate.id,
+        instance.record.endpoint, service->spec.deadline };
     ++instance.inFlight;
-    m_attempts[assignment.attempt] = { *name, instance.record.id };
-    recordRoute(request, assignment, candidates.size());
+    m_attempts[assignment.attempt]
+        = { service->spec.name, candidate.id, instance.record.region, now, false };
+    recordRoute(request, assignment, selection, candidate);
     return assignment;
 }
 
 std::vector<WaiterId> Dispatcher::finish(
-    AttemptId attempt, const AttemptReport& /*report*/, TimePoint now)
+    AttemptId attempt, const AttemptReport& report, TimePoint now)
 {
     const auto found = m_attempts.find(attempt);
     if (found == m_attempts.end())
         return {};
     const Attempt ended = found->second;
     m_attempts.erase(found);
-    const auto instance = m_instances.find(ended.instance);
-    if (instance != m_instances.end() && instance->second.inFlight > 0)
-        --instance->second.inFlight;
+    if (ended.region != m_place.region)
+        m_meter.charge(ended.region, report.bytes, now);
+    pvt::InstancePool& pool = poolOf(ended.service);
+    if (pvt::PooledInstance* instance = pool.find(ended.instance)) {
+        countOutcome(ended, *instance, report, now);
+        if (report.result == AttemptResult::Shed)
+            instance->fullUntil = now + shedPause;
+        pool.endAttempt(ended.instance);
+    }
     const auto service = m_services.find(ended.service);
     if (service == m_services.end())
         return {};
@@ -126,23 +128,29 @@
 bool Dispatcher::takeRetry(const ServiceId& service, TimePoint now)
 {
     const auto found = m_services.find(service);
-    return found != m_services.end() && found->second.budget.take(now);
+    if (found == m_services.end())
+        return false;
+    const bool taken = found->second.budget.take(now);
+    Decision decision { "retry", taken ? "within-budget" : "budget-used-up" };
+    decision.facts["service"] = service.value();
+    decision.facts["tokens"] = found->second.budget.tokens();
+    m_log.record(decision);
+    return taken;
 }
 
 tl::expected<WaiterId, RefusalReason> Dispatcher::enqueue(
     const RequestFacts& request, TimePoint deadline, TimePoint now)
 {
-    const auto name = m_routes.match(request.method, request.host, request.target);
-    const auto service = name ? m_services.find(*name) : m_services.end();
-    if (service == m_services.end())
+    Service* service = serviceOf(request);
+    if (!service)
         return tl::unexpected<RefusalReason>(RefusalReason::NoRoute);
     m_lastWaiter = next(m_lastWaiter);
-    const auto refusal = service->second.queue.push(m_lastWaiter, deadline, now);
+    const auto refusal = service->queue.push(m_lastWaiter, deadline, now);
     if (!refusal)
         return m_lastWaiter;
     const RefusalReason reason = *refusal == WaitRefusal::QueueFull ? RefusalReason::QueueFull
                                                                     : RefusalReason::WaitTooLong;
-    recordRefusal(request, reason);
+    recordRefusal(request, reason, service);
     return tl::unexpected<RefusalReason>(reason);
 }
 
@@ -152,48 +160,36 @@
         service.queue.remove(waiter);
 }
 
-bool Dispatcher::hasInstance(const ServiceId& service) const
+std::vector<WaiterId> Dispatcher::wakeWaiters(TimePoint now)
 {
-    return std::any_of(m_instances.begin(), m_instances.end(), [&](const auto& item) {
-        return item.second.record.service == service
-            && item.second.record.phase == InstancePhase::Serving;
-    });
-}
-
-std::vector<Candidate> Dispatcher::candidatesOf(
-    const Service& service, const std::set<InstanceId>& tried) const
-{
-    std::vector<Candidate> candidates;
-    for (const auto& [id, instance] : m_instances) {
-        const InstanceRecord& record = instance.record;
-        if (record.service != service.spec.name || record.phase != InstancePhase::Serving
-            || tried.contains(id) || instance.inFlight >= record.slots)
+    std::vector<WaiterId> woken;
+    for (auto& [name, service] : m_services) {
+        if (service.queue.size() == 0)
             continue;
-        candidates.push_back({ id, record.slots, instance.inFlight, record.load, 1.0 });
+        refreshStandings(name, now);
+        for (std::size_t room = freeSlots(name, now); room > 0; --room) {
+            const auto waiter = service.queue.pop(now);
+            if (!waiter)
+                break;
+            woken.push_back(*waiter);
+        }
     }
-    return candidates;
+    return woken;
 }
 
-void Dispatcher::recordRoute(
-    const RequestFacts& request, const Assignment& assignment, std::size_t candidates)
+pvt::InstancePool& Dispatcher::poolOf(const ServiceId& service)
 {
-    Decision decision { "route", "picked" };
-    decision.facts["method"] = request.method;
-    decision.facts["target"] = request.target;
-    decision.facts["service"] = assignment.service.value();
-    decision.facts["instance"] = assignment.instance.value();
-    decision.facts["attempt"] = Json::UInt64(assignment.attempt.value());
-    decision.facts["candidates"] = Json::UInt64(candidates);
-    m_log.record(decision);
+    auto& pool = m_pools[service];
+    if (!pool)
+        pool = std::make_unique<pvt::InstancePool>();
+    return *pool;
 }
 
-void Dispatcher::recordRefusal(const RequestFacts& request, RefusalReason reason)
+Dispatcher::Service* Dispatcher::serviceOf(const RequestFacts& request)
 {
-    Decision decision { "refuse", refusalName(reason) };
-    decision.facts["method"] = request.method;
-    decision.facts["host"] = request.host;
-    decision.facts["target"] = request.target;
-    m_log.record(decision);
+    const auto name = m_routes.match(request.method, request.host, request.target);
+    const auto found = name ? m_services.find(*name) : m_services.end();
+    return found == m_services.end() ? nullptr : &found->second;
 }
 
 } // namespace laburnum
--- a/testsuite/bench/routing_bench.cpp
+++ b/testsuite/bench/routing_bench.cpp
@@ -12,8 +12,21 @@
 
     constexpr int rounds = 20000;
 
-    /// Average time of begin() and finish(), in microseconds.
-    double decisionMicros(unsigned instances, std::uint64_t seed)
+    void addInstances(Dispatcher& dispatcher, const std::string& service, unsigned count)
+    {
+        for (unsigned i = 0; i < count; ++i) {
+            InstanceRecord record;
+            record.id = InstanceId(service + std::to_string(i));
+            record.service = ServiceId(service);
+            record.slots = 6;
+            record.connections = 400;
+            dispatcher.upsertInstance(record, TimePoint {});
+        }
+    }
+
+    /// Average time of begin() and finish(), in microseconds, with `others` instances of other
+    /// services announced besides.
+    double decisionMicros(unsigned instances, unsigned others, std::uint64_t seed)
     {
         NullDecisionLog log;
         const SteadyClock clock;
@@ -22,13 +35,8 @@
         configuration.services.push_back({ ServiceId("s") });
         configuration.routes.push_back({ "", "/", {}, ServiceId("s") });
         dispatcher.setConfiguration(configuration);
-        for (unsigned i = 0; i < instances; ++i) {
-            InstanceRecord record;
-            record.id = InstanceId("i" + std::to_string(i));
-            record.service = ServiceId("s");
-            record.slots = 6;
-            dispatcher.upsertInstance(record, clock.now());
-        }
+        addInstances(dispatcher, "s", instances);
+        addInstances(dispatcher, "other", others);
         const TimePoint start = clock.now();
         for (int i = 0; i < rounds; ++i) {
             const auto assigned = dispatcher.begin({ "GET", "h", "/" }, {}, clock.now());
@@ -44,7 +52,9 @@
         {
             for (const unsigned instances : { 12U, 100U, 1000U })
                 reporter.report({ "decision-time/" + std::to_string(instances) + "-instances",
-                    decisionMicros(instances, seed), "us", "" });
+                    decisionMicros(instances, 0, seed), "us", "" });
+            reporter.report({ "decision-time/12-instances+1000-of-other-services",
+                decisionMicros(12, 1000, seed), "us", "decision-time/12-instances" });
         }
     };
 
