--- a/src/include/laburnumroute/entry_server.h
+++ b/src/include/laburnumroute/entry_server.h
@@ -1,27 +1,67 @@
 /// The request path of an entry host: accepts callers, asks the dispatcher, passes bytes through.
 #pragma once
 
+#include <functional>
 #include <memory>
 
 #include <asio/io_context.hpp>
 
+#include <laburnumroute/claim_gate.h>
 #include <laburnumroute/dispatch_table.h>
 #include <laburnumroute/endpoint.h>
+#include <laburnumroute/request_metrics.h>
 
 namespace laburnum {
 
+/// Limits of the request path.
+struct EntryOptions {
+    /// Time from the first byte of a request to the end of its head.
+    Duration callerHeadTimeout = std::chrono::seconds(10);
+    /// Time that a caller's connection may stay open between two requests.
+    Duration callerIdleTimeout = std::chrono::seconds(75);
+    /// Time to open a connection to an instance.
+    Duration connectTimeout = std::chrono::seconds(1);
+    /// Time without progress after which an answer under way is given up.
+    Duration bodyIdleTimeout = std::chrono::seconds(30);
+    /// Time that an upload may go on after its answer, and a closing connection stays to deliver.
+    Duration lingerTimeout = std::chrono::seconds(2);
+    /// Time that a connection to an instance is kept without a request.
+    Duration upstreamIdleTimeout = std::chrono::seconds(4);
+    /// Time after which a drain cuts what is still in flight.
+    Duration drainTimeout = std::chrono::minutes(30);
+    /// Idle connections kept for each instance.
+    std::size_t idlePerInstance = 8;
+    /// Bytes of a request's body kept for a repeated attempt.
+    std::size_t replayBytes = std::size_t { 64 } * 1024;
+};
+
+/// What a drain did.
+struct DrainReport {
+    /// Requests that were cut off.
+    std::size_t cut = 0;
+};
+
 /// Serves callers on one endpoint with the threads of an io_context.
 class EntryServer {
 public:
-    EntryServer(asio::io_context& context, DispatchTable& table);
+    /// `claims` may be null: then requests with an idempotency key run unclaimed. Both `table` and
+    /// `claims` outlive the io_context's last handler.
+    EntryServer(asio::io_context& context, DispatchTable& table, EntryOptions options = {},
+        ClaimGate* claims = nullptr);
     ~EntryServer();
 
-    /// Starts to accept. Io names the address when it cannot be bound.
+    /// Starts to accept. Io names the address when it cannot be bound. Port 0 takes a free port.
     Expected<void> listen(const Endpoint& endpoint);
-    /// Stops accepting; requests in flight run to their end. `done` is called once none is left.
+    /// The endpoint listened on.
+    Endpoint localEndpoint() const;
+    /// Stops accepting; requests in flight run to their end, idle connections are closed. `done` is
+    /// called once none is left. The drain timeout or a second call cuts what is in flight.
+    void drain(std::function<void(DrainReport)> done);
     void drain(std::function<void()> done);
     /// Requests that are being served now.
     std::size_t inFlight() const noexcept;
+    /// Counters and latencies; lives as long as the server.
+    RequestMetrics& metrics() noexcept;
 
 private:
     struct Impl;
--- a/src/include/laburnumroute/http_decoder.h
+++ b/src/include/laburnumroute/http_decoder.h
@@ -30,12 +30,16 @@
     /// Tells that the peer closed its side. Closed when that cuts a message short.
     Expected<void> feedEnd();
 
-    /// The next response answers a HEAD request and so has no body.
-    void expectNoBody() noexcept;
+    /// Whether the responses to come answer a HEAD request and so have no body.
+    void setExpectNoBody(bool noBody) noexcept;
     bool started() const noexcept;
     bool headComplete() const noexcept;
     bool messageComplete() const noexcept;
     const HttpHead& head() const noexcept;
+    /// Trailer fields of a chunked message; whole once messageComplete().
+    const std::vector<HeaderField>& trailers() const noexcept;
+    /// Moves the head out; call once after headComplete().
+    HttpHead takeHead();
     /// Body bytes decoded since the last call.
     std::string takeBody();
     /// Forgets the finished message and gets ready for the next.
--- a/src/include/laburnumroute/http_message.h
+++ b/src/include/laburnumroute/http_message.h
@@ -37,10 +37,16 @@
 /// True when two field names are equal but for ASCII case.
 bool equalNames(std::string_view a, std::string_view b) noexcept;
 
-/// The fields of `head` without hop-by-hop fields (RFC 9110, section 7.6.1); framing fields are
-/// left out too, because each connection has its own.
+/// The fields of `head` without hop-by-hop fields (RFC 9110, section 7.6.1) and without the fields
+/// that only this system sets. Content-Length stays.
 std::vector<HeaderField> endToEndFields(const HttpHead& head);
+/// The trailer fields that may be passed on.
+std::vector<HeaderField> passableTrailers(const std::vector<HeaderField>& trailers);
+/// True for `Laburnum-*`, the fields that only this system sets.
+bool isOwnField(std::string_view name) noexcept;
 
+/// Renders the end of a chunked body.
+std::string renderLastChunk(const std::vector<HeaderField>& trailers);
 /// Renders a request head with `fields`, up to and including the empty line.
 std::string renderRequestHead(const HttpHead& head, const std::vector<HeaderField>& fields);
 /// Renders a response head with `fields`, up to and including the empty line.
--- /dev/null
+++ b/src/libnet/answers.cpp
@@ -0,0 +1,85 @@
+#include "answers_pvt.h"
+
+namespace laburnum::pvt {
+
+namespace {
+
+    constexpr unsigned statusNotFound = 404;
+    constexpr unsigned statusUnavailable = 503;
+
+    const char* reasonPhrase(unsigned status)
+    {
+        switch (status) {
+        case 400:
+            return "Bad Request";
+        case 404:
+            return "Not Found";
+        case 408:
+            return "Request Timeout";
+        case 409:
+            return "Conflict";
+        case 431:
+            return "Request Header Fields Too Large";
+        case 502:
+            return "Bad Gateway";
+        case 503:
+            return "Service Unavailable";
+        case 504:
+            return "Gateway Timeout";
+        default:
+            return "";
+        }
+    }
+
+} // namespace
+
+OwnAnswer refusalAnswer(RefusalReason reason)
+{
+    const unsigned status = reason == RefusalReason::NoRoute ? statusNotFound : statusUnavailable;
+    return { status, RequestOutcome::NotRun, refusalName(reason) };
+}
+
+void addConnection(std::vector<HeaderField>& fields, const AnswerContext& context)
+{
+    if (!context.keepAlive)
+        fields.push_back({ "Connection", "close" });
+    else if (context.versionMinor == 0)
+        fields.push_back({ "Connection", "keep-alive" });
+}
+
+std::string renderAnswer(const OwnAnswer& answer, const AnswerContext& context)
+{
+    HttpHead head;
+    head.status = answer.status;
+    head.reason = reasonPhrase(answer.status);
+    const std::string body = (answer.detail.empty() ? answer.reason : answer.detail) + '\n';
+    std::vector<HeaderField> fields { { "Content-Type", "text/plain" },
+        { "Content-Length", std::to_string(body.size()) },
+        { outcomeHeader, outcomeName(answer.outcome) }, { reasonHeader, answer.reason } };
+    if (answer.status == statusUnavailable && answer.outcome == RequestOutcome::NotRun)
+        fields.push_back({ "Retry-After", answer.retryAfter });
+    addConnection(fields, context);
+    return renderResponseHead(head, fields) + (context.headRequest ? "" : body);
+}
+
+std::string renderReplay(const StoredAnswer& answer, const AnswerContext& context)
+{
+    HttpHead head;
+    head.status = answer.status;
+    head.reason = answer.reason;
+    constexpr unsigned statusNoContent = 204;
+    constexpr unsigned statusNotModified = 304;
+    std::vector<HeaderField> fields;
+    for (const auto& field : answer.fields) {
+        if (!equalNames(field.name, "content-length"))
+            fields.push_back(field);
+    }
+    if (answer.status != statusNoContent && answer.status != statusNotModified)
+        fields.push_back({ "Content-Length", std::to_string(answer.body.size()) });
+    fields.push_back({ outcomeHeader, outcomeName(RequestOutcome::Answered) });
+    fields.push_back({ reasonHeader, reasons::replayed });
+    addConnection(fields, context);
+    return renderResponseHead(head, fields) + (context.headRequest ? "" : answer.body);
+}
+
+} // namespace laburnum::pvt
--- /dev/null
+++ b/src/libnet/exchange.cpp
@@ -0,0 +1,343 @@
+#include "exchange_pvt.h"
+
+#include <algorithm>
+
+namespace laburnum::pvt {
+
+namespace {
+
+    using asio::ip::tcp;
+
+    constexpr unsigned statusContinue = 100;
+    constexpr unsigned statusSwitchingProtocols = 101;
+    constexpr unsigned statusOk = 200;
+    constexpr unsigned statusNoContent = 204;
+    constexpr unsigned statusNotModified = 304;
+
+    SteadyTime steadyNow() { return std::chrono::steady_clock::now(); }
+
+    SteadyTime after(Duration d)
+    {
+        return steadyNow() + std::chrono::duration_cast<std::chrono::steady_clock::duration>(d);
+    }
+
+    bool expectsContinue(const HttpHead& request)
+    {
+        return request.versionMinor > 0 && equalNames(request.field("expect"), "100-continue");
+    }
+
+    void eraseFields(std::vector<HeaderField>& fields, std::string_view name)
+    {
+        std::erase_if(
+            fields, [&](const HeaderField& field) { return equalNames(field.name, name); });
+    }
+
+} // namespace
+
+Expected<tcp::endpoint> toAsio(const Endpoint& endpoint)
+{
+    std::error_code code;
+    const auto address = asio::ip::make_address(endpoint.address, code);
+    if (code)
+        return fail(ErrorCode::InvalidArgument, "'" + endpoint.address + "' is not an IP address");
+    return tcp::endpoint(address, endpoint.port);
+}
+
+Exchange::Exchange(CallerSide& caller, const Assignment& assigned)
+    : m_caller(caller)
+    , m_assigned(assigned)
+    , m_start(steadyNow())
+{
+}
+
+asio::awaitable<AttemptOutcome> Exchange::run()
+{
+    const bool idempotent = isIdempotentMethod(m_caller.request.method);
+    bool mayReuse = idempotent;
+    while (true) {
+        if (!co_await connect(mayReuse)) {
+            m_outcome.end = AttemptEnd::NotConnected;
+            break;
+        }
+        co_await sendRequest();
+        co_await passAnswer();
+        co_await settle();
+        // An instance may close an idle connection at the moment it is used again.
+        const bool stale = m_reused && m_outcome.end == AttemptEnd::NoAnswer
+            && !m_upstream->messageStarted() && m_caller.body.replayable();
+        if (!stale)
+            break;
+        m_caller.body.rewind();
+        mayReuse = false;
+    }
+    m_outcome.latency = m_outcome.status != 0 ? m_outcome.latency : Duration(steadyNow() - m_start);
+    co_return std::move(m_outcome);
+}
+
+asio::awaitable<bool> Exchange::connect(bool mayReuse)
+{
+    m_uploader = nullptr;
+    m_reused = false;
+    if (mayReuse) {
+        m_upstream = m_caller.entry.pool.take(m_assigned.instance);
+        m_reused = m_upstream != nullptr;
+        if (m_reused)
+            co_return true;
+    }
+    const auto endpoint = toAsio(m_assigned.endpoint);
+    if (!endpoint)
+        co_return false;
+    auto socket = std::make_shared<tcp::socket>(m_caller.entry.io);
+    const auto limit = std::min(m_caller.deadline, after(m_caller.entry.options.connectTimeout));
+    m_caller.watchdog.watch(limit, [socket] {
+        std::error_code ignored;
+        socket->close(ignored);
+    });
+    const auto [code] = co_await socket->async_connect(*endpoint, useTuple);
+    m_caller.watchdog.clear();
+    if (code || !socket->is_open())
+        co_return false;
+    m_upstream = std::make_shared<HttpStream>(std::move(*socket), MessageKind::Response);
+    co_return true;
+}
+
+std::string Exchange::renderRequest()
+{
+    const HttpHead& request = m_caller.request;
+    auto fields = endToEndFields(request);
+    // The caller is told to go on by this host, so that it never waits for an instance that
+    // ignores the expectation.
+    if (expectsContinue(request))
+        eraseFields(fields, "expect");
+    if (request.versionMinor == 0 && request.field("host").empty()) {
+        eraseFields(fields, "host");
+        fields.insert(fields.begin(), { "Host", formatEndpoint(m_assigned.endpoint) });
+    }
+    if (request.chunked)
+        fields.push_back({ "Transfer-Encoding", "chunked" });
+    const auto remaining = std::max(m_caller.deadline - steadyNow(), SteadyTime::duration::zero());
+    fields.push_back({ deadlineHeader, std::to_string(toMillis(remaining)) });
+    return renderRequestHead(request, fields);
+}
+
+asio::awaitable<void> Exchange::sendRequest()
+{
+    m_outcome.mayHaveRun = true;
+    m_upstream->setExpectNoBody(m_caller.request.method == "HEAD");
+    watchDeadline();
+    const auto framing = m_caller.request.chunked ? BodyFraming::Chunked : BodyFraming::Identity;
+    std::string bytes = renderRequest();
+    bytes += frameBodyPart(framing, m_caller.body.takeAtHand());
+    const bool whole = m_caller.body.finished();
+    if (whole)
+        bytes += frameBodyEnd(framing, m_caller.body.trailers());
+    // A failed write is no verdict: the instance may have answered before it closed.
+    co_await m_upstream->write(std::move(bytes));
+    if (whole) {
+        watchCaller();
+        co_return;
+    }
+    if (expectsContinue(m_caller.request) && !m_caller.continued && m_caller.body.bytes() == 0) {
+        m_caller.continued = true;
+        co_await m_caller.stream.write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    startUpload(framing);
+}
+
+void Exchange::startUpload(BodyFraming framing)
+{
+    m_uploader = std::make_shared<Uploader>(m_caller.stream, m_caller.body, m_upstream, framing);
+    m_uploader->start(
+        [this] {
+            if (m_outcome.status != 0)
+                watchProgress();
+        },
+        [this] {
+            if (m_uploader->phase() == Uploader::Phase::CallerFailed)
+                m_upstream->close();
+            if (m_uploader->phase() == Uploader::Phase::Sent)
+                watchCaller();
+        });
+}
+
+void Exchange::watchDeadline()
+{
+    m_caller.watchdog.watch(m_caller.deadline, [this] {
+        m_timedOut = true;
+        m_upstream->close();
+    });
+}
+
+void Exchange::watchProgress()
+{
+    m_caller.watchdog.watch(m_caller.entry.options.bodyIdleTimeout, [this] {
+        m_timedOut = true;
+        m_upstream->close();
+        m_caller.stream.reset();
+    });
+}
+
+void Exchange::watchCaller()
+{
+    m_caller.stream.watchPeer([this] {
+        m_callerGone = true;
+        m_upstream->close();
+    });
+}
+
+AttemptEnd Exchange::endFor(const Error& error) const
+{
+    if (m_callerGone)
+        return AttemptEnd::CallerGone;
+    if (m_uploader && m_uploader->phase() == Uploader::Phase::CallerFailed)
+        return m_uploader->callerError()->code == ErrorCode::Closed ? AttemptEnd::CallerGone
+                                                                    : AttemptEnd::CallerMalformed;
+    if (m_timedOut) {
+        const bool callerSlow = m_uploader && m_uploader->phase() == Uploader::Phase::ReadingCaller;
+        return callerSlow ? AttemptEnd::CallerSlow : AttemptEnd::TimedOut;
+    }
+    return error.code == ErrorCode::Closed ? AttemptEnd::NoAnswer : AttemptEnd::BadAnswer;
+}
+
+asio::awaitable<Expected<HttpHead>> Exchange::readFinalHead()
+{
+    while (true) {
+        auto head = co_await m_upstream->readHead();
+        if (!head || head->status >= statusOk)
+            co_return head;
+        if (head->status == statusSwitchingProtocols)
+            co_return fail(ErrorCode::InvalidArgument, "the instance switches protocols unasked");
+        if (head->status == statusContinue || m_caller.request.versionMinor == 0)
+            continue;
+        co_await m_caller.stream.write(renderResponseHead(*head, endToEndFields(*head)));
+    }
+}
+
+asio::awaitable<void> Exchange::passAnswer()
+{
+    const SteadyTime sent = steadyNow();
+    auto head = co_await readFinalHead();
+    m_outcome.waited += steadyNow() - sent;
+    if (!head) {
+        m_outcome.end = endFor(head.error());
+        co_return;
+    }
+    m_outcome.status = head->status;
+    m_outcome.latency = steadyNow() - m_start;
+    m_upstreamKeepAlive = head->keepAlive;
+    if (head->field(outcomeHeader) == outcomeName(RequestOutcome::NotRun)) {
+        m_outcome.end = AttemptEnd::Shed;
+        m_outcome.mayHaveRun = false;
+        m_outcome.retryAfter = head->field("retry-after");
+        co_return;
+    }
+    co_await relayAnswer(std::move(*head));
+}
+
+BodyFraming Exchange::answerFraming(const HttpHead& head) const
+{
+    if (m_caller.request.method == "HEAD" || head.status == statusNoContent
+        || head.status == statusNotModified)
+        return BodyFraming::None;
+    if (head.contentLength || m_caller.request.versionMinor == 0)
+        return BodyFraming::Identity;
+    return BodyFraming::Chunked;
+}
+
+std::vector<HeaderField> Exchange::answerFields(const HttpHead& head, BodyFraming framing) const
+{
+    auto fields = endToEndFields(head);
+    if (head.status == statusNoContent)
+        eraseFields(fields, "content-length");
+    const bool chunkedHead
+        = head.chunked && m_caller.request.method == "HEAD" && m_caller.request.versionMinor > 0;
+    if (framing == BodyFraming::Chunked || chunkedHead)
+        fields.push_back({ "Transfer-Encoding", "chunked" });
+    fields.push_back({ outcomeHeader, outcomeName(RequestOutcome::Answered) });
+    return fields;
+}
+
+asio::awaitable<void> Exchange::relayAnswer(HttpHead head)
+{
+    const BodyFraming framing = answerFraming(head);
+    const bool untilClose = framing == BodyFraming::Identity && !head.contentLength;
+    const bool uploaded = m_caller.body.complete();
+    m_outcome.keepAlive
+        = m_caller.request.keepAlive && !untilClose && uploaded && !m_caller.entry.draining;
+    auto fields = answerFields(head, framing);
+    if (m_caller.capture) {
+        m_outcome.captured = StoredAnswer { head.status, head.reason, endToEndFields(head), {} };
+    }
+    addConnection(fields, { false, m_caller.request.versionMinor, m_outcome.keepAlive });
+    watchProgress();
+    if (m_caller.capture)
+        m_caller.stream.unwatchPeer();
+    co_await relayBody(renderResponseHead(head, fields), framing);
+    if (m_outcome.end == AttemptEnd::Cut && untilClose)
+        m_caller.stream.reset();
+}
+
+asio::awaitable<void> Exchange::relayBody(std::string bytes, BodyFraming framing)
+{
+    m_outcome.end = AttemptEnd::Passed;
+    std::string part = m_upstream->takeBufferedBody();
+    while (true) {
+        const bool last = m_upstream->messageComplete();
+        capturePart(part);
+        bytes += frameBodyPart(framing, std::move(part));
+        if (last)
+            bytes += frameBodyEnd(framing, m_upstream->trailers());
+        if (m_outcome.end == AttemptEnd::Passed && !bytes.empty()) {
+            const auto sent = co_await m_caller.stream.write(std::move(bytes));
+            if (!sent)
+                m_outcome.end = AttemptEnd::Cut;
+        }
+        // An answer that is stored is read to its end even when its caller went away.
+        if (last || (m_outcome.end == AttemptEnd::Cut && !m_outcome.captured))
+            co_return;
+        watchProgress();
+        const SteadyTime before = steadyNow();
+        auto next = co_await m_upstream->readBodyPart();
+        m_outcome.waited += steadyNow() - before;
+        if (!next) {
+            m_outcome.end = AttemptEnd::Cut;
+            m_outcome.captured.reset();
+            co_return;
+        }
+        part = std::move(*next);
+        bytes.clear();
+    }
+}
+
+void Exchange::capturePart(const std::string& part)
+{
+    m_outcome.answerBytes += part.size();
+    if (!m_outcome.captured)
+        return;
+    if (m_outcome.captured->body.size() + part.size() > StoredAnswer::maxBodyBytes)
+        m_outcome.captured.reset();
+    else
+        m_outcome.captured->body += part;
+}
+
+asio::awaitable<void> Exchange::settle()
+{
+    m_caller.stream.unwatchPeer();
+    const bool passed = m_outcome.end == AttemptEnd::Passed;
+    if (m_uploader) {
+        m_caller.watchdog.clear();
+        if (!passed)
+            m_upstream->close();
+        const Duration patience = passed ? m_caller.entry.options.lingerTimeout : Duration::zero();
+        co_await m_uploader->join(patience);
+    }
+    m_caller.watchdog.clear();
+    const bool sentWhole = !m_uploader || m_uploader->phase() == Uploader::Phase::Sent;
+    if (passed && sentWhole && m_upstreamKeepAlive && m_upstream->messageComplete()
+        && m_upstream->isDrained())
+        m_caller.entry.pool.put(m_assigned.instance, m_upstream);
+    else
+        m_upstream->close();
+}
+
+} // namespace laburnum::pvt
--- /dev/null
+++ b/src/libnet/exchange_pvt.h
@@ -0,0 +1,111 @@
+/// One attempt of a request at one instance: connection, request, answer.
+#pragma once
+
+#include <memory>
+#include <optional>
+
+#include "answers_pvt.h"
+#include "entry_context_pvt.h"
+#include "request_body_pvt.h"
+#include "uploader_pvt.h"
+#include "watchdog_pvt.h"
+
+namespace laburnum::pvt {
+
+/// How an attempt ended for the caller. Up to BadAnswer nothing of an answer went to the caller.
+enum class AttemptEnd {
+    /// Proved not run: no connection was opened.
+    NotConnected,
+    /// Proved not run: the instance said so.
+    Shed,
+    /// The connection ended without an answer.
+    NoAnswer,
+    /// The answer is no valid HTTP.
+    BadAnswer,
+    /// The deadline passed.
+    TimedOut,
+    /// The deadline passed while the caller was still sending.
+    CallerSlow,
+    /// The caller's body is malformed.
+    CallerMalformed,
+    /// The caller closed its connection.
+    CallerGone,
+    /// The caller got the whole answer.
+    Passed,
+    /// The caller got a part of the answer; its connection must break.
+    Cut,
+};
+
+/// What the caller's side of a request gives to each of its attempts.
+struct CallerSide {
+    EntryContext& entry;
+    HttpStream& stream;
+    RequestBody& body;
+    Watchdog& watchdog;
+    const HttpHead& request;
+    SteadyTime arrival;
+    SteadyTime deadline;
+    /// Keep a copy of the answer.
+    bool capture = false;
+    /// `100 Continue` went to the caller already.
+    bool continued = false;
+};
+
+/// What became of an attempt.
+struct AttemptOutcome {
+    AttemptEnd end = AttemptEnd::NotConnected;
+    /// False only if the request is proved not to have run.
+    bool mayHaveRun = false;
+    /// Status of the instance's answer; 0 without one.
+    unsigned status = 0;
+    Duration latency {};
+    /// Time that was spent waiting for the instance's answer to begin and its body to flow.
+    Duration waited {};
+    std::uint64_t answerBytes = 0;
+    /// The caller's connection can carry another request.
+    bool keepAlive = false;
+    std::optional<StoredAnswer> captured;
+    /// The instance's Retry-After, when it shed the request.
+    std::string retryAfter;
+};
+
+/// Runs one attempt. Use from the session's strand.
+class Exchange {
+public:
+    Exchange(CallerSide& caller, const Assignment& assigned);
+
+    asio::awaitable<AttemptOutcome> run();
+
+private:
+    /// Takes an idle connection if the request may be repeated, else opens one.
+    asio::awaitable<bool> connect(bool mayReuse);
+    asio::awaitable<void> sendRequest();
+    asio::awaitable<void> passAnswer();
+    asio::awaitable<Expected<HttpHead>> readFinalHead();
+    asio::awaitable<void> relayAnswer(HttpHead head);
+    asio::awaitable<void> relayBody(std::string bytes, BodyFraming framing);
+    asio::awaitable<void> settle();
+
+    std::string renderRequest();
+    void startUpload(BodyFraming framing);
+    BodyFraming answerFraming(const HttpHead& head) const;
+    std::vector<HeaderField> answerFields(const HttpHead& head, BodyFraming framing) const;
+    void watchDeadline();
+    void watchProgress();
+    void watchCaller();
+    AttemptEnd endFor(const Error& error) const;
+    void capturePart(const std::string& part);
+
+    CallerSide& m_caller;
+    const Assignment& m_assigned;
+    std::shared_ptr<HttpStream> m_upstream;
+    std::shared_ptr<Uploader> m_uploader;
+    AttemptOutcome m_outcome;
+    SteadyTime m_start;
+    bool m_reused = false;
+    bool m_timedOut = false;
+    bool m_callerGone = false;
+    bool m_upstreamKeepAlive = false;
+};
+
+} // namespace laburnum::pvt
--- a/src/libnet/http_decoder.cpp
+++ b/src/libnet/http_decoder.cpp
@@ -6,6 +6,65 @@
 
 namespace laburnum {
 
+namespace {
+
+    /// Refuses bytes in a head that two readers could understand in two ways: control characters, a
+    /// bare CR or LF, folded lines, and repeated blanks in a request line. http_parser lets some of
+    /// them through.
+    class HeadGuard {
+    public:
+        explicit HeadGuard(MessageKind kind)
+            : m_inRequestLine(kind == MessageKind::Request)
+        {
+        }
+
+        /// False once a byte breaks the rules. Bytes after the head are not looked at.
+        bool accept(std::string_view bytes)
+        {
+            for (const char c : bytes) {
+                if (m_done)
+                    return true;
+                if (!acceptByte(c))
+                    return false;
+            }
+            return true;
+        }
+
+    private:
+        bool acceptByte(char c)
+        {
+            if (m_afterCr) {
+                m_afterCr = false;
+                m_done = m_lineEmpty && m_sawLine;
+                m_lineEmpty = true;
+                m_inRequestLine = m_inRequestLine && !m_sawLine;
+                return c == '\n';
+            }
+            if (c == '\r') {
+                m_afterCr = true;
+                return true;
+            }
+            const bool blank = c == ' ' || c == '\t';
+            const bool control = (static_cast<unsigned char>(c) < ' ' && c != '\t') || c == '\x7f';
+            const bool folded = blank && m_lineEmpty && m_sawLine;
+            const bool twoBlanks = m_inRequestLine && blank && (m_afterBlank || c == '\t');
+            m_afterBlank = blank;
+            m_lineEmpty = false;
+            m_sawLine = true;
+            return !control && !folded && !twoBlanks;
+        }
+
+        bool m_inRequestLine;
+        bool m_afterBlank = false;
+
+        bool m_afterCr = false;
+        bool m_lineEmpty = true;
+        bool m_sawLine = false;
+        bool m_done = false;
+    };
+
+} // namespace
+
 struct HttpDecoder::State {
     explicit State(MessageKind k)
         : kind(k)
@@ -18,21 +77,30 @@
         http_parser_init(&parser, kind == MessageKind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
         parser.data = this;
         head = HttpHead {};
+        guard = HeadGuard(kind);
+        trailers.clear();
         body.clear();
+        problem = nullptr;
         headBytes = 0;
-        started = headDone = messageDone = noBody = inTrailer = lastWasValue = false;
+        started = headDone = messageDone = lastWasValue = false;
     }
 
+    /// Where the parser's header callbacks go now.
+    std::vector<HeaderField>& openFields() { return headDone ? trailers : head.fields; }
+
     MessageKind kind;
     http_parser parser {};
     HttpHead head;
+    HeadGuard guard { MessageKind::Request };
+    std::vector<HeaderField> trailers;
     std::string body;
+    /// What the callbacks found wrong.
+    const char* problem = nullptr;
     std::size_t headBytes = 0;
     bool started = false;
     bool headDone = false;
     bool messageDone = false;
     bool noBody = false;
-    bool inTrailer = false;
     bool lastWasValue = false;
 };
 
@@ -56,34 +124,101 @@
         return *static_cast<State*>(parser->data);
     }
 
+    bool hasControlCharacter(std::string_view text)
+    {
+        return std::any_of(text.begin(), text.end(), [](char c) {
+            return (static_cast<unsigned char>(c) < ' ' && c != '\t') || c == '\x7f';
+        });
+    }
+
     template <class State> void addFieldName(State& state, std::string_view bytes)
     {
-        if (state.head.fields.empty() || state.lastWasValue)
-            state.head.fields.push_back({});
+        auto& fields = state.openFields();
+        if (fields.empty() || state.lastWasValue)
+            fields.push_back({});
         state.lastWasValue = false;
-        state.head.fields.back().name += bytes;
+        fields.back().name += bytes;
     }
 
-    template <class State> int completeHead(http_parser* parser)
+    /// Removes white space at the end of each value; http_parser removes it at the start only.
+    void trimValues(std::vector<HeaderField>& fields)
+    {
+        for (auto& field : fields) {
+            const auto last = field.value.find_last_not_of(" \t");
+            field.value.resize(last == std::string::npos ? 0 : last + 1);
+        }
+    }
+
+    /// What is wrong with a finished head, or null.
+    const char* headProblem(const HttpHead& head)
     {
-        State& state = stateOf<State>(parser);
-        HttpHead& head = state.head;
         const bool namesValid = std::all_of(head.fields.begin(), head.fields.end(),
             [](const HeaderField& field) { return isToken(field.name); });
         if (!namesValid)
-            return stopParsing;
+            return "a header name is not a token";
+        std::size_t codings = 0;
+        for (const auto& field : head.fields) {
+            if (!equalNames(field.name, "transfer-encoding"))
+                continue;
+            ++codings;
+            if (!equalNames(field.value, "chunked"))
+                return "the transfer coding is not chunked";
+        }
+        if (codings > 1 || (codings == 1 && head.contentLength))
+            return "the length is stated twice";
+        if (codings == 1 && head.versionMinor == 0)
+            return "a transfer coding in HTTP/1.0";
+        return nullptr;
+    }
+
+    /// True for responses that have no body by their status (RFC 9112, section 6.3).
+    bool isBodiless(unsigned status)
+    {
+        constexpr unsigned statusOk = 200;
+        constexpr unsigned statusNoContent = 204;
+        constexpr unsigned statusNotModified = 304;
+        return status < statusOk || status == statusNoContent || status == statusNotModified;
+    }
+
+    template <class State> int completeHead(http_parser* parser)
+    {
+        State& state = stateOf<State>(parser);
+        HttpHead& head = state.head;
         head.versionMinor = parser->http_minor;
         head.chunked = (parser->flags & F_CHUNKED) != 0;
         if ((parser->flags & F_CONTENTLENGTH) != 0)
             head.contentLength = parser->content_length;
+        trimValues(head.fields);
+        state.problem = headProblem(head);
+        if (parser->http_major != 1)
+            state.problem = "not HTTP/1";
+        if (state.problem != nullptr)
+            return stopParsing;
         head.keepAlive = http_should_keep_alive(parser) != 0;
-        if (state.kind == MessageKind::Request)
+        const bool request = state.kind == MessageKind::Request;
+        if (request)
             head.method = http_method_str(static_cast<http_method>(parser->method));
         head.status = parser->status_code;
         parser->upgrade = 0;
         state.headDone = true;
+        state.lastWasValue = false;
+        http_parser_pause(parser, 1);
+        return state.noBody || (!request && isBodiless(head.status)) ? 1 : 0;
+    }
+
+    template <class State> int completeMessage(http_parser* parser)
+    {
+        State& state = stateOf<State>(parser);
+        trimValues(state.trailers);
+        for (const auto& field : state.trailers) {
+            if (!isToken(field.name) || hasControlCharacter(field.value)) {
+                state.problem = "a trailer field is malformed";
+                return stopParsing;
+            }
+        }
+        state.messageDone = true;
         http_parser_pause(parser, 1);
-        return state.noBody ? 1 : 0;
+        return 0;
     }
 
     template <class State> http_parser_settings makeSettings()
@@ -103,17 +238,13 @@
             return 0;
         };
         settings.on_header_field = [](http_parser* p, const char* at, size_t length) {
-            State& state = stateOf<State>(p);
-            if (!state.headDone)
-                addFieldName(state, { at, length });
+            addFieldName(stateOf<State>(p), { at, length });
             return 0;
         };
         settings.on_header_value = [](http_parser* p, const char* at, size_t length) {
             State& state = stateOf<State>(p);
-            if (state.headDone)
-                return 0;
             state.lastWasValue = true;
-            state.head.fields.back().value.append(at, length);
+            state.openFields().back().value.append(at, length);
             return 0;
         };
         settings.on_headers_complete = completeHead<State>;
@@ -121,11 +252,7 @@
             stateOf<State>(p).body.append(at, length);
             return 0;
         };
-        settings.on_message_complete = [](http_parser* p) {
-            stateOf<State>(p).messageDone = true;
-            http_parser_pause(p, 1);
-            return 0;
-        };
+        settings.on_message_complete = completeMessage<State>;
         return settings;
     }
 
@@ -146,12 +273,21 @@
     State& state = *m_state;
     http_parser_pause(&state.parser, 0);
     const bool headWasDone = state.headDone;
+    const std::size_t bodyBefore = state.body.size();
     const std::size_t taken
         = http_parser_execute(&state.parser, &parserSettings, bytes.data(), bytes.size());
+    if (!headWasDone && !state.guard.accept(bytes.substr(0, taken + 1)))
+        return fail(ErrorCode::InvalidArgument, "malformed HTTP: forbidden byte in the head");
     const http_errno code = HTTP_PARSER_ERRNO(&state.parser);
     if (code != HPE_OK && code != HPE_PAUSED)
         return fail(code == HPE_HEADER_OVERFLOW ? ErrorCode::TooLarge : ErrorCode::InvalidArgument,
-            std::string("malformed HTTP: ") + http_errno_description(code));
+            std::string("malformed HTTP: ")
+                + (state.problem != nullptr ? state.problem : http_errno_description(code)));
+    if (headWasDone && state.body.size() == bodyBefore && !state.trailers.empty()) {
+        state.headBytes += taken;
+        if (state.headBytes > maxHeadBytes)
+            return fail(ErrorCode::TooLarge, "HTTP trailers are larger than allowed");
+    }
     if (!headWasDone) {
         state.headBytes += taken;
         if (state.headBytes > maxHeadBytes)
@@ -173,12 +309,15 @@
     return {};
 }
 
-void HttpDecoder::expectNoBody() noexcept { m_state->noBody = true; }
+void HttpDecoder::setExpectNoBody(bool noBody) noexcept { m_state->noBody = noBody; }
 bool HttpDecoder::started() const noexcept { return m_state->started; }
 bool HttpDecoder::headComplete() const noexcept { return m_state->headDone; }
 bool HttpDecoder::messageComplete() const noexcept { return m_state->messageDone; }
 const HttpHead& HttpDecoder::head() const noexcept { return m_state->head; }
 
+const std::vector<HeaderField>& HttpDecoder::trailers() const noexcept { return m_state->trailers; }
+
+HttpHead HttpDecoder::takeHead() { return std::exchange(m_state->head, {}); }
 std::string HttpDecoder::takeBody() { return std::exchange(m_state->body, {}); }
 
 void HttpDecoder::reset() { m_state->clear(); }
--- a/src/libnet/http_message.cpp
+++ b/src/libnet/http_message.cpp
@@ -74,17 +74,47 @@
 
 std::vector<HeaderField> endToEndFields(const HttpHead& head)
 {
+    // A caller must not have fields removed on which framing or routing rests.
+    static constexpr std::array<std::string_view, 2> fixed { "host", "content-length" };
     const auto tokens = connectionTokens(head);
     std::vector<HeaderField> result;
-    result.reserve(head.fields.size());
+    result.reserve(head.fields.size() + 4);
     for (const auto& field : head.fields) {
-        const bool framing = equalNames(field.name, "content-length");
-        if (!framing && !containsName(hopByHop, field.name) && !containsName(tokens, field.name))
+        const bool named = containsName(tokens, field.name) && !containsName(fixed, field.name);
+        if (!named && !containsName(hopByHop, field.name) && !isOwnField(field.name))
             result.push_back(field);
     }
     return result;
 }
 
+std::vector<HeaderField> passableTrailers(const std::vector<HeaderField>& trailers)
+{
+    // RFC 9110, section 6.5.1: no fields for framing, routing or authentication.
+    static constexpr std::array<std::string_view, 8> forbidden { "content-length", "host",
+        "authorization", "content-encoding", "content-type", "content-range", "set-cookie",
+        "idempotency-key" };
+    std::vector<HeaderField> result;
+    for (const auto& field : trailers) {
+        if (!containsName(forbidden, field.name) && !containsName(hopByHop, field.name)
+            && !isOwnField(field.name))
+            result.push_back(field);
+    }
+    return result;
+}
+
+bool isOwnField(std::string_view name) noexcept
+{
+    constexpr std::string_view prefix = "laburnum-";
+    return name.size() > prefix.size() && equalNames(name.substr(0, prefix.size()), prefix);
+}
+
+std::string renderLastChunk(const std::vector<HeaderField>& trailers)
+{
+    std::string out = "0\r\n";
+    appendFields(out, trailers);
+    return out;
+}
+
 std::string renderRequestHead(const HttpHead& head, const std::vector<HeaderField>& fields)
 {
     std::string out = head.method + ' ' + head.target + " HTTP/1.1\r\n";
--- a/src/libnet/http_stream.cpp
+++ b/src/libnet/http_stream.cpp
@@ -5,31 +5,63 @@
 
 namespace laburnum::pvt {
 
-HttpStream::HttpStream(asio::ip::tcp::socket socket, MessageKind incoming)
+using asio::ip::tcp;
+
+/// Outlives the stream while the socket's wait operation is pending.
+struct HttpStream::PeerWatch {
+    HttpStream* stream = nullptr;
+    std::function<void()> onGone;
+    bool pending = false;
+};
+
+HttpStream::HttpStream(tcp::socket socket, MessageKind incoming)
     : m_socket(std::move(socket))
     , m_decoder(incoming)
+    , m_buffer(std::make_unique<std::array<char, readBytes>>())
+    , m_watch(std::make_shared<PeerWatch>())
 {
+    m_watch->stream = this;
     std::error_code ignored;
-    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    m_socket.set_option(tcp::no_delay(true), ignored);
+    m_socket.non_blocking(true, ignored);
+}
+
+HttpStream::~HttpStream() { m_watch->stream = nullptr; }
+
+Expected<void> HttpStream::feedPending()
+{
+    const auto taken = m_decoder.feed({ m_buffer->data() + m_begin, m_end - m_begin });
+    if (!taken)
+        return tl::unexpected<Error>(taken.error());
+    m_begin += *taken;
+    return {};
 }
 
 asio::awaitable<Expected<void>> HttpStream::readMore()
 {
-    if (m_pending.empty()) {
-        m_pending.resize(readBytes);
+    if (m_begin == m_end) {
+        m_begin = m_end = 0;
         const auto [code, count]
-            = co_await m_socket.async_read_some(asio::buffer(m_pending), useTuple);
-        m_pending.resize(count);
+            = co_await m_socket.async_read_some(asio::buffer(*m_buffer), useTuple);
         if (code) {
             if (code != asio::error::eof || !m_decoder.started())
                 co_return fail(ErrorCode::Closed, "read: " + code.message());
             co_return m_decoder.feedEnd();
         }
+        m_end = count;
+    }
+    co_return feedPending();
+}
+
+asio::awaitable<Expected<void>> HttpStream::awaitMessage()
+{
+    if (m_decoder.messageComplete())
+        m_decoder.reset();
+    while (!m_decoder.started()) {
+        auto more = co_await readMore();
+        if (!more)
+            co_return more;
     }
-    const auto taken = m_decoder.feed(m_pending);
-    if (!taken)
-        co_return tl::unexpected<Error>(taken.error());
-    m_pending.erase(0, *taken);
     co_return Expected<void> {};
 }
 
@@ -42,7 +74,13 @@
         if (!more)
             co_return tl::unexpected<Error>(more.error());
     }
-    co_return m_decoder.head();
+    // The parser pauses before the head's last byte; going on tells whether there is a body.
+    if (m_begin != m_end) {
+        const auto settled = feedPending();
+        if (!settled)
+            co_return tl::unexpected<Error>(settled.error());
+    }
+    co_return m_decoder.takeHead();
 }
 
 asio::awaitable<Expected<std::string>> HttpStream::readBodyPart()
@@ -65,10 +103,66 @@
     co_return Expected<void> {};
 }
 
+asio::awaitable<void> HttpStream::closeGently()
+{
+    std::error_code code;
+    m_socket.shutdown(tcp::socket::shutdown_send, code);
+    while (!code) {
+        auto [failed, count] = co_await m_socket.async_read_some(asio::buffer(*m_buffer), useTuple);
+        code = failed;
+    }
+    close();
+}
+
+void HttpStream::watchPeer(std::function<void()> onGone)
+{
+    m_watch->onGone = std::move(onGone);
+    if (m_watch->pending)
+        return;
+    m_watch->pending = true;
+    m_socket.async_wait(tcp::socket::wait_read, [watch = m_watch](std::error_code code) {
+        watch->pending = false;
+        if (watch->stream == nullptr || !watch->onGone)
+            return;
+        char byte = 0;
+        std::error_code peeked = code;
+        if (!code)
+            watch->stream->m_socket.receive(
+                asio::buffer(&byte, 1), tcp::socket::message_peek, peeked);
+        if (peeked && peeked != asio::error::would_block)
+            std::exchange(watch->onGone, nullptr)();
+    });
+}
+
+void HttpStream::unwatchPeer() { m_watch->onGone = nullptr; }
+
+bool HttpStream::isQuiet()
+{
+    if (m_begin != m_end)
+        return false;
+    std::error_code code;
+    char byte = 0;
+    m_socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
+    return code == asio::error::would_block;
+}
+
+void HttpStream::cancel()
+{
+    std::error_code ignored;
+    m_socket.cancel(ignored);
+}
+
 void HttpStream::close()
 {
     std::error_code ignored;
     m_socket.close(ignored);
 }
 
+void HttpStream::reset()
+{
+    std::error_code ignored;
+    m_socket.set_option(tcp::socket::linger(true, 0), ignored);
+    m_socket.close(ignored);
+}
+
 } // namespace laburnum::pvt
--- /dev/null
+++ b/src/libnet/request_handler.cpp
@@ -0,0 +1,294 @@
+#include "request_handler_pvt.h"
+
+#include <xxhash.h>
+
+#include "claim_wait_pvt.h"
+#include "request_vetting_pvt.h"
+
+namespace laburnum::pvt {
+
+namespace {
+
+    constexpr unsigned statusBadRequest = 400;
+    constexpr unsigned statusRequestTimeout = 408;
+    constexpr unsigned statusConflict = 409;
+    constexpr unsigned statusServerError = 500;
+    constexpr unsigned statusBadGateway = 502;
+    constexpr unsigned statusUnavailable = 503;
+    constexpr unsigned statusGatewayTimeout = 504;
+
+    AttemptResult resultOf(const AttemptOutcome& outcome)
+    {
+        switch (outcome.end) {
+        case AttemptEnd::Passed:
+            return outcome.status < statusServerError ? AttemptResult::Succeeded
+                                                      : AttemptResult::Failed;
+        case AttemptEnd::NotConnected:
+            return AttemptResult::NotConnected;
+        case AttemptEnd::Shed:
+            return AttemptResult::Shed;
+        case AttemptEnd::TimedOut:
+            return AttemptResult::TimedOut;
+        case AttemptEnd::CallerSlow:
+        case AttemptEnd::CallerMalformed:
+        case AttemptEnd::CallerGone:
+            return AttemptResult::CallerFault;
+        case AttemptEnd::NoAnswer:
+        case AttemptEnd::BadAnswer:
+        case AttemptEnd::Cut:
+            return AttemptResult::Failed;
+        }
+        return AttemptResult::Failed;
+    }
+
+    /// The answer for an attempt of which nothing went to the caller.
+    OwnAnswer answerFor(const AttemptOutcome& outcome)
+    {
+        const RequestOutcome unknown = RequestOutcome::Unknown;
+        switch (outcome.end) {
+        case AttemptEnd::NotConnected:
+            return { statusUnavailable, RequestOutcome::NotRun, reasons::notConnected };
+        case AttemptEnd::Shed: {
+            OwnAnswer answer { statusUnavailable, RequestOutcome::NotRun, reasons::shed };
+            if (!outcome.retryAfter.empty())
+                answer.retryAfter = outcome.retryAfter;
+            return answer;
+        }
+        case AttemptEnd::TimedOut:
+            return { statusGatewayTimeout, unknown, reasons::deadline };
+        case AttemptEnd::CallerSlow:
+            return { statusRequestTimeout, unknown, reasons::slowBody };
+        case AttemptEnd::CallerMalformed:
+            return { statusBadRequest, unknown, reasons::malformedBody };
+        case AttemptEnd::BadAnswer:
+            return { statusBadGateway, unknown, reasons::badAnswer };
+        default:
+            return { statusBadGateway, unknown, reasons::noAnswer };
+        }
+    }
+
+    SteadyTime::duration steady(Duration d)
+    {
+        return std::chrono::duration_cast<SteadyTime::duration>(d);
+    }
+
+} // namespace
+
+RequestHandler::RequestHandler(
+    EntryContext& entry, HttpStream& caller, Watchdog& watchdog, HttpHead request)
+    : m_entry(entry)
+    , m_stream(caller)
+    , m_request(std::move(request))
+    , m_body(caller, entry.options.replayBytes)
+    , m_side { entry, caller, m_body, watchdog, m_request, std::chrono::steady_clock::now(), {} }
+{
+}
+
+asio::awaitable<bool> RequestHandler::run()
+{
+    if (const auto vetted = vetRequest(m_request); !vetted) {
+        OwnAnswer refusal { statusBadRequest, RequestOutcome::NotRun, reasons::malformed };
+        refusal.detail = vetted.error().message;
+        m_request.keepAlive = false;
+        co_await answer(std::move(refusal));
+        co_return false;
+    }
+    auto assigned = assign();
+    if (!assigned) {
+        co_await answer(refusalAnswer(assigned.error()));
+        co_return m_keepAlive;
+    }
+    m_service = assigned->service;
+    const Duration limit
+        = std::min(assigned->deadline, callerDeadline(m_request).value_or(assigned->deadline));
+    m_side.deadline = m_side.arrival + steady(limit);
+    if (needsClaim()) {
+        const auto verdict = co_await claim(assigned->service);
+        if (verdict == Verdict::Answered) {
+            giveBack(*assigned);
+            co_return m_keepAlive;
+        }
+    }
+    co_return co_await attempt(std::move(*assigned));
+}
+
+asio::awaitable<bool> RequestHandler::attempt(Assignment assigned)
+{
+    AttemptOutcome outcome;
+    while (true) {
+        Exchange exchange(m_side, assigned);
+        outcome = co_await exchange.run();
+        finish(assigned, outcome);
+        if (!mayRepeat(outcome))
+            break;
+        m_tried.insert(assigned.instance);
+        auto another = assign();
+        if (!another)
+            break;
+        ++m_retries;
+        assigned = std::move(*another);
+        m_body.rewind();
+    }
+    finishClaim(outcome);
+    co_return co_await conclude(outcome);
+}
+
+tl::expected<Assignment, RefusalReason> RequestHandler::assign()
+{
+    const RequestFacts facts = factsOf(m_request);
+    return m_entry.table.with([&](Dispatcher& dispatcher, TimePoint now) {
+        return dispatcher.begin(facts, m_tried, now);
+    });
+}
+
+void RequestHandler::finish(const Assignment& assigned, const AttemptOutcome& outcome)
+{
+    m_mayHaveRun = m_mayHaveRun || outcome.mayHaveRun;
+    m_waited += outcome.waited;
+    m_answerBytes += outcome.answerBytes;
+    m_entry.table.with([&](Dispatcher& dispatcher, TimePoint now) {
+        dispatcher.finish(assigned.attempt, resultOf(outcome), now);
+    });
+}
+
+void RequestHandler::giveBack(const Assignment& assigned)
+{
+    m_entry.table.with([&](Dispatcher& dispatcher, TimePoint now) {
+        dispatcher.finish(assigned.attempt, AttemptResult::CallerFault, now);
+    });
+}
+
+bool RequestHandler::mayRepeat(const AttemptOutcome& outcome)
+{
+    const bool worthIt = outcome.end <= AttemptEnd::BadAnswer;
+    const bool allowed = isIdempotentMethod(m_request.method) || !m_mayHaveRun;
+    return worthIt && allowed && m_body.replayable()
+        && std::chrono::steady_clock::now() < m_side.deadline
+        && takeRetry(m_entry.table, m_service, m_retries);
+}
+
+asio::awaitable<bool> RequestHandler::conclude(const AttemptOutcome& outcome)
+{
+    if (outcome.end == AttemptEnd::Passed) {
+        count(RequestOutcome::Answered, outcome.status);
+        co_return outcome.keepAlive;
+    }
+    if (outcome.end == AttemptEnd::Cut || outcome.end == AttemptEnd::CallerGone) {
+        count(RequestOutcome::Unknown, 0);
+        m_stream.close();
+        co_return false;
+    }
+    OwnAnswer result = answerFor(outcome);
+    if (m_mayHaveRun && result.outcome == RequestOutcome::NotRun)
+        result = { statusBadGateway, RequestOutcome::Unknown, reasons::noAnswer };
+    co_await answer(std::move(result));
+    co_return m_keepAlive;
+}
+
+AnswerContext RequestHandler::answerContext() const
+{
+    return { m_request.method == "HEAD", m_request.versionMinor, m_keepAlive };
+}
+
+asio::awaitable<void> RequestHandler::answer(OwnAnswer answer)
+{
+    m_keepAlive = m_request.keepAlive && m_body.complete() && !m_entry.draining;
+    co_await m_stream.write(renderAnswer(answer, answerContext()));
+    count(answer.outcome, answer.status);
+}
+
+void RequestHandler::count(RequestOutcome outcome, unsigned status)
+{
+    RequestSample sample { m_service, outcome, status, m_retries };
+    sample.latency = std::chrono::steady_clock::now() - m_side.arrival;
+    sample.added = std::max(sample.latency - m_waited, Duration::zero());
+    sample.bytes = m_body.bytes() + m_answerBytes;
+    m_entry.metrics.record(sample);
+}
+
+bool RequestHandler::needsClaim() const
+{
+    return m_entry.claims != nullptr && !isIdempotentMethod(m_request.method)
+        && !m_request.field("idempotency-key").empty();
+}
+
+RequestFingerprint RequestHandler::fingerprint() const
+{
+    const std::string length
+        = m_request.contentLength ? std::to_string(*m_request.contentLength) : "-";
+    const std::string text = m_request.method + '\n' + std::string(m_request.field("host")) + '\n'
+        + m_request.target + '\n' + length + '\n' + m_body.kept();
+    const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
+    std::array<char, 33> digits {};
+    std::snprintf(digits.data(), digits.size(), "%016llx%016llx",
+        static_cast<unsigned long long>(hash.high64), static_cast<unsigned long long>(hash.low64));
+    return RequestFingerprint(digits.data());
+}
+
+asio::awaitable<std::optional<ClaimDecision>> RequestHandler::askClaims(const ServiceId& service)
+{
+    const IdempotencyKey key { std::string(m_request.field("idempotency-key")) };
+    auto wait = std::make_shared<ClaimWait>(m_stream.socket().get_executor(), *m_entry.claims);
+    wait->ask(service, key, fingerprint());
+    const SteadyTime before = std::chrono::steady_clock::now();
+    auto decision = co_await wait->decision(m_side.deadline);
+    m_waited += std::chrono::steady_clock::now() - before;
+    co_return decision;
+}
+
+asio::awaitable<RequestHandler::Verdict> RequestHandler::claim(const ServiceId& service)
+{
+    if (equalNames(m_request.field("expect"), "100-continue") && m_request.versionMinor > 0
+        && !m_body.complete()) {
+        m_side.continued = true;
+        co_await m_stream.write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    m_side.watchdog.watch(m_side.deadline, [this] { m_stream.cancel(); });
+    const auto body = co_await m_body.readAhead();
+    m_side.watchdog.clear();
+    if (!body) {
+        const bool malformed = body.error().code != ErrorCode::Closed;
+        m_request.keepAlive = false;
+        co_await answer({ malformed ? statusBadRequest : statusRequestTimeout,
+            RequestOutcome::NotRun, malformed ? reasons::malformedBody : reasons::slowBody });
+        co_return Verdict::Answered;
+    }
+    const auto decision = co_await askClaims(service);
+    OwnAnswer refusal { statusUnavailable, RequestOutcome::NotRun, reasons::claimsUnreachable };
+    if (decision) {
+        if (const auto* run = std::get_if<ClaimRun>(&*decision)) {
+            m_claim = run->claim;
+            m_side.capture = true;
+            co_return Verdict::Run;
+        }
+        if (const auto* replay = std::get_if<ClaimReplay>(&*decision)) {
+            m_keepAlive = m_request.keepAlive && m_body.complete() && !m_entry.draining;
+            co_await m_stream.write(renderReplay(replay->answer, answerContext()));
+            count(RequestOutcome::Answered, replay->answer.status);
+            co_return Verdict::Answered;
+        }
+        const auto* refused = std::get_if<ClaimRefused>(&*decision);
+        if (std::holds_alternative<ClaimInProgress>(*decision))
+            refusal = { statusConflict, RequestOutcome::Unknown, reasons::inProgress };
+        else if (std::holds_alternative<ClaimUnknown>(*decision))
+            refusal = { statusConflict, RequestOutcome::Unknown, reasons::claimUnknown };
+        else if (refused != nullptr && refused->cause == ClaimRefused::Cause::KeyReused)
+            refusal = { statusConflict, RequestOutcome::NotRun, reasons::keyReused };
+    }
+    co_await answer(std::move(refusal));
+    co_return Verdict::Answered;
+}
+
+void RequestHandler::finishClaim(const AttemptOutcome& outcome)
+{
+    if (!m_claim)
+        return;
+    ClaimOutcome claimed;
+    if (!m_mayHaveRun)
+        claimed.kind = ClaimOutcome::Kind::NotRun;
+    else if (outcome.captured || outcome.end == AttemptEnd::Passed)
+        claimed = { ClaimOutcome::Kind::Answered, outcome.captured };
+    m_entry.claims->finish(*m_claim, std::move(claimed));
+}
+
+} // namespace laburnum::pvt
--- /dev/null
+++ b/src/libnet/request_metrics.cpp
@@ -0,0 +1,163 @@
+#include <laburnumroute/request_metrics.h>
+
+#include <map>
+#include <mutex>
+#include <sstream>
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+
+namespace laburnum {
+
+namespace {
+
+    namespace accumulators = boost::accumulators;
+
+    constexpr std::array<double, 3> quantiles { 0.5, 0.99, 0.999 };
+
+    /// Quantiles in seconds over all samples since the start.
+    class LatencySummary {
+    public:
+        void add(Duration latency)
+        {
+            const double seconds = std::chrono::duration<double>(latency).count();
+            m_quantiles(seconds);
+            m_sum += seconds;
+            ++m_count;
+        }
+
+        void render(std::ostream& out, const std::string& name, const std::string& labels) const
+        {
+            for (std::size_t i = 0; i < quantiles.size(); ++i)
+                out << name << '{' << labels << ",quantile=\"" << quantiles[i] << "\"} "
+                    << accumulators::extended_p_square(m_quantiles)[static_cast<long>(i)] << '\n';
+            out << name << "_sum{" << labels << "} " << m_sum << '\n';
+            out << name << "_count{" << labels << "} " << m_count << '\n';
+        }
+
+    private:
+        using Accumulator = accumulators::accumulator_set<double,
+            accumulators::stats<accumulators::tag::extended_p_square>>;
+
+        Accumulator m_quantiles { accumulators::tag::extended_p_square::probabilities = quantiles };
+        double m_sum = 0.0;
+        std::uint64_t m_count = 0;
+    };
+
+    struct ServiceRecord {
+        /// By outcome and status.
+        std::map<std::pair<RequestOutcome, unsigned>, std::uint64_t> requests;
+        std::uint64_t retries = 0;
+        std::uint64_t bytes = 0;
+        LatencySummary latency;
+        LatencySummary added;
+    };
+
+    std::string labelText(const std::string& value)
+    {
+        std::string out;
+        for (const char c : value) {
+            if (c == '"' || c == '\\')
+                out += '\\';
+            out += c;
+        }
+        return out;
+    }
+
+    void declare(std::ostream& out, const char* name, const char* type, const char* help)
+    {
+        out << "# HELP " << name << ' ' << help << "\n# TYPE " << name << ' ' << type << '\n';
+    }
+
+    using Records = std::map<ServiceId, ServiceRecord>;
+
+    void renderCounters(std::ostream& out, const Records& records)
+    {
+        declare(out, "laburnum_requests_total", "counter", "Requests by outcome and status.");
+        for (const auto& [service, record] : records) {
+            for (const auto& [key, count] : record.requests)
+                out << "laburnum_requests_total{service=\"" << labelText(service.value())
+                    << "\",outcome=\"" << outcomeName(key.first) << "\",status=\"" << key.second
+                    << "\"} " << count << '\n';
+        }
+        declare(out, "laburnum_retries_total", "counter", "Attempts after a request's first.");
+        for (const auto& [service, record] : records)
+            out << "laburnum_retries_total{service=\"" << labelText(service.value()) << "\"} "
+                << record.retries << '\n';
+        declare(out, "laburnum_body_bytes_total", "counter", "Bytes of bodies passed, both ways.");
+        for (const auto& [service, record] : records)
+            out << "laburnum_body_bytes_total{service=\"" << labelText(service.value()) << "\"} "
+                << record.bytes << '\n';
+    }
+
+    void renderSummary(std::ostream& out, const Records& records, const char* name,
+        const char* help, LatencySummary ServiceRecord::*member)
+    {
+        declare(out, name, "summary", help);
+        for (const auto& [service, record] : records)
+            (record.*member).render(out, name, "service=\"" + labelText(service.value()) + '"');
+    }
+
+} // namespace
+
+const char* outcomeName(RequestOutcome outcome) noexcept
+{
+    switch (outcome) {
+    case RequestOutcome::Answered:
+        return "answered";
+    case RequestOutcome::NotRun:
+        return "not-run";
+    case RequestOutcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+struct RequestMetrics::Stripe {
+    mutable std::mutex mutex;
+    Records records;
+};
+
+RequestMetrics::RequestMetrics()
+    : m_stripes(std::make_unique<std::array<Stripe, stripeCount>>())
+{
+}
+
+RequestMetrics::~RequestMetrics() = default;
+
+RequestMetrics::Stripe& RequestMetrics::stripeOf(const ServiceId& service) const
+{
+    return (*m_stripes)[std::hash<ServiceId> {}(service) % stripeCount];
+}
+
+void RequestMetrics::record(const RequestSample& sample)
+{
+    Stripe& stripe = stripeOf(sample.service);
+    const std::lock_guard lock(stripe.mutex);
+    ServiceRecord& record = stripe.records[sample.service];
+    ++record.requests[{ sample.outcome, sample.status }];
+    record.retries += sample.retries;
+    record.bytes += sample.bytes;
+    record.latency.add(sample.latency);
+    if (sample.outcome == RequestOutcome::Answered)
+        record.added.add(sample.added);
+}
+
+std::string RequestMetrics::render() const
+{
+    Records records;
+    for (const auto& stripe : *m_stripes) {
+        const std::lock_guard lock(stripe.mutex);
+        records.insert(stripe.records.begin(), stripe.records.end());
+    }
+    std::ostringstream out;
+    renderCounters(out, records);
+    renderSummary(out, records, "laburnum_request_seconds",
+        "Time from a request's head to the end of its answer.", &ServiceRecord::latency);
+    renderSummary(out, records, "laburnum_added_seconds",
+        "Time that this host itself added to answered requests.", &ServiceRecord::added);
+    return out.str();
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/src/libnet/request_vetting_pvt.h
@@ -0,0 +1,18 @@
+/// Checks on a request's head that go beyond its syntax.
+#pragma once
+
+#include <laburnumroute/dispatcher.h>
+#include <laburnumroute/http_message.h>
+
+namespace laburnum::pvt {
+
+/// Refuses a missing, repeated or malformed Host and methods that cannot be forwarded. A target in
+/// absolute form is put into origin form, and its authority becomes the Host (RFC 9112, section
+/// 3.2.2).
+Expected<void> vetRequest(HttpHead& request);
+/// What the dispatcher needs to know of a vetted request.
+RequestFacts factsOf(const HttpHead& request);
+/// The caller's own time limit (`Laburnum-Deadline-Ms`), if it states a valid one.
+std::optional<Duration> callerDeadline(const HttpHead& request);
+
+} // namespace laburnum::pvt
--- /dev/null
+++ b/src/libnet/session.cpp
@@ -0,0 +1,116 @@
+#include "session_pvt.h"
+
+#include <asio/post.hpp>
+
+#include "request_handler_pvt.h"
+
+namespace laburnum::pvt {
+
+namespace {
+
+    constexpr unsigned statusBadRequest = 400;
+    constexpr unsigned statusRequestTimeout = 408;
+    constexpr unsigned statusHeadTooLarge = 431;
+
+    /// Counts a request as in flight while it is being served.
+    class InFlight {
+    public:
+        explicit InFlight(EntryContext& entry)
+            : m_entry(entry)
+        {
+            ++m_entry.inFlight;
+        }
+        ~InFlight() { --m_entry.inFlight; }
+        InFlight(const InFlight&) = delete;
+        InFlight& operator=(const InFlight&) = delete;
+
+    private:
+        EntryContext& m_entry;
+    };
+
+} // namespace
+
+Session::Session(std::shared_ptr<EntryContext> entry, asio::ip::tcp::socket socket)
+    : m_entry(std::move(entry))
+    , m_caller(std::move(socket), MessageKind::Request)
+    , m_watchdog(m_caller.socket().get_executor())
+{
+}
+
+asio::awaitable<void> Session::run()
+{
+    const auto self = shared_from_this();
+    bool keep = true;
+    while (keep)
+        keep = co_await serveNext();
+    if (!m_caller.socket().is_open())
+        co_return;
+    m_watchdog.watch(m_entry->options.lingerTimeout, [this] { m_caller.close(); });
+    co_await m_caller.closeGently();
+    m_watchdog.clear();
+}
+
+asio::awaitable<bool> Session::serveNext()
+{
+    m_idle = true;
+    closeIfIdle();
+    m_watchdog.watch(m_entry->options.callerIdleTimeout, [this] { m_caller.close(); });
+    const auto started = co_await m_caller.awaitMessage();
+    m_idle = false;
+    if (!started) {
+        co_await refuse(started.error());
+        co_return false;
+    }
+    m_watchdog.watch(m_entry->options.callerHeadTimeout, [this] {
+        m_slowHead = true;
+        m_caller.cancel();
+    });
+    auto head = co_await m_caller.readHead();
+    m_watchdog.clear();
+    if (!head) {
+        co_await refuse(head.error());
+        co_return false;
+    }
+    const InFlight inFlight(*m_entry);
+    RequestHandler handler(*m_entry, m_caller, m_watchdog, std::move(*head));
+    co_return co_await handler.run();
+}
+
+asio::awaitable<void> Session::refuse(const Error& error)
+{
+    m_watchdog.clear();
+    OwnAnswer answer { statusBadRequest, RequestOutcome::NotRun, reasons::malformed };
+    answer.detail = error.message;
+    if (error.code == ErrorCode::TooLarge) {
+        answer.status = statusHeadTooLarge;
+        answer.reason = reasons::headTooLarge;
+    } else if (m_slowHead) {
+        answer = { statusRequestTimeout, RequestOutcome::NotRun, reasons::slowHead };
+    } else if (error.code != ErrorCode::InvalidArgument) {
+        m_caller.close();
+        co_return;
+    }
+    co_await m_caller.write(renderAnswer(answer, {}));
+    m_entry->metrics.record({ ServiceId(), answer.outcome, answer.status });
+}
+
+void Session::closeIfIdle()
+{
+    // A request that is already on its way is still served.
+    if (m_entry->draining && m_idle && m_caller.isQuiet())
+        m_caller.close();
+}
+
+void Session::drain()
+{
+    asio::post(
+        m_caller.socket().get_executor(), [self = shared_from_this()] { self->closeIfIdle(); });
+}
+
+void Session::cut()
+{
+    asio::post(
+        m_caller.socket().get_executor(), [self = shared_from_this()] { self->m_caller.reset(); });
+}
+
+} // namespace laburnum::pvt
