--- a/src/libnet/disk_storage.cpp
+++ b/src/libnet/disk_storage.cpp
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <fstream>
 #include <map>
+#include <set>
 #include <sstream>
 
 #include <fcntl.h>
@@ -17,6 +18,7 @@
 namespace {
 
     constexpr const char* lockFile = ".lock";
+    constexpr const char* temporarySuffix = ".new";
     constexpr mode_t fileMode = 0600;
 
     tl::unexpected<Error> ioFailure(const std::string& action, const std::string& path)
@@ -90,29 +92,31 @@
 
         Expected<void> append(std::string_view name, std::string_view bytes) override
         {
-            const std::string path = pathOf(name);
-            FileHandle& file = m_open[std::string(name)];
-            if (!file.valid()) {
-                file = FileHandle(
-                    ::open(path.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, fileMode));
-                if (!file.valid())
-                    return ioFailure("open", path);
-            }
-            return writeAll(file, bytes, path);
+            const auto file = openForAppend(name, O_CREAT);
+            if (!file)
+                return tl::unexpected<Error>(file.error());
+            return writeAll(**file, bytes, pathOf(name));
         }
 
         Expected<void> sync(std::string_view name) override
         {
-            const auto file = m_open.find(name);
-            if (file != m_open.end() && ::fdatasync(file->second.get()) != 0)
+            const auto file = openForAppend(name, 0);
+            if (!file)
+                return tl::unexpected<Error>(file.error());
+            if (::fdatasync((*file)->get()) != 0)
                 return ioFailure("sync", pathOf(name));
-            return syncFolder();
+            if (!m_unsyncedNames.contains(name))
+                return {};
+            if (auto synced = syncFolder(); !synced)
+                return synced;
+            m_unsyncedNames.erase(m_unsyncedNames.find(name));
+            return {};
         }
 
         Expected<void> replace(std::string_view name, std::string_view bytes) override
         {
             const std::string path = pathOf(name);
-            const std::string temporary = path + ".new";
+            const std::string temporary = path + temporarySuffix;
             closeFile(name);
             const FileHandle file(
                 ::open(temporary.c_str(), O_WRONLY | O_TRUNC | O_CREAT | O_CLOEXEC, fileMode));
@@ -156,7 +160,7 @@
             std::error_code code;
             for (const auto& entry : std::filesystem::directory_iterator(m_folder, code)) {
                 const std::string name = entry.path().filename();
-                if (name != lockFile)
+                if (name != lockFile && !name.ends_with(temporarySuffix))
                     names.push_back(name);
             }
             if (code)
@@ -171,6 +175,21 @@
             return m_folder + '/' + std::string(name);
         }
 
+        /// The file, opened on first use. Its directory entry counts as not yet durable then.
+        Expected<FileHandle*> openForAppend(std::string_view name, int createFlag)
+        {
+            FileHandle& file = m_open[std::string(name)];
+            if (!file.valid()) {
+                const std::string path = pathOf(name);
+                file = FileHandle(
+                    ::open(path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC | createFlag, fileMode));
+                if (!file.valid())
+                    return ioFailure("open", path);
+                m_unsyncedNames.insert(std::string(name));
+            }
+            return &file;
+        }
+
         void closeFile(std::string_view name)
         {
             const auto file = m_open.find(name);
@@ -189,6 +208,7 @@
         std::string m_folder;
         FileHandle m_lock;
         std::map<std::string, FileHandle, std::less<>> m_open;
+        std::set<std::string, std::less<>> m_unsyncedNames;
     };
 
 } // namespace
--- /dev/null
+++ b/src/libstate/log_election.cpp
@@ -0,0 +1,171 @@
+// Election: pre-vote, votes, terms, stepping down.
+
+#include "replicated_log_pvt.h"
+
+namespace laburnum {
+
+using namespace pvt;
+
+void ReplicatedLog::Impl::scheduleElection(TimePoint now)
+{
+    const Duration spread = options.timing.electionMax - options.timing.electionMin;
+    m_electionDue = now + options.timing.electionMin
+        + Duration(uniformBelow(m_random, static_cast<std::uint64_t>(spread.count()) + 1));
+}
+
+bool ReplicatedLog::Impl::hearsLeader(TimePoint now) const
+{
+    return role == LogRole::Leader
+        || (m_leaderHeard && now - *m_leaderHeard < options.timing.electionMin);
+}
+
+void ReplicatedLog::Impl::startPreVote(TimePoint now, Outbox& out)
+{
+    role = LogRole::PreCandidate;
+    m_leader = MemberId();
+    scheduleElection(now);
+    m_votes = { self() };
+    requestVotes(true, out);
+    countVotes(now, out);
+}
+
+void ReplicatedLog::Impl::startElection(TimePoint now, Outbox& out)
+{
+    if (!enterTerm(next(term()), self(), out))
+        return;
+    role = LogRole::Candidate;
+    scheduleElection(now);
+    m_votes = { self() };
+    requestVotes(false, out);
+    countVotes(now, out);
+}
+
+void ReplicatedLog::Impl::requestVotes(bool preVote, Outbox& out)
+{
+    for (const Member& member : memberships.current().members()) {
+        if (!member.voter || member.id == self())
+            continue;
+        VoteRequest request { header(member.id), preVote, store.lastIndex(), store.lastTerm() };
+        if (preVote)
+            request.header.term = next(term());
+        out.send(member.host, methodVote, encode(request));
+    }
+}
+
+void ReplicatedLog::Impl::countVotes(TimePoint now, Outbox& out)
+{
+    std::size_t votes = 0;
+    for (const MemberId& id : m_votes)
+        votes += memberships.current().isVoter(id) ? 1 : 0;
+    if (votes < memberships.current().quorum())
+        return;
+    if (role == LogRole::PreCandidate)
+        startElection(now, out);
+    else
+        becomeLeader(now, out);
+}
+
+bool ReplicatedLog::Impl::grants(const VoteRequest& request, TimePoint now) const
+{
+    if (hearsLeader(now) || now < m_abstainUntil)
+        return false;
+    if (request.lastTerm < store.lastTerm()
+        || (request.lastTerm == store.lastTerm() && request.lastIndex < store.lastIndex()))
+        return false;
+    if (request.preVote)
+        return request.header.term > term();
+    const MemberId& votedFor = store.vote().votedFor;
+    return request.header.term == term()
+        && (votedFor.value().empty() || votedFor == request.header.sender);
+}
+
+void ReplicatedLog::Impl::onVoteRequest(
+    const VoteRequest& request, const HostId& from, TimePoint now, Outbox& out)
+{
+    // A host that lost touch with the leader must not raise the term of those that did not.
+    const bool raisesTerm = !request.preVote && request.header.term > term() && !hearsLeader(now)
+        && now >= m_abstainUntil;
+    if (raisesTerm) {
+        if (!enterTerm(request.header.term, MemberId(), out))
+            return;
+        stepDown("higher-term", now, out);
+    }
+    const bool granted = grants(request, now);
+    if (granted && !request.preVote) {
+        if (!saved(store.saveVote({ term(), request.header.sender }), out))
+            return;
+        scheduleElection(now);
+    }
+    out.send(from, methodVoted,
+        encode(VoteResponse {
+            header(request.header.sender), request.preVote, granted, request.header.term }));
+}
+
+void ReplicatedLog::Impl::onVoteResponse(const VoteResponse& response, TimePoint now, Outbox& out)
+{
+    if (response.header.term > term()) {
+        if (enterTerm(response.header.term, MemberId(), out))
+            stepDown("higher-term", now, out);
+        return;
+    }
+    const bool isExpected = response.preVote
+        ? role == LogRole::PreCandidate && response.requested == next(term())
+        : role == LogRole::Candidate && response.requested == term();
+    if (!isExpected || !response.granted)
+        return;
+    m_votes.insert(response.header.sender);
+    countVotes(now, out);
+}
+
+bool ReplicatedLog::Impl::enterTerm(Term newTerm, const MemberId& votedFor, Outbox& out)
+{
+    return saved(store.saveVote({ newTerm, votedFor }), out);
+}
+
+void ReplicatedLog::Impl::stepDown(const char* reason, TimePoint now, Outbox& out)
+{
+    if (role == LogRole::Leader)
+        logDecision(reason, out);
+    role = LogRole::Follower;
+    m_leader = MemberId();
+    m_proposals.clear();
+    m_openBatches.clear();
+    m_followers.clear();
+    scheduleElection(now);
+}
+
+void ReplicatedLog::Impl::becomeLeader(TimePoint now, Outbox& out)
+{
+    role = LogRole::Leader;
+    m_leader = self();
+    m_leaderHost = options.host;
+    m_leaderSince = now;
+    m_followers.clear();
+    m_openBatches.clear();
+    trackFollowers(now);
+    logDecision("elected", out);
+    m_proposals = { { term(), EntryKind::Noop, {} } };
+    m_heartbeatDue = now + options.timing.heartbeat;
+    flushProposals(now, out);
+}
+
+bool ReplicatedLog::Impl::followLeader(
+    const LogHeader& from, const HostId& host, TimePoint now, Outbox& out)
+{
+    if (from.term < term())
+        return false;
+    if (from.term > term()) {
+        // The vote of this term goes to its leader: nobody else can win the term with it.
+        if (!enterTerm(from.term, from.sender, out))
+            return false;
+        stepDown("higher-term", now, out);
+    }
+    role = LogRole::Follower;
+    m_leader = from.sender;
+    m_leaderHost = host;
+    m_leaderHeard = now;
+    scheduleElection(now);
+    return true;
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/src/libstate/log_replication.cpp
@@ -0,0 +1,323 @@
+// Replication: entries to followers, acknowledgement, commit, apply, snapshots of the own state.
+
+#include <algorithm>
+
+#include "replicated_log_pvt.h"
+
+namespace laburnum {
+
+using namespace pvt;
+
+namespace {
+
+    constexpr std::size_t batchEntries = 256;
+    constexpr std::size_t batchBytes = std::size_t { 1 } << 20U;
+    constexpr unsigned inFlightLimit = 8; // unanswered requests with entries to one follower
+
+    std::uint64_t toWire(TimePoint time)
+    {
+        return static_cast<std::uint64_t>(time.time_since_epoch().count());
+    }
+
+    TimePoint fromWire(std::uint64_t ticks)
+    {
+        return TimePoint(Duration(static_cast<Duration::rep>(ticks)));
+    }
+
+} // namespace
+
+void ReplicatedLog::Impl::onAppendRequest(
+    const AppendRequest& request, const HostId& from, TimePoint now, Outbox& out)
+{
+    AppendResponse response;
+    response.sentAt = request.sentAt;
+    if (followLeader(request.header, from, now, out)) {
+        if (request.acknowledged > store.lastIndex()) {
+            halt({ ErrorCode::Corrupt,
+                     "entry " + std::to_string(request.acknowledged.value())
+                         + " was acknowledged by this member and is missing: the data folder was "
+                           "restored from an old copy; empty it to rejoin as a new member" },
+                out);
+            return;
+        }
+        const auto known = store.termAt(request.previous);
+        const bool isBehindBase = request.previous < store.baseIndex();
+        response.matched = isBehindBase || known == request.previousTerm;
+        response.index = response.matched
+            ? LogIndex(request.previous.value() + request.entries.size())
+            : conflictHint(request.previous);
+        if (response.matched && !storeEntries(request, out))
+            return;
+        if (response.matched)
+            commitTo(std::min(request.commit, response.index), now, out);
+    }
+    if (failure)
+        return;
+    response.header = header(request.header.sender);
+    out.send(from, methodAppended, encode(response));
+}
+
+/// Writes those entries that are new or differ. What is committed is never touched.
+bool ReplicatedLog::Impl::storeEntries(const AppendRequest& request, Outbox& out)
+{
+    LogIndex index = next(request.previous);
+    auto entry = request.entries.begin();
+    while (entry != request.entries.end()
+        && (index <= store.baseIndex() || store.termAt(index) == entry->term)) {
+        index = next(index);
+        ++entry;
+    }
+    if (entry == request.entries.end())
+        return true;
+    if (index <= commit)
+        return halt({ ErrorCode::Corrupt,
+                        "entry " + std::to_string(index.value())
+                            + " is committed here, and the leader holds another one" },
+            out);
+    const std::vector<LogEntry> rest(entry, request.entries.end());
+    if (!saved(store.append(index, rest), out))
+        return false;
+    memberships.update(store, index);
+    return true;
+}
+
+/// Where the leader should try next: the end of the log, or the first index of the term that
+/// does not fit.
+LogIndex ReplicatedLog::Impl::conflictHint(LogIndex previous) const
+{
+    if (previous > store.lastIndex())
+        return store.lastIndex();
+    const auto wrong = store.termAt(previous);
+    LogIndex hint(previous.value() - 1);
+    while (hint > commit && store.termAt(hint) == wrong)
+        hint = LogIndex(hint.value() - 1);
+    return hint;
+}
+
+FollowerProgress* ReplicatedLog::Impl::heardFrom(
+    const LogHeader& from, std::uint64_t sentAt, TimePoint now)
+{
+    const auto found = m_followers.find(from.sender);
+    if (role != LogRole::Leader || from.term != term() || found == m_followers.end())
+        return nullptr;
+    found->second.lastHeard = now;
+    found->second.confirmed = std::max(found->second.confirmed, fromWire(sentAt));
+    return &found->second;
+}
+
+void ReplicatedLog::Impl::onAppendResponse(
+    const AppendResponse& response, TimePoint now, Outbox& out)
+{
+    if (response.header.term > term()) {
+        if (enterTerm(response.header.term, MemberId(), out))
+            stepDown("higher-term", now, out);
+        return;
+    }
+    FollowerProgress* progress = heardFrom(response.header, response.sentAt, now);
+    if (progress == nullptr || response.index > store.lastIndex())
+        return;
+    if (progress->inFlight > 0)
+        --progress->inFlight;
+    if (response.matched) {
+        progress->match = std::max(progress->match, response.index);
+        progress->next = std::max(progress->next, LogIndex(progress->match.value() + 1));
+        advanceCommit(now, out);
+    } else if (response.index.value() + 1 < progress->next.value()) {
+        progress->next = LogIndex(std::max(response.index, progress->match).value() + 1);
+        progress->inFlight = 0;
+    }
+    const Member* member = memberships.current().find(response.header.sender);
+    if (member != nullptr && role == LogRole::Leader)
+        sendTo(*member, false, now, out);
+}
+
+/// Writes what was proposed, then sends it. False when the write failed.
+bool ReplicatedLog::Impl::flushProposals(TimePoint now, Outbox& out)
+{
+    if (m_proposals.empty())
+        return true;
+    const LogIndex first = next(store.lastIndex());
+    if (!saved(store.append(first, m_proposals), out))
+        return false;
+    m_proposals.clear();
+    memberships.update(store, first);
+    trackFollowers(now);
+    m_openBatches.push_back(store.lastIndex());
+    broadcast(false, now, out);
+    advanceCommit(now, out);
+    return !failure;
+}
+
+void ReplicatedLog::Impl::broadcast(bool heartbeat, TimePoint now, Outbox& out)
+{
+    for (const Member& member : memberships.current().members())
+        if (member.id != self())
+            sendTo(member, heartbeat, now, out);
+}
+
+void ReplicatedLog::Impl::sendTo(const Member& member, bool heartbeat, TimePoint now, Outbox& out)
+{
+    const auto found = m_followers.find(member.id);
+    if (found == m_followers.end())
+        return;
+    FollowerProgress& progress = found->second;
+    const bool isOverdue = now - progress.lastSent >= options.timing.heartbeat;
+    if (heartbeat && isOverdue && progress.inFlight > 0) {
+        progress.inFlight = 0;
+        progress.next = next(progress.match);
+    }
+    if (progress.sending || progress.next <= store.baseIndex()) {
+        if (!progress.sending || isOverdue)
+            sendChunk(member, progress, now, out);
+        return;
+    }
+    bool hasSent = false;
+    while (progress.inFlight < inFlightLimit && sendEntries(member, progress, now, out))
+        hasSent = true;
+    if (heartbeat && !hasSent)
+        out.send(member.host, methodAppend, encode(appendRequest(member, progress, now)));
+}
+
+/// Sends the next batch. False when there is none.
+bool ReplicatedLog::Impl::sendEntries(
+    const Member& member, FollowerProgress& progress, TimePoint now, Outbox& out)
+{
+    if (progress.next > store.lastIndex())
+        return false;
+    AppendRequest request = appendRequest(member, progress, now);
+    std::size_t bytes = 0;
+    while (progress.next <= store.lastIndex() && request.entries.size() < batchEntries
+        && bytes < batchBytes) {
+        request.entries.push_back(store.at(progress.next));
+        bytes += request.entries.back().command.size();
+        progress.next = next(progress.next);
+    }
+    ++progress.inFlight;
+    progress.lastSent = now;
+    out.send(member.host, methodAppend, encode(request));
+    return true;
+}
+
+AppendRequest ReplicatedLog::Impl::appendRequest(
+    const Member& member, const FollowerProgress& progress, TimePoint now) const
+{
+    AppendRequest request { header(member.id) };
+    request.previous = LogIndex(progress.next.value() - 1);
+    request.previousTerm = store.termAt(request.previous).value_or(Term(0));
+    request.commit = commit;
+    request.acknowledged = progress.match;
+    request.sentAt = toWire(now);
+    return request;
+}
+
+/// Commits the highest index of the own term that a majority holds.
+void ReplicatedLog::Impl::advanceCommit(TimePoint now, Outbox& out)
+{
+    std::vector<LogIndex> matches;
+    for (const Member& member : memberships.current().members()) {
+        if (!member.voter)
+            continue;
+        if (member.id == self())
+            matches.push_back(store.lastIndex());
+        else
+            matches.push_back(m_followers[member.id].match);
+    }
+    if (matches.empty())
+        return;
+    std::sort(matches.begin(), matches.end(), std::greater<>());
+    const LogIndex agreed = matches[memberships.current().quorum() - 1];
+    if (agreed <= commit || store.termAt(agreed) != term())
+        return;
+    commitTo(agreed, now, out);
+    while (!m_openBatches.empty() && m_openBatches.front() <= commit)
+        m_openBatches.pop_front();
+    if (!failure && role == LogRole::Leader)
+        broadcast(true, now, out);
+}
+
+void ReplicatedLog::Impl::commitTo(LogIndex index, TimePoint now, Outbox& out)
+{
+    if (index <= commit)
+        return;
+    commit = std::min(index, store.lastIndex());
+    applyCommitted(out);
+    const bool isRemoved = role == LogRole::Leader && memberships.currentIndex() <= commit
+        && memberships.current().find(self()) == nullptr;
+    if (isRemoved)
+        stepDown("removed", now, out);
+}
+
+void ReplicatedLog::Impl::applyCommitted(Outbox& out)
+{
+    while (applied < commit) {
+        applied = next(applied);
+        const LogEntry& entry = store.at(applied);
+        if (entry.kind == EntryKind::Command)
+            m_state.apply(applied, entry.command);
+    }
+    maybeSnapshot(out);
+}
+
+void ReplicatedLog::Impl::maybeSnapshot(Outbox& out)
+{
+    const std::uint64_t since = applied.value() - store.snapshot().index.value();
+    if (since < options.snapshotEntries
+        && (since == 0 || store.entryBytes() < options.snapshotBytes))
+        return;
+    LogIndex base = applied;
+    std::uint64_t bytes = 0;
+    while (base > store.baseIndex() && applied.value() - base.value() < options.trailingEntries) {
+        bytes += store.at(base).command.size();
+        if (bytes > options.snapshotBytes / 2)
+            break;
+        base = LogIndex(base.value() - 1);
+    }
+    LogSnapshot snapshot { applied, *store.termAt(applied), memberships.at(applied),
+        m_state.snapshot() };
+    if (!saved(store.saveSnapshot(std::move(snapshot), base), out))
+        return;
+    logDecision("snapshot", out);
+}
+
+std::size_t ReplicatedLog::Impl::votersSince(
+    TimePoint FollowerProgress::*instant, TimePoint since) const
+{
+    std::size_t count = 0;
+    for (const Member& member : memberships.current().members()) {
+        if (!member.voter)
+            continue;
+        const auto found = m_followers.find(member.id);
+        const bool isSelf = member.id == self();
+        if (isSelf || (found != m_followers.end() && found->second.*instant > since))
+            ++count;
+    }
+    return count;
+}
+
+void ReplicatedLog::Impl::tickLeader(TimePoint now, Outbox& out)
+{
+    const TimePoint since = now - options.timing.electionMax;
+    if (m_leaderSince < since
+        && votersSince(&FollowerProgress::lastHeard, since) < memberships.current().quorum()) {
+        stepDown("quorum-lost", now, out);
+        return;
+    }
+    if (!flushProposals(now, out))
+        return;
+    admitJoining(now, out);
+    if (failure || role != LogRole::Leader || now < m_heartbeatDue)
+        return;
+    m_heartbeatDue = now + options.timing.heartbeat;
+    broadcast(true, now, out);
+}
+
+bool ReplicatedLog::Impl::holdsLease(TimePoint now) const
+{
+    constexpr int leaseTenths = 8; // of electionMin; the rest covers the drift of clocks
+    constexpr int tenths = 10;
+    const TimePoint since = now - options.timing.electionMin * leaseTenths / tenths;
+    return !failure && role == LogRole::Leader && store.termAt(commit) == term()
+        && votersSince(&FollowerProgress::confirmed, since) >= memberships.current().quorum();
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/src/libstate/log_store_pvt.h
@@ -0,0 +1,45 @@
+/// Names and records of the data folder that writing and recovery share.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <laburnumroute/log_store.h>
+
+namespace laburnum::pvt {
+
+constexpr const char* identityFile = "identity";
+constexpr const char* voteFile = "vote";
+constexpr const char* snapshotFile = "snapshot";
+constexpr std::string_view segmentPrefix = "log-";
+/// A segment that has reached this many bytes is closed.
+constexpr std::uint64_t segmentSizeLimit = std::uint64_t { 1 } << 20U;
+
+/// `log-` and the sequence with eight digits.
+std::string segmentName(std::uint64_t sequence);
+/// The sequence of a segment's name; 0 for other names.
+std::uint64_t segmentSequence(std::string_view name);
+
+/// What the snapshot file holds.
+struct StoredSnapshot {
+    LogSnapshot snapshot;
+    LogIndex base;
+    Term baseTerm;
+    /// Segments before this one no longer count.
+    std::uint64_t firstSequence = 1;
+};
+
+std::string encodeVote(const Vote& vote);
+Expected<Vote> decodeVote(std::string_view payload);
+std::string encodeSnapshot(const StoredSnapshot& stored);
+Expected<StoredSnapshot> decodeSnapshot(std::string_view payload);
+std::string encodeEntries(LogIndex first, const std::vector<LogEntry>& entries);
+/// Entries of one record, in order from `first` on.
+struct StoredEntries {
+    LogIndex first;
+    std::vector<LogEntry> entries;
+};
+Expected<StoredEntries> decodeEntries(std::string_view payload);
+
+} // namespace laburnum::pvt
--- /dev/null
+++ b/src/libstate/record_file.cpp
@@ -0,0 +1,145 @@
+#include "record_file_pvt.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+#include "byte_codec_pvt.h"
+
+namespace laburnum::pvt {
+
+namespace {
+
+    constexpr std::string_view magic = "LBRN";
+    constexpr std::size_t sectorSize = 512; // bytes that a disk writes whole or not at all
+    constexpr XXH32_hash_t checksumSeed32 = 0x6c627231;
+    constexpr XXH64_hash_t checksumSeed64 = 0x6c627231;
+
+    std::uint32_t checksum32(std::string_view bytes)
+    {
+        return XXH32(bytes.data(), bytes.size(), checksumSeed32);
+    }
+
+    std::uint64_t checksum64(std::string_view bytes)
+    {
+        return XXH64(bytes.data(), bytes.size(), checksumSeed64);
+    }
+
+    tl::unexpected<Error> corrupt(std::string_view name, std::size_t offset, const char* what)
+    {
+        return fail(ErrorCode::Corrupt,
+            "file '" + std::string(name) + "' is corrupt at offset " + std::to_string(offset) + ": "
+                + what);
+    }
+
+    bool allZero(std::string_view bytes)
+    {
+        return std::all_of(bytes.begin(), bytes.end(), [](char c) { return c == 0; });
+    }
+
+    /// Whether a whole sector between `begin` and the end of `content` was never written.
+    bool hasUnwrittenSector(std::string_view content, std::size_t begin)
+    {
+        const std::size_t first = (begin + sectorSize - 1) / sectorSize * sectorSize;
+        for (std::size_t at = first; at < content.size(); at += sectorSize)
+            if (allZero(content.substr(at, sectorSize)))
+                return true;
+        return false;
+    }
+
+    Expected<void> checkHeader(
+        std::string_view name, std::string_view content, FileKind kind, std::uint64_t sequence)
+    {
+        ByteReader reader(content.substr(0, fileHeaderSize));
+        const bool isMagic = reader.raw(magic.size()) == magic;
+        const auto foundKind = reader.u8();
+        const auto version = reader.u8();
+        reader.raw(2);
+        const auto foundSequence = reader.u64();
+        if (reader.u32() != checksum32(content.substr(0, fileHeaderSize - sizeof(std::uint32_t)))
+            || !isMagic)
+            return corrupt(name, 0, "bad file header");
+        if (version != formatVersion)
+            return corrupt(name, 0, "unknown format version");
+        if (foundKind != static_cast<std::uint8_t>(kind) || foundSequence != sequence)
+            return corrupt(name, 0, "header of another file");
+        return {};
+    }
+
+} // namespace
+
+std::string encodeFileHeader(FileKind kind, std::uint64_t sequence)
+{
+    ByteWriter writer;
+    writer.raw(magic);
+    writer.u8(static_cast<std::uint8_t>(kind));
+    writer.u8(formatVersion);
+    writer.u8(0);
+    writer.u8(0);
+    writer.u64(sequence);
+    std::string header = writer.take();
+    ByteWriter checksum;
+    checksum.u32(checksum32(header));
+    return header + checksum.take();
+}
+
+std::string encodeRecord(std::string_view payload)
+{
+    ByteWriter length;
+    length.u32(static_cast<std::uint32_t>(payload.size()));
+    const std::string lengthBytes = length.take();
+    ByteWriter record;
+    record.raw(lengthBytes);
+    record.u32(checksum32(lengthBytes));
+    record.u64(checksum64(payload));
+    record.raw(payload);
+    return record.take();
+}
+
+Expected<RecordScan> scanRecords(
+    std::string_view name, std::string_view content, FileKind kind, std::uint64_t sequence)
+{
+    RecordScan scan;
+    if (content.size() < fileHeaderSize || allZero(content))
+        return scan;
+    if (auto header = checkHeader(name, content, kind, sequence); !header)
+        return tl::unexpected<Error>(header.error());
+    std::size_t at = fileHeaderSize;
+    scan.wholeSize = at;
+    while (content.size() - at >= recordHeaderSize) {
+        ByteReader reader(content.substr(at, recordHeaderSize));
+        const std::uint32_t size = reader.u32();
+        if (reader.u32() != checksum32(content.substr(at, sizeof size))) {
+            if (allZero(content.substr(at)) || hasUnwrittenSector(content, at))
+                break;
+            return corrupt(name, at, "bad record length");
+        }
+        const std::uint64_t checksum = reader.u64();
+        const std::size_t begin = at + recordHeaderSize;
+        if (content.size() - begin < size)
+            break;
+        const std::string_view payload = content.substr(begin, size);
+        if (checksum64(payload) != checksum) {
+            if (begin + size == content.size() && hasUnwrittenSector(content, at))
+                break;
+            return corrupt(name, at, "bad record checksum");
+        }
+        scan.payloads.push_back(payload);
+        at = begin + size;
+        scan.wholeSize = at;
+    }
+    return scan;
+}
+
+Expected<std::string_view> scanSingleRecord(
+    std::string_view name, std::string_view content, FileKind kind)
+{
+    const auto scan = scanRecords(name, content, kind, 0);
+    if (!scan)
+        return tl::unexpected<Error>(scan.error());
+    if (scan->payloads.size() != 1 || scan->wholeSize != content.size())
+        return corrupt(name, scan->wholeSize, "cut short or with something behind it");
+    return scan->payloads.front();
+}
+
+} // namespace laburnum::pvt
--- a/testsuite/fakes/fake_network.cpp
+++ b/testsuite/fakes/fake_network.cpp
@@ -64,14 +64,16 @@
 
 void FakeNetwork::flush(Outbox& out)
 {
-    for (const auto& message : out.takeMessages())
-        enqueue(message);
+    for (auto& message : out.takeMessages())
+        enqueue(std::move(message));
     for (auto& decision : out.takeDecisions())
         m_decisions.push_back(std::move(decision));
 }
 
-void FakeNetwork::enqueue(const PeerMessage& message)
+void FakeNetwork::enqueue(PeerMessage message)
 {
+    if (m_tap && !m_tap(message))
+        return;
     ++m_messagesSent;
     m_bytesSent += toJsonText(message.params).size() + message.method.size();
     const bool local = message.from == message.to;
--- a/testsuite/fakes/fake_network.h
+++ b/testsuite/fakes/fake_network.h
@@ -45,6 +45,11 @@
     /// A frozen host neither ticks nor receives; what arrives meanwhile is handled when it thaws.
     void freeze(const HostId& host, bool isFrozen = true);
 
+    /// Calls `tap` with each message when it is sent. The tap may change it, or lose it by
+    /// returning false.
+    using Tap = std::function<bool(PeerMessage& message)>;
+    void setTap(Tap tap) { m_tap = std::move(tap); }
+
     /// Runs for `time`, in steps of one millisecond, calling `check` after each step.
     void run(Duration time, const std::function<void()>& check = {});
     /// Sends what `out` holds; for calls made on a participant from outside.
@@ -63,13 +68,14 @@
         PeerMessage message;
     };
 
-    void enqueue(const PeerMessage& message);
+    void enqueue(PeerMessage message);
     void deliverDue();
     void deliver(const PeerMessage& message);
     void tickAll();
 
     Random m_random;
     Delay m_delay;
+    Tap m_tap;
     NetworkFaults m_faults;
     TimePoint m_now { std::chrono::seconds(1) };
     std::map<HostId, std::vector<Participant*>> m_hosts;
