--- a/src/libstate/log_membership.cpp
+++ b/src/libstate/log_membership.cpp
@@ -70,7 +70,7 @@
         if (memberships.currentIndex() > commit)
             return fail(ErrorCode::Conflict, "another change of membership is under way");
     }
-    const auto index
+    auto index
         = propose({ Term(0), EntryKind::Membership, encodeMembership(membership) }, now, out);
     if (index && !flushProposals(now, out))
         return tl::unexpected<Error>(*failure);
--- a/src/libstate/replicated_log_test.cpp
+++ b/src/libstate/replicated_log_test.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+const std::vector<std::string> none;
+
 /// Submits `count` changes one after the other at `host` and waits for each.
 void submitMany(
     StateCluster& cluster, const HostId& host, unsigned count, const std::string& prefix)
@@ -19,6 +21,39 @@
     }
 }
 
+/// A cluster with a leader, whose first membership has reached every host.
+void elect(StateCluster& cluster)
+{
+    const auto isFounded = [&] {
+        const auto hosts = cluster.hosts();
+        return cluster.leader() && std::all_of(hosts.begin(), hosts.end(), [&](const HostId& host) {
+            return cluster.log(host).commitIndex() > LogIndex(0);
+        });
+    };
+    cluster.run(10s, isFounded);
+    REQUIRE(isFounded());
+}
+
+/// The hosts that do not lead.
+std::vector<HostId> followers(const StateCluster& cluster)
+{
+    std::vector<HostId> result = cluster.hosts();
+    std::erase(result, *cluster.leader());
+    return result;
+}
+
+void cutOut(StateCluster& cluster, const HostId& from, bool isCut = true)
+{
+    for (const HostId& to : cluster.hosts())
+        cluster.network().cut(from, to, isCut);
+}
+
+void cutIn(StateCluster& cluster, const HostId& to)
+{
+    for (const HostId& from : cluster.hosts())
+        cluster.network().cut(from, to);
+}
+
 } // namespace
 
 TEST_CASE("blank hosts found one log and accept changes at any host")
@@ -27,11 +62,249 @@
     options.hosts = GENERATE(1, 3, 5);
     CAPTURE(options.hosts, options.seed);
     StateCluster cluster(options);
-    cluster.run(5s, [&] { return cluster.leader().has_value(); });
-    REQUIRE(cluster.leader());
+    elect(cluster);
     for (const HostId& host : cluster.hosts())
         submitMany(cluster, host, 10, host.value() + "-");
     REQUIRE(cluster.newestAccepted() == Revision(10UL * options.hosts));
     cluster.settle();
-    REQUIRE(cluster.violations() == std::vector<std::string>());
+    REQUIRE(cluster.violations() == none);
+}
+
+TEST_CASE("a leader cut one way neither holds nor deposes leadership")
+{
+    const bool isHeard = GENERATE(true, false);
+    StateClusterOptions options;
+    options.seed = GENERATE(1, 2, 3);
+    CAPTURE(isHeard, options.seed);
+    StateCluster cluster(options);
+    elect(cluster);
+    const HostId old = *cluster.leader();
+    isHeard ? cutIn(cluster, old) : cutOut(cluster, old);
+    cluster.run(4s);
+    REQUIRE(cluster.leader() != old);
+    REQUIRE(cluster.log(old).role() != LogRole::Leader);
+    const HostId now = *cluster.leader();
+    const Term term = cluster.log(now).term();
+    submitMany(cluster, now, 3, "during-");
+    cluster.run(10s);
+    REQUIRE(cluster.leader() == now);
+    REQUIRE(cluster.log(now).term() == term);
+    cluster.settle();
+    REQUIRE(cluster.violations() == none);
+    REQUIRE(cluster.log(now).term() == term);
+}
+
+TEST_CASE("a follower that hears nobody or that nobody hears does not disturb the leader")
+{
+    const bool isHeard = GENERATE(true, false);
+    StateClusterOptions options;
+    options.seed = GENERATE(1, 2, 3);
+    CAPTURE(isHeard, options.seed);
+    StateCluster cluster(options);
+    elect(cluster);
+    const HostId leader = *cluster.leader();
+    const Term term = cluster.log(leader).term();
+    const HostId cut = followers(cluster).front();
+    isHeard ? cutIn(cluster, cut) : cutOut(cluster, cut);
+    cluster.run(10s);
+    submitMany(cluster, leader, 3, "during-");
+    cluster.settle();
+    REQUIRE(cluster.leader() == leader);
+    REQUIRE(cluster.log(leader).term() == term);
+    REQUIRE(cluster.violations() == none);
+}
+
+TEST_CASE("a frozen leader loses its lease before another one is elected")
+{
+    StateClusterOptions options;
+    options.seed = GENERATE(1, 2, 3, 4);
+    CAPTURE(options.seed);
+    StateCluster cluster(options);
+    elect(cluster);
+    cluster.run(1s);
+    const HostId old = *cluster.leader();
+    REQUIRE(cluster.log(old).holdsLease(cluster.network().now()));
+    cluster.network().freeze(old);
+    const auto holders = [&] {
+        int count = 0;
+        for (const HostId& host : cluster.hosts())
+            count += cluster.log(host).holdsLease(cluster.network().now()) ? 1 : 0;
+        if (count > 1)
+            cluster.note("two hosts hold the lease");
+        return false;
+    };
+    cluster.run(5s, holders);
+    REQUIRE(cluster.leader() != old);
+    cluster.network().freeze(old, false);
+    cluster.run(5s, holders);
+    cluster.settle();
+    REQUIRE(cluster.violations() == none);
+}
+
+TEST_CASE("a host far behind receives the snapshot in chunks")
+{
+    StateClusterOptions options;
+    options.checksDurability = false;
+    CAPTURE(options.seed);
+    StateCluster cluster(options);
+    elect(cluster);
+    const HostId behind = followers(cluster).front();
+    cluster.kill(behind);
+    for (unsigned i = 0; i < 40; ++i) {
+        const ChangeId id("c" + std::to_string(i));
+        cluster.submit(
+            *cluster.leader(), { id, cluster.newestAccepted(), std::string(20000, 'x') });
+        cluster.run(10s, [&] { return cluster.submitted().at(id).answers > 0; });
+    }
+    REQUIRE(cluster.log(*cluster.leader()).store().snapshot().state.size() > 500000);
+    cluster.start(behind);
+    cluster.settle();
+    REQUIRE(cluster.violations() == none);
+    const auto& decisions = cluster.network().decisions();
+    REQUIRE(std::any_of(decisions.begin(), decisions.end(),
+        [](const Decision& decision) { return decision.reason == "snapshot-installed"; }));
+}
+
+TEST_CASE("an emptied disk comes back as a new member that learns before it votes")
+{
+    StateClusterOptions options;
+    options.hosts = GENERATE(3, 5);
+    options.seed = GENERATE(1, 2);
+    CAPTURE(options.hosts, options.seed);
+    StateCluster cluster(options);
+    elect(cluster);
+    submitMany(cluster, *cluster.leader(), 30, "before-");
+    const HostId lost = GENERATE(true, false) ? *cluster.leader() : followers(cluster).front();
+    const MemberId old = cluster.log(lost).member();
+    cluster.kill(lost);
+    cluster.storage(lost).lose();
+    cluster.start(lost);
+    REQUIRE(cluster.log(lost).member() != old);
+    cluster.settle();
+    REQUIRE(cluster.violations() == none);
+    REQUIRE(cluster.log(lost).membership().find(old) == nullptr);
+}
+
+TEST_CASE("two emptied disks of three do not found a second log")
+{
+    StateClusterOptions options;
+    options.seed = GENERATE(1, 2, 3);
+    CAPTURE(options.seed);
+    StateCluster cluster(options);
+    elect(cluster);
+    submitMany(cluster, *cluster.leader(), 5, "before-");
+    const auto hosts = cluster.hosts();
+    const std::size_t kept = GENERATE(0, 1, 2);
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+        if (i == kept)
+            continue;
+        cluster.kill(hosts[i]);
+        cluster.storage(hosts[i]).lose();
+        cluster.start(hosts[i]);
+    }
+    cluster.run(20s);
+    REQUIRE_FALSE(cluster.leader());
+    REQUIRE(cluster.violations() == none);
+}
+
+TEST_CASE("one host is replaced while a second fails")
+{
+    StateClusterOptions options;
+    options.hosts = GENERATE(3, 5);
+    options.seed = GENERATE(1, 2, 3);
+    const auto delay = GENERATE(0ms, 100ms, 300ms, 600ms);
+    CAPTURE(options.hosts, options.seed, delay.count());
+    StateCluster cluster(options);
+    elect(cluster);
+    submitMany(cluster, *cluster.leader(), 20, "before-");
+    const HostId lost = followers(cluster).front();
+    const HostId second = GENERATE(true, false) ? *cluster.leader() : followers(cluster).back();
+    cluster.kill(lost);
+    cluster.storage(lost).lose();
+    cluster.start(lost);
+    cluster.run(delay);
+    cluster.kill(second);
+    cluster.run(5s);
+    if (options.hosts == 5) {
+        REQUIRE(cluster.leader());
+        submitMany(cluster, *cluster.leader(), 3, "during-");
+    }
+    cluster.settle();
+    REQUIRE(cluster.violations() == none);
+}
+
+TEST_CASE("a folder restored from a backup is noticed while the leader lives")
+{
+    StateClusterOptions options;
+    options.seed = GENERATE(1, 2, 3);
+    CAPTURE(options.seed);
+    StateCluster cluster(options);
+    elect(cluster);
+    submitMany(cluster, *cluster.leader(), 3, "before-");
+    const HostId restored = followers(cluster).front();
+    const FakeStorage backup = cluster.storage(restored);
+    submitMany(cluster, *cluster.leader(), 3, "after-");
+    cluster.kill(restored);
+    cluster.storage(restored) = backup;
+    cluster.start(restored);
+    cluster.run(2s, [&] { return cluster.refusal(restored).has_value(); });
+    REQUIRE(cluster.refusal(restored));
+    REQUIRE(cluster.refusal(restored)->message.find("old copy") != std::string::npos);
+    cluster.kill(restored);
+    cluster.storage(restored).lose();
+    cluster.settle();
+    REQUIRE(cluster.violations() == none);
+}
+
+TEST_CASE("a removed voter is gone, and a change of two members at once is refused")
+{
+    StateCluster cluster({});
+    elect(cluster);
+    cluster.run(1s);
+    const HostId leader = *cluster.leader();
+    ReplicatedLog& log = cluster.log(leader);
+    Outbox out(leader);
+    const Membership all = log.membership();
+    const MemberId gone = cluster.log(followers(cluster).front()).member();
+    const MemberId other = cluster.log(followers(cluster).back()).member();
+    REQUIRE(log.changeMembership(all.without(gone).without(other), cluster.network().now(), out)
+                .error()
+                .code
+        == ErrorCode::InvalidArgument);
+    REQUIRE(log.changeMembership(all.without(gone), cluster.network().now(), out));
+    REQUIRE(log.changeMembership(all, cluster.network().now(), out).error().code
+        == ErrorCode::Conflict);
+    cluster.network().flush(out);
+    cluster.run(1s);
+    REQUIRE(log.membership().voters() == 2);
+    REQUIRE(cluster.violations() == none);
+}
+
+TEST_CASE("a proposal's fate is known: committed, lost, or not yet")
+{
+    StateCluster cluster({});
+    elect(cluster);
+    cluster.run(1s);
+    const HostId old = *cluster.leader();
+    ReplicatedLog& log = cluster.log(old);
+    const auto propose = [&] {
+        Outbox out(old);
+        const auto index = log.propose("{}", cluster.network().now(), out);
+        cluster.network().flush(out);
+        return index.value();
+    };
+    const Term term = log.term();
+    const LogIndex committed = propose();
+    cluster.run(1s);
+    REQUIRE(log.fate(committed, term) == ProposalFate::Committed);
+    cluster.network().isolate(old);
+    const LogIndex lost = propose();
+    REQUIRE(log.fate(lost, term) == ProposalFate::Pending);
+    cluster.run(4s);
+    cluster.settle();
+    REQUIRE(log.fate(lost, term) == ProposalFate::Lost);
+    Outbox out(old);
+    if (log.role() != LogRole::Leader)
+        REQUIRE(
+            log.propose("{}", cluster.network().now(), out).error().code == ErrorCode::Unavailable);
 }
