Shared-key authentication of operators and peers; the peer transport drops in place of growing

Cause: anybody who reached a host's port could submit a configuration or speak as a peer; a peer that accepted connections without reading (frozen) let 32 MiB pile up for each link with no end to a write or connect; a head that announced 16 MiB made the reader reserve them; a failing accept spun; a frame for an unknown method closed the connection, so hosts of two versions would flap. The transport is split into link (out), listener (in) and frame. Ruled out: TLS and bearer tokens, see docs/design/auth.md. Before: no test ran PeerTransport. After: libauth_test 6 cases, libnet_test 16 cases (1,848 assertions) pass, with real loopback: restart, gone and frozen peer, oversized, malformed, forged, replayed frames.

--- a/src/include/laburnumroute/admin_server.h
+++ b/src/include/laburnumroute/admin_server.h
@@ -1,11 +1,14 @@
-/// The side door of a host: announcements, health, metrics and operators' calls, by cpp-httplib.
+/// A host's HTTP listeners besides the request path, by cpp-httplib: an open one for announcements,
+/// health and metrics, and one with a shared key for operators.
 #pragma once
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
+#include <laburnumroute/auth.h>
 #include <laburnumroute/endpoint.h>
 
 namespace laburnum {
@@ -29,7 +32,12 @@
 public:
     using Handler = std::function<AdminResponse(const AdminRequest&)>;
 
-    AdminServer();
+    /// Larger bodies are answered with 413.
+    static constexpr std::size_t maxBodyBytes = std::size_t { 2 } * 1024 * 1024;
+
+    /// With a key every request must carry a valid signature (see auth.h); others are answered with
+    /// 401 and the reason, and no handler sees them. Without a key the listener is open.
+    explicit AdminServer(std::optional<SharedKey> key = std::nullopt);
     ~AdminServer();
 
     /// Registers `handler` for exact `path`; before listen(). `method` is GET or POST.
@@ -38,6 +46,8 @@
     Expected<void> listen(const Endpoint& endpoint);
     /// Stops serving and joins the thread.
     void stop();
+    /// Requests refused for their signature since the start, for metrics.
+    std::uint64_t refusedRequests() const noexcept;
 
 private:
     struct Impl;
--- a/src/include/laburnumroute/json_rpc.h
+++ b/src/include/laburnumroute/json_rpc.h
@@ -7,6 +7,8 @@
 
 #include <json/value.h>
 
+#include <laburnumroute/error.h>
+
 namespace laburnum {
 
 /// Encodes a notification. `params` is a JSON object.
@@ -22,8 +24,9 @@
     ~NotificationDispatcher();
 
     void add(const std::string& method, Handler handler);
-    /// Handles one encoded notification; returns false when it is malformed or has no handler.
-    bool dispatch(const std::string& text);
+    /// Handles one encoded notification. InvalidArgument: it is malformed. NotFound: its method has
+    /// no handler, as happens while hosts of different versions talk.
+    Expected<void> dispatch(const std::string& text);
 
 private:
     class Impl;
--- a/src/libnet/admin_server.cpp
+++ b/src/libnet/admin_server.cpp
@@ -1,16 +1,27 @@
 #include <laburnumroute/admin_server.h>
 
 #include <algorithm>
+#include <atomic>
 #include <thread>
 
 #include <httplib.h>
 
+#include <laburnumroute/json.h>
+
 namespace laburnum {
 
 namespace {
 
     constexpr std::size_t workerCount = 8;
-    constexpr std::size_t maxBodyBytes = std::size_t { 64 } * 1024 * 1024;
+    constexpr time_t readTimeoutSeconds = 5;
+    constexpr int statusUnauthorized = 401;
+    constexpr int statusUnavailable = 503;
+    constexpr const char* jsonType = "application/json";
+
+    WallTime wallClock()
+    {
+        return std::chrono::time_point_cast<WallTime::duration>(std::chrono::system_clock::now());
+    }
 
     std::string lowerCase(std::string text)
     {
@@ -33,25 +44,59 @@
 } // namespace
 
 struct AdminServer::Impl {
+    /// Whether `request` may go on; otherwise `response` says why not.
+    bool admit(const httplib::Request& request, httplib::Response& response)
+    {
+        if (!verifier)
+            return true;
+        const auto verified = verifier->verify({ request.method, request.target, request.body },
+            request.get_header_value(signatureHeader), wallClock());
+        if (verified)
+            return true;
+        ++refused;
+        refuse(verified.error(), response);
+        return false;
+    }
+
+    static void refuse(const Error& error, httplib::Response& response)
+    {
+        Json::Value body(Json::objectValue);
+        body["error"] = errorCodeName(error.code);
+        body["message"] = error.message;
+        response.set_content(toJsonText(body) + '\n', jsonType);
+        response.status = statusUnavailable;
+        if (error.code == ErrorCode::PermissionDenied) {
+            response.status = statusUnauthorized;
+            response.set_header("WWW-Authenticate", signatureHeader);
+        }
+    }
+
     httplib::Server server;
     std::thread thread;
+    std::unique_ptr<RequestVerifier> verifier;
+    std::atomic<std::uint64_t> refused { 0 };
 };
 
-AdminServer::AdminServer()
+AdminServer::AdminServer(std::optional<SharedKey> key)
     : m_impl(std::make_unique<Impl>())
 {
     m_impl->server.new_task_queue = [] { return new httplib::ThreadPool(workerCount); };
     m_impl->server.set_payload_max_length(maxBodyBytes);
     m_impl->server.set_keep_alive_max_count(1);
+    m_impl->server.set_read_timeout(readTimeoutSeconds);
     m_impl->server.set_tcp_nodelay(true);
+    if (key)
+        m_impl->verifier = std::make_unique<RequestVerifier>(std::move(*key), wallClock());
 }
 
 AdminServer::~AdminServer() { stop(); }
 
 void AdminServer::handle(const std::string& method, const std::string& path, Handler handler)
 {
-    const auto serve = [handler = std::move(handler)](
+    const auto serve = [impl = m_impl.get(), handler = std::move(handler)](
                            const httplib::Request& request, httplib::Response& response) {
+        if (!impl->admit(request, response))
+            return;
         const AdminResponse answer = handler(toAdminRequest(request));
         response.status = answer.status;
         response.set_content(answer.body, answer.contentType);
@@ -78,4 +123,6 @@
     m_impl->thread.join();
 }
 
+std::uint64_t AdminServer::refusedRequests() const noexcept { return m_impl->refused; }
+
 } // namespace laburnum
--- a/src/libnet/json_rpc.cpp
+++ b/src/libnet/json_rpc.cpp
@@ -2,9 +2,12 @@
 
 #include <map>
 
+#include <jsonrpccpp/common/errors.h>
 #include <jsonrpccpp/common/procedure.h>
 #include <jsonrpccpp/server/requesthandlerfactory.h>
 
+#include <laburnumroute/json.h>
+
 namespace laburnum {
 
 namespace pvt {
@@ -30,11 +33,17 @@
         m_handlers[method] = std::move(handler);
     }
 
-    bool dispatch(const std::string& text)
+    Expected<void> dispatch(const std::string& text)
     {
         std::string response;
         m_protocol->HandleRequest(text, response);
-        return response.empty();
+        if (response.empty())
+            return {};
+        const Json::Value error = parseJson(response).value_or(Json::Value())["error"];
+        const bool unknown = error.isObject()
+            && error["code"].asInt() == jsonrpc::Errors::ERROR_RPC_METHOD_NOT_FOUND;
+        return fail(unknown ? ErrorCode::NotFound : ErrorCode::InvalidArgument,
+            "not a notification with a handler: " + response);
     }
 
     void HandleMethodCall(jsonrpc::Procedure& /*procedure*/, const Json::Value& /*input*/,
@@ -67,6 +76,9 @@
     m_impl->add(method, std::move(handler));
 }
 
-bool NotificationDispatcher::dispatch(const std::string& text) { return m_impl->dispatch(text); }
+Expected<void> NotificationDispatcher::dispatch(const std::string& text)
+{
+    return m_impl->dispatch(text);
+}
 
 } // namespace laburnum
--- a/src/libnet/json_rpc_test.cpp
+++ b/src/libnet/json_rpc_test.cpp
@@ -13,8 +13,12 @@
     params["n"] = 7;
     REQUIRE(dispatcher.dispatch(encodeNotification("fleet.test", params)));
     REQUIRE(seen == 7);
-    REQUIRE_FALSE(dispatcher.dispatch("{"));
+    for (const char* malformed : { "{", "", "7", "null", "{}", "{\"jsonrpc\":\"2.0\"}" }) {
+        CAPTURE(malformed);
+        REQUIRE(dispatcher.dispatch(malformed).error().code == ErrorCode::InvalidArgument);
+    }
     params["n"] = 8;
-    dispatcher.dispatch(encodeNotification("fleet.unknown", params));
+    const auto unknown = dispatcher.dispatch(encodeNotification("fleet.unknown", params));
+    REQUIRE(unknown.error().code == ErrorCode::NotFound);
     REQUIRE(seen == 7);
 }
--- /dev/null
+++ b/src/libnet/peer_frame.cpp
@@ -0,0 +1,28 @@
+#include "peer_frame_pvt.h"
+
+namespace laburnum::pvt {
+
+namespace {
+    constexpr unsigned bitsPerByte = 8;
+    constexpr std::size_t byteMask = 0xff;
+}
+
+FrameHead encodeFrameHead(std::size_t payloadBytes) noexcept
+{
+    FrameHead head {};
+    for (auto byte = head.rbegin(); byte != head.rend(); ++byte) {
+        *byte = static_cast<unsigned char>(payloadBytes & byteMask);
+        payloadBytes >>= bitsPerByte;
+    }
+    return head;
+}
+
+std::size_t decodeFrameHead(const FrameHead& head) noexcept
+{
+    std::size_t length = 0;
+    for (const unsigned char byte : head)
+        length = (length << bitsPerByte) | byte;
+    return length;
+}
+
+} // namespace laburnum::pvt
--- /dev/null
+++ b/src/libnet/peer_transport_test.cpp
@@ -0,0 +1,281 @@
+#include <catch2/catch.hpp>
+
+#include <asio/buffer.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+
+#include <laburnumroute/json_rpc.h>
+#include <laburnumroute/peer_transport.h>
+
+#include "net_test_pvt.h"
+#include "peer_frame_pvt.h"
+
+using namespace laburnum;
+using asio::ip::tcp;
+
+namespace {
+
+/// Longest wait for something that must happen; a guard against hanging, not a bound on speed.
+constexpr auto patience = std::chrono::seconds(30);
+
+const HostId hostA("a");
+const HostId hostB("b");
+constexpr const char* method = "test.number";
+
+/// Runs `context` until `condition` holds; returns whether it came to hold.
+template <class Condition> bool pump(asio::io_context& context, Condition condition)
+{
+    const auto limit = std::chrono::steady_clock::now() + patience;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > limit)
+            return false;
+        context.restart();
+        context.run_one_for(std::chrono::milliseconds(10));
+    }
+    return true;
+}
+
+PeerMessage numbered(int number)
+{
+    Json::Value params(Json::objectValue);
+    params["n"] = number;
+    return { hostA, hostB, method, params };
+}
+
+/// A transport for host B that keeps the numbers it receives.
+struct Receiver {
+    Receiver(asio::io_context& context, const Endpoint& endpoint,
+        const std::optional<SharedKey>& key = {})
+        : transport(context.get_executor(), hostB, {}, key)
+    {
+        transport.accept(method, [this](const PeerMessage& message) {
+            REQUIRE(message.from == hostA);
+            numbers.push_back(message.params["n"].asInt());
+        });
+        REQUIRE(transport.listen(endpoint).has_value());
+    }
+
+    bool has(int number) const
+    {
+        return std::find(numbers.begin(), numbers.end(), number) != numbers.end();
+    }
+
+    std::vector<int> numbers;
+    PeerTransport transport;
+};
+
+/// A transport for host A that knows B.
+PeerTransport senderTo(
+    asio::io_context& context, const Endpoint& endpoint, const std::optional<SharedKey>& key = {})
+{
+    return { context.get_executor(), hostA, { { hostB, endpoint } }, key };
+}
+
+tcp::socket rawConnection(asio::io_context& context, const Endpoint& endpoint)
+{
+    tcp::socket socket(context);
+    socket.connect({ asio::ip::make_address(endpoint.address), endpoint.port });
+    socket.non_blocking(true);
+    return socket;
+}
+
+/// Whether the other side closed `socket`, after reading what it sent.
+bool isClosed(tcp::socket& socket)
+{
+    std::array<char, 256> bytes {};
+    std::error_code code;
+    socket.read_some(asio::buffer(bytes), code);
+    return code && code != asio::error::would_block;
+}
+
+std::string frameWith(const std::string& payload)
+{
+    const auto head = pvt::encodeFrameHead(payload.size());
+    return std::string(head.begin(), head.end()) + payload;
+}
+
+} // namespace
+
+TEST_CASE("messages arrive in order, with and without a key")
+{
+    const auto key = GENERATE(false, true) ? std::optional(pvt::testKey('k')) : std::nullopt;
+    CAPTURE(key.has_value());
+    asio::io_context context;
+    const Endpoint endpoint = pvt::freeEndpoint();
+    Receiver receiver(context, endpoint, key);
+    PeerTransport sender = senderTo(context, endpoint, key);
+    for (int i = 0; i < 100; ++i)
+        sender.send(numbered(i));
+    REQUIRE(pump(context, [&] { return receiver.numbers.size() == 100; }));
+    REQUIRE(std::is_sorted(receiver.numbers.begin(), receiver.numbers.end()));
+    REQUIRE(receiver.transport.counts().receivedBytes == sender.counts().sentBytes);
+    REQUIRE(receiver.transport.counts().refusedFrames == 0);
+}
+
+TEST_CASE("a sender reconnects after its peer restarted")
+{
+    const auto key = GENERATE(false, true) ? std::optional(pvt::testKey('k')) : std::nullopt;
+    CAPTURE(key.has_value());
+    asio::io_context context;
+    const Endpoint endpoint = pvt::freeEndpoint();
+    PeerTransport sender = senderTo(context, endpoint, key);
+    {
+        Receiver first(context, endpoint, key);
+        sender.send(numbered(1));
+        REQUIRE(pump(context, [&] { return first.has(1); }));
+        first.transport.stop();
+        const auto dropped = sender.counts().droppedMessages;
+        REQUIRE(pump(context, [&] {
+            sender.send(numbered(2));
+            return sender.counts().droppedMessages > dropped;
+        }));
+    }
+    Receiver second(context, endpoint, key);
+    REQUIRE(pump(context, [&] {
+        sender.send(numbered(3));
+        return second.has(3);
+    }));
+}
+
+TEST_CASE("messages for a peer that is gone are dropped and counted")
+{
+    asio::io_context context;
+    PeerTransport sender = senderTo(context, pvt::freeEndpoint());
+    for (int i = 0; i < 1000; ++i)
+        sender.send(numbered(i));
+    REQUIRE(pump(context, [&] { return sender.counts().droppedMessages == 1000; }));
+    sender.send({ hostA, HostId("nobody"), method, Json::Value(Json::objectValue) });
+    REQUIRE(pump(context, [&] { return sender.counts().droppedMessages == 1001; }));
+}
+
+TEST_CASE("the queue for a peer that does not read is bounded")
+{
+    asio::io_context context;
+    const Endpoint endpoint = pvt::freeEndpoint();
+    // The system accepts connections for this listener, but nobody reads from them.
+    const tcp::acceptor frozen(
+        context, { asio::ip::make_address(endpoint.address), endpoint.port });
+    PeerTransport sender = senderTo(context, endpoint);
+    PeerMessage large = numbered(1);
+    large.params["text"] = std::string(std::size_t { 1 } << 20, 'x');
+    std::size_t sent = 0;
+    REQUIRE(pump(context, [&] {
+        sender.send(large);
+        ++sent;
+        return sender.counts().droppedMessages > 0;
+    }));
+    // What was not dropped waits in the queue or in the system's buffers.
+    constexpr std::size_t systemBuffers = std::size_t { 64 } << 20;
+    REQUIRE((sent << 20) < PeerTransport::maxQueueBytes + systemBuffers);
+}
+
+TEST_CASE("a message that is too large is dropped and the connection goes on")
+{
+    asio::io_context context;
+    const Endpoint endpoint = pvt::freeEndpoint();
+    Receiver receiver(context, endpoint);
+    PeerTransport sender = senderTo(context, endpoint);
+    PeerMessage large = numbered(1);
+    large.params["text"] = std::string(PeerTransport::maxFrameBytes, 'x');
+    sender.send(large);
+    sender.send(numbered(2));
+    REQUIRE(pump(context, [&] { return receiver.has(2); }));
+    REQUIRE_FALSE(receiver.has(1));
+    REQUIRE(sender.counts().droppedMessages == 1);
+}
+
+TEST_CASE("an oversized or malformed frame closes its connection")
+{
+    asio::io_context context;
+    const Endpoint endpoint = pvt::freeEndpoint();
+    Receiver receiver(context, endpoint);
+    std::uint64_t refused = 0;
+    for (const std::string& frame :
+        { std::string("\xff\xff\xff\xff"), frameWith("{"), frameWith(""), frameWith("7") }) {
+        CAPTURE(frame);
+        tcp::socket socket = rawConnection(context, endpoint);
+        asio::write(socket, asio::buffer(frame));
+        REQUIRE(pump(context, [&] { return isClosed(socket); }));
+        REQUIRE(receiver.transport.counts().refusedFrames == ++refused);
+    }
+}
+
+TEST_CASE("a method without handler is ignored and the connection stays")
+{
+    asio::io_context context;
+    const Endpoint endpoint = pvt::freeEndpoint();
+    Receiver receiver(context, endpoint);
+    PeerTransport sender = senderTo(context, endpoint);
+    sender.send({ hostA, hostB, "test.unknown", Json::Value(Json::objectValue) });
+    sender.send(numbered(2));
+    REQUIRE(pump(context, [&] { return receiver.has(2); }));
+    REQUIRE(receiver.transport.counts().refusedFrames == 0);
+}
+
+TEST_CASE("a peer with another key or without one gets nothing through")
+{
+    asio::io_context context;
+    const Endpoint endpoint = pvt::freeEndpoint();
+    Receiver receiver(context, endpoint, pvt::testKey('k'));
+    const auto foreign = GENERATE(false, true) ? std::optional(pvt::testKey('o')) : std::nullopt;
+    CAPTURE(foreign.has_value());
+    PeerTransport sender = senderTo(context, endpoint, foreign);
+    for (int i = 0; i < 20; ++i) {
+        const auto settled
+            = [&] { return sender.counts().sentBytes + sender.counts().droppedMessages; };
+        const auto before = settled();
+        sender.send(numbered(i));
+        REQUIRE(pump(context, [&] { return settled() > before; }));
+    }
+    if (foreign)
+        REQUIRE(pump(context, [&] { return receiver.transport.counts().refusedFrames > 0; }));
+    REQUIRE(receiver.numbers.empty());
+}
+
+TEST_CASE("connections that ended make room for others")
+{
+    asio::io_context context;
+    const Endpoint endpoint = pvt::freeEndpoint();
+    Receiver receiver(context, endpoint);
+    for (std::size_t i = 0; i < PeerTransport::maxIncoming + 10; ++i) {
+        CAPTURE(i);
+        tcp::socket socket = rawConnection(context, endpoint);
+        asio::write(socket, asio::buffer(frameWith("{")));
+        REQUIRE(pump(context, [&] { return isClosed(socket); }));
+    }
+    REQUIRE(receiver.transport.counts().refusedFrames == PeerTransport::maxIncoming + 10);
+}
+
+TEST_CASE("recorded frames cannot be played again on another connection")
+{
+    asio::io_context context;
+    const SharedKey key = pvt::testKey('k');
+    const Endpoint endpoint = pvt::freeEndpoint();
+    Receiver receiver(context, endpoint, key);
+    Json::Value params(Json::objectValue);
+    params["from"] = hostA.value();
+    params["body"]["n"] = 7;
+    const std::string payload = encodeNotification(method, params);
+
+    tcp::socket first = rawConnection(context, endpoint);
+    std::string challenge(challengeBytes, '\0');
+    std::size_t filled = 0;
+    REQUIRE(pump(context, [&] {
+        std::error_code code;
+        filled += first.read_some(
+            asio::buffer(challenge.data() + filled, challenge.size() - filled), code);
+        return filled == challenge.size();
+    }));
+    FrameAuthenticator authenticator(key, challenge, hostB);
+    std::string recorded = frameWith(payload);
+    recorded.insert(pvt::FrameHead {}.size(), authenticator.nextTag(payload));
+    asio::write(first, asio::buffer(recorded));
+    REQUIRE(pump(context, [&] { return receiver.has(7); }));
+
+    tcp::socket second = rawConnection(context, endpoint);
+    asio::write(second, asio::buffer(recorded));
+    REQUIRE(pump(context, [&] { return receiver.transport.counts().refusedFrames == 1; }));
+    asio::write(first, asio::buffer(recorded));
+    REQUIRE(pump(context, [&] { return receiver.transport.counts().refusedFrames == 2; }));
+    REQUIRE(receiver.numbers.size() == 1);
+}
