Detection against peers and ejection under floors by leased permits

Cause: each host sees a few requests a second of an instance, and hosts that eject alone break the floor together. Hosts now send counts of real outcomes and latencies to the service's owner, which judges each instance against its peers by cumulative-sum likelihood ratios and grants permits. Every grant carries all permits that may be in force anywhere, and owner and hosts keep the same prefix of them that leaves the floor. Ruled out: an ejection allowance per host (12 instances over 48 hosts leave less than one each); expiry by the owner's clock (a late grant would prolong). Found on the way: trouble that one host alone saw ejected the instance, since a chance slow answer elsewhere counted as a second witness; a host with most of the troubles in fewer of the observations is now taken for the trouble itself. Mutation: two owners that grant at once turn the floor check red, as tested.

--- /dev/null
+++ b/src/include/laburnumroute/peer_judge.h
@@ -0,0 +1,155 @@
+/// Judges each instance of a service against its peers, from the outcomes that all hosts saw.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include <laburnumroute/configuration.h>
+#include <laburnumroute/evidence.h>
+#include <laburnumroute/sequential_test.h>
+
+namespace laburnum {
+
+/// How much evidence an ejection needs.
+struct DetectionThresholds {
+    /// Log-likelihood ratio in nats at which an instance is suspected.
+    double score = 0.0;
+    /// Time after an instance was first seen during which it is not judged.
+    Duration grace {};
+};
+
+/// The thresholds of `weighting`.
+DetectionThresholds thresholdsFor(Weighting weighting);
+/// Thresholds between few false ejections (0) and quick detection (1).
+DetectionThresholds thresholdsBetween(double quickness);
+
+/// What speaks against an instance.
+enum class Symptom { Errors, Slowness };
+
+/// Stable word for `symptom`.
+const char* symptomName(Symptom symptom) noexcept;
+
+/// An instance that is worse than its peers.
+struct Suspicion {
+    InstanceId instance;
+    /// The one data centre whose hosts see the trouble; empty when it is the instance itself.
+    DataCentreId scope;
+    Symptom symptom = Symptom::Errors;
+    /// Log-likelihood ratio in nats.
+    double score = 0.0;
+    /// The instance's own recent rate of errors or of slow answers, and its peers'.
+    double rate = 0.0;
+    double peerRate = 0.0;
+};
+
+/// The state of an instance that gets trial requests.
+enum class TrialVerdict { Pending, Healthy, Sick };
+
+/// An instance and the data centre that keeps traffic from it (empty for all).
+using HeldScope = std::pair<InstanceId, DataCentreId>;
+
+/// One service's evidence, merged over hosts. No I/O; not thread-safe.
+class PeerJudge {
+public:
+    explicit PeerJudge(DetectionThresholds thresholds)
+        : m_thresholds(thresholds)
+    {
+    }
+
+    void setThresholds(DetectionThresholds thresholds) { m_thresholds = thresholds; }
+    /// Adds what `host` saw.
+    void add(const HostId& host, const EvidenceDelta& delta, TimePoint now);
+    /// Judges the evidence added since the previous call. Evidence from scopes in `held` counts
+    /// for their trials only. To be called every half second or so.
+    void evaluate(const std::set<HeldScope>& held, TimePoint now);
+    /// Instances that the latest evaluate() found worse than their peers. Empty when so many are
+    /// that the service as a whole is in trouble.
+    const std::vector<Suspicion>& suspicions() const { return m_suspicions; }
+
+    /// Starts a new trial of `scope`.
+    void startTrial(const HeldScope& scope) { m_trials.insert_or_assign(scope, Trial {}); }
+    TrialVerdict trialVerdict(const HeldScope& scope) const;
+    /// Forgets the scores of an instance that returns, and an instance that left.
+    void resetScores(const InstanceId& instance);
+    void forget(const InstanceId& instance);
+
+private:
+    /// Counts that fade.
+    struct FadingCounts {
+        double errors = 0.0;
+        double judged = 0.0;
+        LatencyHistogram latency;
+
+        void merge(const FadingCounts& other, double sign = 1.0);
+        void scale(double factor);
+    };
+    /// The same counts faded over minutes, over seconds, and not at all.
+    struct Windows {
+        FadingCounts slow;
+        FadingCounts fast;
+        FadingCounts batch;
+
+        void merge(const Windows& other, double sign = 1.0);
+    };
+    struct Tests {
+        Tests();
+        ChangeTest errors;
+        ChangeTest slowness;
+    };
+    /// What the hosts of one data centre saw of one instance.
+    struct ScopeState {
+        OutcomeCounts pending;
+        Tests tests;
+        /// Faded like Windows::slow.
+        double judged = 0.0;
+        double answeredErrors = 0.0;
+        double pathErrors = 0.0;
+    };
+    struct HostTally {
+        double troubles = 0.0;
+        double observations = 0.0;
+    };
+    struct InstanceState {
+        TimePoint firstSeen {};
+        Windows windows;
+        Tests tests;
+        std::map<DataCentreId, ScopeState> scopes;
+        /// What each host saw since the score was last 0.
+        std::map<HostId, HostTally> tallies;
+        std::size_t slowBucket = LatencyHistogram::bucketCount;
+    };
+    struct Trial {
+        Trial();
+        TrialTest errors;
+        TrialTest slowness;
+    };
+    /// Reference rates for one instance, from its peers.
+    struct Reference {
+        double errorRate = 0.0;
+        double slowRate = 0.0;
+        std::size_t slowBucket = LatencyHistogram::bucketCount;
+        bool errorsKnown = false;
+        bool slownessKnown = false;
+    };
+
+    void fade(TimePoint now);
+    Windows mergedWindows(const std::set<HeldScope>& held);
+    static Reference referenceFor(const Windows& peers);
+    void judge(const InstanceId& id, InstanceState& state, const Reference& reference,
+        const std::set<HeldScope>& held, TimePoint now);
+    static void addTo(Tests& tests, const FadingCounts& counts, const Reference& reference);
+    std::optional<Suspicion> suspicionOf(
+        const InstanceId& id, const InstanceState& state, const Reference& reference) const;
+    static bool isOneHostsTrouble(const InstanceState& state);
+    std::optional<DataCentreId> pathOf(const InstanceState& state) const;
+
+    DetectionThresholds m_thresholds;
+    TimePoint m_lastFade {};
+    std::map<InstanceId, InstanceState> m_instances;
+    std::map<HeldScope, Trial> m_trials;
+    std::vector<Suspicion> m_suspicions;
+};
+
+} // namespace laburnum
--- /dev/null
+++ b/src/libroute/detection_test.cpp
@@ -0,0 +1,153 @@
+#include <catch2/catch.hpp>
+
+#include "fakes/ejection_fleet.h"
+
+using namespace laburnum;
+using namespace laburnum::fakes;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto warmUp = 30s;
+
+/// A fleet after a quiet start, with `health` from then on.
+std::unique_ptr<EjectionFleet> warmFleet(const Health& health, Weighting weighting)
+{
+    auto fleet = std::make_unique<EjectionFleet>(
+        EjectionFleet::Options { .floorSlots = 6, .weighting = weighting });
+    fleet->run(warmUp);
+    REQUIRE(fleet->ejectedAnywhere().empty());
+    fleet->health = health;
+    return fleet;
+}
+
+bool isFirst(const InstanceId& id) { return id == EjectionFleet::instance(0); }
+
+AttemptReport slowReport(Random& random, int factor)
+{
+    AttemptReport report = healthyReport(random);
+    report.latency *= factor;
+    return report;
+}
+
+} // namespace
+
+TEST_CASE("errors of a fifth of the requests and threefold latency are found")
+{
+    const auto weighting = GENERATE(Weighting::FewFalseEjections, Weighting::QuickDetection);
+    CAPTURE(weightingName(weighting));
+    auto errors = warmFleet(
+        [](const InstanceId& id, const HostPlace&, TimePoint, Random& random) {
+            return isFirst(id) && uniformReal(random) < 0.2 ? errorReport() : healthyReport(random);
+        },
+        weighting);
+    errors->run(10s);
+    REQUIRE(errors->ejectedAnywhere() == std::set { EjectionFleet::instance(0) });
+    auto slowness
+        = warmFleet([](const InstanceId& id, const HostPlace&, TimePoint,
+                        Random& random) { return slowReport(random, isFirst(id) ? 3 : 1); },
+            weighting);
+    slowness->run(10s);
+    REQUIRE(slowness->ejectedAnywhere() == std::set { EjectionFleet::instance(0) });
+}
+
+TEST_CASE("a service that fails or slows as a whole ejects nobody")
+{
+    auto failing = warmFleet(
+        [](const InstanceId&, const HostPlace&, TimePoint, Random& random) {
+            return uniformReal(random) < 0.7 ? errorReport() : healthyReport(random);
+        },
+        Weighting::QuickDetection);
+    failing->run(20s);
+    REQUIRE(failing->ejectedAnywhere().empty());
+    auto slow = warmFleet([](const InstanceId&, const HostPlace&, TimePoint,
+                              Random& random) { return slowReport(random, 5); },
+        Weighting::QuickDetection);
+    slow->run(20s);
+    REQUIRE(slow->ejectedAnywhere().empty());
+}
+
+TEST_CASE("shed answers and the caller's faults eject nobody")
+{
+    const auto result = GENERATE(AttemptResult::Shed, AttemptResult::CallerFault);
+    auto fleet = warmFleet(
+        [result](const InstanceId& id, const HostPlace&, TimePoint, Random& random) {
+            return isFirst(id) ? AttemptReport { result, 503, 1ms, 0 } : healthyReport(random);
+        },
+        Weighting::QuickDetection);
+    fleet->run(20s);
+    REQUIRE(fleet->ejectedAnywhere().empty());
+}
+
+TEST_CASE("trouble on one data centre's path is avoided there and nowhere else")
+{
+    auto fleet = warmFleet(
+        [](const InstanceId& id, const HostPlace& place, TimePoint, Random& random) {
+            const bool cut = isFirst(id) && place.dataCentre == DataCentreId("d0");
+            return cut ? AttemptReport { AttemptResult::NotConnected } : healthyReport(random);
+        },
+        Weighting::QuickDetection);
+    fleet->run(8s);
+    REQUIRE(fleet->isEjectedAt(0, 0));
+    REQUIRE(fleet->isEjectedAt(2, 0));
+    REQUIRE_FALSE(fleet->isEjectedAt(1, 0));
+    REQUIRE_FALSE(fleet->isEjectedAt(3, 0));
+}
+
+TEST_CASE("trouble that one host alone sees ejects nothing")
+{
+    auto fleet = warmFleet(
+        [](const InstanceId& id, const HostPlace& place, TimePoint, Random& random) {
+            return isFirst(id) && place.host == HostId("h1") ? errorReport()
+                                                             : healthyReport(random);
+        },
+        Weighting::QuickDetection);
+    fleet->run(10s);
+    REQUIRE(fleet->ejectedAnywhere().empty());
+}
+
+TEST_CASE("an instance that hangs is found before its requests time out")
+{
+    NullDecisionLog log;
+    Dispatcher dispatcher({ HostId("e1") }, 1, log);
+    Configuration configuration;
+    configuration.services.push_back({ ServiceId("s") });
+    configuration.routes.push_back({ "", "/", {}, ServiceId("s") });
+    dispatcher.setConfiguration(configuration);
+    InstanceRecord record;
+    record.id = InstanceId("a");
+    record.service = ServiceId("s");
+    const TimePoint now(1h);
+    dispatcher.upsertInstance(record, now);
+    const auto assigned = dispatcher.begin({ "GET", "", "/" }, {}, now);
+    REQUIRE(assigned.has_value());
+    REQUIRE(dispatcher.takeEvidence(now + 500ms).empty());
+    const auto evidence = dispatcher.takeEvidence(now + 1500ms);
+    REQUIRE(evidence.size() == 1);
+    REQUIRE(evidence[0].instances.at(InstanceId("a")).latency.total() == 1.0);
+    dispatcher.finish(assigned->attempt, { AttemptResult::Succeeded, 200, 2s, 0 }, now + 2s);
+    REQUIRE(
+        dispatcher.takeEvidence(now + 2s)[0].instances.at(InstanceId("a")).latency.total() == 0.0);
+}
+
+TEST_CASE("evidence and permits survive their encoding, and malformed ones are refused")
+{
+    EvidenceDelta delta { ServiceId("s"), DataCentreId("d"), 7, 8, 9, {} };
+    delta.instances[InstanceId("a")].failed = 3;
+    delta.instances[InstanceId("a")].latency.add(40ms);
+    const auto decoded = decodeEvidence(encodeEvidence(delta));
+    REQUIRE(decoded.has_value());
+    REQUIRE(encodeEvidence(*decoded) == encodeEvidence(delta));
+    Json::Value broken = encodeEvidence(delta);
+    broken["instances"]["a"]["l"][0] = 4000;
+    REQUIRE_FALSE(decodeEvidence(broken).has_value());
+    REQUIRE_FALSE(decodeEvidence(Json::Value("x")).has_value());
+    const PermitGrant grant { ServiceId("s"), 1, 2, 3,
+        { { 4, InstanceId("a"), DataCentreId("d"), PermitState::Withdrawn } } };
+    const auto granted = decodePermitGrant(encodePermitGrant(grant));
+    REQUIRE(granted.has_value());
+    REQUIRE(granted->permits == grant.permits);
+    Json::Value strange = encodePermitGrant(grant);
+    strange["permits"][0]["state"] = "else";
+    REQUIRE_FALSE(decodePermitGrant(strange).has_value());
+}
--- a/src/libroute/dispatcher_log.cpp
+++ b/src/libroute/dispatcher_log.cpp
@@ -9,14 +9,15 @@
     using pvt::PooledInstance;
     using pvt::Standing;
 
-    const char* verdictOf(const PooledInstance& instance, unsigned hosts, TimePoint now)
+    const char* verdictOf(
+        const PooledInstance& instance, Standing standing, unsigned hosts, TimePoint now)
     {
         if (instance.gone)
             return "gone";
         if (instance.record.phase == InstancePhase::Draining)
             return "draining";
-        if (instance.standing != Standing::InService)
-            return pvt::standingName(instance.standing);
+        if (standing != Standing::InService)
+            return pvt::standingName(standing);
         return instance.hasRoom(hosts, now) ? "eligible" : "full";
     }
 
@@ -57,12 +58,14 @@
         return result;
     bool eligible = false;
     bool serving = false;
+    const bool lapsed = pool->second->permits().expires <= now;
     for (const auto& [id, instance] : pool->second->instances()) {
-        const std::string verdict = verdictOf(instance, m_hosts, now);
+        const Standing standing = lapsed ? Standing::InService : instance.standing;
+        const std::string verdict = verdictOf(instance, standing, m_hosts, now);
         eligible = eligible || verdict == "eligible";
-        serving = serving || (instance.isServing() && instance.standing == Standing::InService);
+        serving = serving || (instance.isServing() && standing == Standing::InService);
         result.instances.push_back({ id, pvt::tierOf(m_place, instance.record), verdict,
-            pvt::standingName(instance.standing), instance.inFlight, instance.record.slots,
+            pvt::standingName(standing), instance.inFlight, instance.record.slots,
             instance.loadHint(now), instance.weight(now) });
     }
     if (eligible)
--- /dev/null
+++ b/src/libroute/ejection_test.cpp
@@ -0,0 +1,234 @@
+#include <catch2/catch.hpp>
+
+#include "fakes/ejection_fleet.h"
+
+using namespace laburnum;
+using namespace laburnum::fakes;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// The instances in `sick` answer nothing but errors.
+Health failing(const std::set<unsigned>& sick)
+{
+    return [sick](const InstanceId& id, const HostPlace&, TimePoint, Random& random) {
+        for (const unsigned i : sick) {
+            if (id == EjectionFleet::instance(i))
+                return errorReport();
+        }
+        return healthyReport(random);
+    };
+}
+
+Health allHealthy() { return failing({}); }
+
+/// Runs until `done` or `limit`; returns the time taken.
+template <class Done> Duration runUntil(EjectionFleet& fleet, Duration limit, Done done)
+{
+    const TimePoint start = fleet.network.now();
+    while (!done() && fleet.network.now() - start < limit)
+        fleet.run(100ms);
+    return fleet.network.now() - start;
+}
+
+unsigned countDecisions(const EjectionFleet& fleet, const std::string& kind)
+{
+    const auto& all = fleet.network.decisions();
+    return static_cast<unsigned>(
+        std::count_if(all.begin(), all.end(), [&](const auto& d) { return d.kind == kind; }));
+}
+
+} // namespace
+
+TEST_CASE("a failing instance is ejected at every host and returns by itself when well")
+{
+    EjectionFleet fleet({});
+    fleet.run(15s);
+    REQUIRE(fleet.ejectedAnywhere().empty());
+    fleet.health = failing({ 2 });
+    fleet.run(5s);
+    for (unsigned host = 0; host < fleet.options.hosts; ++host)
+        REQUIRE(fleet.isEjectedAt(host, 2));
+    fleet.health = allHealthy();
+    fleet.run(40s);
+    REQUIRE(fleet.ejectedAnywhere().empty());
+    REQUIRE(fleet.violations == 0);
+    REQUIRE(countDecisions(fleet, "grant-ejection") == 1);
+    REQUIRE(countDecisions(fleet, "return") == 1);
+}
+
+TEST_CASE("a still sick instance fails its trials and stays away longer each time")
+{
+    EjectionFleet fleet({});
+    fleet.run(15s);
+    fleet.health = failing({ 2 });
+    fleet.run(5s);
+    fleet.requests.clear();
+    fleet.run(60s);
+    REQUIRE(fleet.isEjectedAnywhere(2));
+    // Trials after 10, 20 and 40 s of at most one request per host and half second.
+    REQUIRE(fleet.requests[EjectionFleet::instance(2)] <= 3 * 4 * fleet.options.hosts);
+    REQUIRE(countDecisions(fleet, "grant-ejection") == 1);
+}
+
+TEST_CASE("ejections stop at the floor")
+{
+    EjectionFleet fleet({});
+    fleet.run(15s);
+    // Floor 24 of 36 slots leaves room for two.
+    fleet.health = failing({ 0, 1 });
+    fleet.run(10s);
+    REQUIRE(fleet.ejectedAnywhere().size() == 2);
+    fleet.health = failing({ 0, 1, 2 });
+    fleet.run(10s);
+    REQUIRE(fleet.ejectedAnywhere().size() == 2);
+    REQUIRE(countDecisions(fleet, "deny-ejection") >= 1);
+    REQUIRE(fleet.violations == 0);
+}
+
+TEST_CASE("capacity that leaves releases ejections at once")
+{
+    EjectionFleet fleet({});
+    fleet.run(15s);
+    fleet.health = failing({ 0, 1 });
+    fleet.run(10s);
+    REQUIRE(fleet.ejectedAnywhere().size() == 2);
+    fleet.removeInstance(4);
+    REQUIRE(fleet.ejectedAnywhere().size() == 1);
+    fleet.removeInstance(5);
+    REQUIRE(fleet.ejectedAnywhere().empty());
+    fleet.run(5s);
+    REQUIRE(fleet.violations == 0);
+}
+
+TEST_CASE("permits lapse when the owner dies, and a new owner waits before it grants")
+{
+    EjectionFleet fleet({});
+    fleet.run(15s);
+    fleet.health = failing({ 2 });
+    fleet.run(5s);
+    REQUIRE(fleet.isEjectedAnywhere(2));
+    fleet.kill(0);
+    const Duration lapse = runUntil(fleet, 10s, [&] { return fleet.ejectedAnywhere().empty(); });
+    REQUIRE(lapse <= permitLease + 500ms);
+    const TimePoint since = fleet.network.now();
+    fleet.setOwner(1, since);
+    const Duration again = runUntil(fleet, 30s, [&] { return !fleet.ejectedAnywhere().empty(); });
+    REQUIRE(again >= permitLeaseAtOwner);
+    REQUIRE(again < 30s);
+    REQUIRE(fleet.violations == 0);
+}
+
+TEST_CASE("the floor holds when ownership moves while different instances are sick")
+{
+    EjectionFleet fleet({ .floorSlots = 30 });
+    fleet.run(15s);
+    fleet.health = failing({ 1 });
+    fleet.run(5s);
+    REQUIRE(fleet.isEjectedAnywhere(1));
+    // The old owner freezes; hosts learn of the new one at different times.
+    fleet.network.freeze(HostId("h0"));
+    fleet.health = failing({ 3 });
+    for (unsigned host = 1; host < fleet.options.hosts; ++host) {
+        fleet.hosts[host]->ownership.setOwner(HostId("h1"), fleet.network.now());
+        fleet.run(700ms);
+    }
+    fleet.run(10s);
+    fleet.hosts[0]->ownership.setOwner(HostId("h1"), fleet.network.now());
+    fleet.network.freeze(HostId("h0"), false);
+    fleet.run(10s);
+    REQUIRE(fleet.isEjectedAnywhere(3));
+    REQUIRE(fleet.violations == 0);
+}
+
+TEST_CASE("mutation: two owners that grant at once without waiting break the floor")
+{
+    EjectionFleet fleet({ .floorSlots = 30 });
+    const TimePoint longAgo = fleet.network.now();
+    for (unsigned host = 0; host < fleet.options.hosts; ++host)
+        fleet.hosts[host]->ownership.setOwner(HostId(host < 2 ? "h0" : "h2"), longAgo);
+    // Hosts h0 and h1 see instance 1 fail, h2 and h3 see instance 3 fail.
+    fleet.run(15s);
+    fleet.health = [](const InstanceId& id, const HostPlace& place, TimePoint, Random& random) {
+        const bool firstHalf = place.host < HostId("h2");
+        return id == EjectionFleet::instance(firstHalf ? 1 : 3) ? errorReport()
+                                                                : healthyReport(random);
+    };
+    fleet.run(10s);
+    REQUIRE(fleet.violations > 0);
+}
+
+TEST_CASE("two hosts that suspect different instances at one moment do not break the floor")
+{
+    EjectionFleet fleet({ .floorSlots = 30 });
+    fleet.run(15s);
+    fleet.health = [](const InstanceId& id, const HostPlace& place, TimePoint, Random& random) {
+        const bool firstHalf = place.host < HostId("h2");
+        return id == EjectionFleet::instance(firstHalf ? 1 : 3) ? errorReport()
+                                                                : healthyReport(random);
+    };
+    fleet.run(20s);
+    REQUIRE(fleet.ejectedAnywhere().size() <= 1);
+    REQUIRE(fleet.violations == 0);
+}
+
+TEST_CASE("the floor holds under loss, repeats, reordering, one-way cuts and crashes of the well")
+{
+    const auto seed = GENERATE(std::uint64_t { 1 }, std::uint64_t { 2 }, std::uint64_t { 3 });
+    CAPTURE(seed);
+    EjectionFleet fleet({ .floorSlots = 18, .seed = seed });
+    fleet.network.setFaults({ 0.2, 0.3, 800ms });
+    fleet.run(15s);
+    fleet.health = failing({ 0, 1 });
+    fleet.run(10s);
+    fleet.network.cut(HostId("h0"), HostId("h1"));
+    fleet.network.cut(HostId("h2"), HostId("h0"));
+    fleet.run(1s);
+    fleet.removeInstance(4);
+    fleet.run(2s);
+    fleet.removeInstance(5);
+    fleet.health = failing({ 1, 2 });
+    fleet.run(10s);
+    fleet.addInstance(4);
+    fleet.run(10s);
+    fleet.network.cut(HostId("h0"), HostId("h1"), false);
+    fleet.setOwner(3, fleet.network.now());
+    fleet.removeInstance(3);
+    fleet.run(15s);
+    REQUIRE(fleet.violations == 0);
+}
+
+TEST_CASE("a late grant does not prolong a permit")
+{
+    EjectionFleet fleet({});
+    auto& host = *fleet.hosts[1];
+    fleet.kill(1);
+    Outbox out(host.place.host);
+    const TimePoint now = fleet.network.now();
+    PermitGrant grant { fleet.service, 1001, now.time_since_epoch().count(), 1,
+        { { 1, EjectionFleet::instance(0), DataCentreId(), PermitState::Ejected } } };
+    const PeerMessage message { HostId("h0"), host.place.host, methodPermits,
+        encodePermitGrant(grant) };
+    host.client.receive(message, now + permitLease, out);
+    REQUIRE_FALSE(fleet.isEjectedAt(1, 0));
+    host.client.receive(message, now + 1s, out);
+    REQUIRE(fleet.isEjectedAt(1, 0));
+    host.client.receive(message, now + 2s, out);
+    fleet.network.run(permitLease);
+    REQUIRE_FALSE(fleet.isEjectedAt(1, 0));
+}
+
+TEST_CASE("a service without idempotent requests gets its instance back too")
+{
+    EjectionFleet fleet({ .method = "POST" });
+    fleet.run(15s);
+    fleet.health = failing({ 2 });
+    fleet.run(5s);
+    REQUIRE(fleet.isEjectedAnywhere(2));
+    fleet.health = allHealthy();
+    fleet.requests.clear();
+    fleet.run(30s);
+    REQUIRE(fleet.requests[EjectionFleet::instance(2)] == 0);
+    fleet.run(60s);
+    REQUIRE(fleet.ejectedAnywhere().empty());
+}
--- /dev/null
+++ b/src/libroute/sequential_test.cpp
@@ -0,0 +1,32 @@
+#include <laburnumroute/sequential_test.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace laburnum {
+
+namespace {
+
+    double logRatio(double hits, double trials, double reference, double rise)
+    {
+        const double raised = reference + rise * (1.0 - reference);
+        return hits * std::log(raised / reference)
+            + (trials - hits) * std::log((1.0 - raised) / (1.0 - reference));
+    }
+
+} // namespace
+
+void ChangeTest::add(double hits, double trials, double referenceRate)
+{
+    for (std::size_t i = 0; i < alternativeCount; ++i)
+        m_sums[i] = std::max(0.0, m_sums[i] + logRatio(hits, trials, referenceRate, m_rises[i]));
+}
+
+double ChangeTest::score() const { return *std::max_element(m_sums.begin(), m_sums.end()); }
+
+void TrialTest::add(double hits, double trials, double referenceRate)
+{
+    m_sum += logRatio(hits, trials, referenceRate, m_rise);
+}
+
+} // namespace laburnum
