--- a/cmake/Laburnum.cmake
+++ b/cmake/Laburnum.cmake
@@ -1,7 +1,8 @@
 # Build helpers: one call per folder declares its product and its test program.
 
 add_library(laburnum_options INTERFACE)
-target_compile_options(laburnum_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wno-missing-field-initializers)
+# -Wrestrict of g++ 12 warns about std::string concatenation without cause (GCC bug 105651).
+target_compile_options(laburnum_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wno-missing-field-initializers -Wno-restrict)
 if(LABURNUM_WERROR)
   target_compile_options(laburnum_options INTERFACE -Werror)
 endif()
--- a/src/include/laburnumroute/claim_coordinator.h
+++ b/src/include/laburnumroute/claim_coordinator.h
@@ -28,7 +28,7 @@
 /// Runs the claim protocol against the claim hosts of each key. No I/O; not thread-safe.
 class ClaimCoordinator final : public Participant {
 public:
-    using Callback = std::function<void(const ClaimResult&)>;
+    using Callback = std::function<void(const ClaimDecision&)>;
 
     /// Time that begin() waits for the claim hosts before it gives up.
     static constexpr Duration requestTimeout = std::chrono::milliseconds(500);
@@ -45,7 +45,7 @@
     /// Ends a claim that Run named. `answer` is kept with Answered; null when it is too large to
     /// keep. Unknown claims are ignored.
     void finish(
-        const ClaimToken& claim, ClaimEnd end, const StoredAnswer* answer, TimePoint now, Outbox& out);
+        const ClaimId& claim, ClaimEnd end, const StoredAnswer* answer, TimePoint now, Outbox& out);
 
     std::vector<std::string> methods() const override;
     void receive(const PeerMessage& message, TimePoint now, Outbox& out) override;
@@ -79,24 +79,24 @@
         TimePoint nextSend;
         TimePoint givesUp;
     };
-    using AskingPosition = std::map<ClaimToken, Asking>::iterator;
+    using AskingPosition = std::map<ClaimId, Asking>::iterator;
 
     void onReply(const PeerMessage& message, TimePoint now, Outbox& out);
     void onConfirmed(const PeerMessage& message);
     void noteReply(AskingPosition asking, const HostId& from, const pvt::ClaimReply& reply,
         TimePoint now, Outbox& out);
-    void settle(AskingPosition asking, const ClaimResult& decision, TimePoint now, Outbox& out);
-    void sendRequests(const ClaimToken& claim, Asking& asking, TimePoint now, Outbox& out);
-    void startEnding(const ClaimToken& claim, const Running& running, ClaimEnd end,
+    void settle(AskingPosition asking, const ClaimDecision& decision, TimePoint now, Outbox& out);
+    void sendRequests(const ClaimId& claim, Asking& asking, TimePoint now, Outbox& out);
+    void startEnding(const ClaimId& claim, const Running& running, ClaimEnd end,
         const StoredAnswer* answer, TimePoint now, Outbox& out);
 
     HostId m_self;
     ClaimPlacement m_placement;
     std::string m_nonce;
     std::uint64_t m_lastClaim = 0;
-    std::map<ClaimToken, Asking> m_asking;
-    std::map<ClaimToken, Running> m_running;
-    std::map<ClaimToken, Ending> m_ending;
+    std::map<ClaimId, Asking> m_asking;
+    std::map<ClaimId, Running> m_running;
+    std::map<ClaimId, Ending> m_ending;
 };
 
 } // namespace laburnum
--- a/src/include/laburnumroute/claim_replica.h
+++ b/src/include/laburnumroute/claim_replica.h
@@ -32,7 +32,7 @@
 
 /// One remembered claim.
 struct ClaimRecord {
-    ClaimToken id;
+    ClaimId id;
     std::string fingerprint;
     /// Nothing while the request runs.
     std::optional<ClaimEnd> end;
@@ -102,7 +102,7 @@
     ClaimLimits m_limits;
     Storage& m_storage;
     Claims m_claims;
-    std::map<ClaimToken, TimePoint> m_released;
+    std::map<ClaimId, TimePoint> m_released;
     std::deque<ClaimKey> m_answerOrder;
     std::size_t m_answerBytes = 0;
     std::map<HostId, PeerFetch> m_peers;
--- a/src/include/laburnumroute/claims.h
+++ b/src/include/laburnumroute/claims.h
@@ -26,12 +26,11 @@
 };
 
 /// One try to run a request; unique over all hosts and restarts.
-using ClaimToken = StrongId<struct ClaimTokenTag, std::string>;
+using ClaimId = StrongId<struct ClaimTag, std::string>;
 
 /// A whole answer kept for callers that resend. Bytes of the body as they were sent.
 struct StoredAnswer {
     unsigned status = 0;
-    std::string reason;
     std::vector<HeaderField> fields;
     std::string body;
 };
@@ -68,10 +67,10 @@
 const char* claimVerdictName(ClaimVerdict verdict) noexcept;
 
 /// Verdict with what belongs to it.
-struct ClaimResult {
+struct ClaimDecision {
     ClaimVerdict verdict = ClaimVerdict::OutOfReach;
     /// The claim to finish; set with Run.
-    ClaimToken claim;
+    ClaimId claim;
     /// Set with Replay.
     StoredAnswer answer;
 };
--- a/src/libclaim/claim_coordinator.cpp
+++ b/src/libclaim/claim_coordinator.cpp
@@ -21,7 +21,7 @@
 void ClaimCoordinator::begin(
     const ClaimDemand& demand, Callback callback, TimePoint now, Outbox& out)
 {
-    const ClaimToken claim(m_self.value() + '/' + m_nonce + '/' + std::to_string(++m_lastClaim));
+    const ClaimId claim(m_self.value() + '/' + m_nonce + '/' + std::to_string(++m_lastClaim));
     Asking asking;
     asking.demand = demand;
     asking.replicas = m_placement.replicasOf(demand.key);
@@ -32,7 +32,7 @@
 }
 
 void ClaimCoordinator::sendRequests(
-    const ClaimToken& claim, Asking& asking, TimePoint now, Outbox& out)
+    const ClaimId& claim, Asking& asking, TimePoint now, Outbox& out)
 {
     asking.nextSend = now + resendInterval;
     const Json::Value request = encode(ClaimRequest { asking.demand, claim, m_placement.epoch() });
@@ -94,9 +94,9 @@
 }
 
 void ClaimCoordinator::settle(
-    AskingPosition asking, const ClaimResult& decision, TimePoint now, Outbox& out)
+    AskingPosition asking, const ClaimDecision& decision, TimePoint now, Outbox& out)
 {
-    const ClaimToken claim = asking->first;
+    const ClaimId claim = asking->first;
     const Asking state = std::move(asking->second);
     m_asking.erase(asking);
     const Running running { state.demand, state.replicas };
@@ -114,7 +114,7 @@
 }
 
 void ClaimCoordinator::finish(
-    const ClaimToken& claim, ClaimEnd end, const StoredAnswer* answer, TimePoint now, Outbox& out)
+    const ClaimId& claim, ClaimEnd end, const StoredAnswer* answer, TimePoint now, Outbox& out)
 {
     const auto running = m_running.find(claim);
     if (running == m_running.end())
@@ -123,7 +123,7 @@
     m_running.erase(running);
 }
 
-void ClaimCoordinator::startEnding(const ClaimToken& claim, const Running& running, ClaimEnd end,
+void ClaimCoordinator::startEnding(const ClaimId& claim, const Running& running, ClaimEnd end,
     const StoredAnswer* answer, TimePoint now, Outbox& out)
 {
     ClaimEndNotice notice { running.demand.key, claim, running.demand.fingerprint, end, {} };
@@ -143,7 +143,7 @@
 {
     const Json::Value& claim = message.params["claim"];
     const auto ending
-        = claim.isString() ? m_ending.find(ClaimToken(claim.asString())) : m_ending.end();
+        = claim.isString() ? m_ending.find(ClaimId(claim.asString())) : m_ending.end();
     if (ending == m_ending.end())
         return;
     ending->second.unconfirmed.erase(message.from);
--- a/src/libclaim/claim_messages.cpp
+++ b/src/libclaim/claim_messages.cpp
@@ -80,7 +80,6 @@
     {
         Json::Value value(Json::objectValue);
         value["status"] = answer.status;
-        value["reason"] = encodeBase64(answer.reason);
         value["fields"] = Json::Value(Json::arrayValue);
         for (const auto& field : answer.fields) {
             value["fields"].append(encodeBase64(field.name));
@@ -95,7 +94,6 @@
         ClaimReader reader(value);
         StoredAnswer answer;
         answer.status = static_cast<unsigned>(reader.number("status"));
-        answer.reason = reader.keep(decodeBase64(reader.text("reason")));
         answer.body = reader.keep(decodeBase64(reader.text("body")));
         const Json::Value& fields = value["fields"];
         for (Json::ArrayIndex i = 0; i + 1 < fields.size(); i += 2) {
@@ -155,7 +153,7 @@
     message.demand.key = readKey(reader);
     message.demand.fingerprint = reader.text("fingerprint");
     message.demand.deadline = std::chrono::milliseconds(reader.number("deadline_ms"));
-    message.claim = ClaimToken(reader.text("claim"));
+    message.claim = ClaimId(reader.text("claim"));
     message.epoch = reader.number("epoch");
     return reader.finish(std::move(message));
 }
@@ -174,7 +172,7 @@
 {
     ClaimReader reader(value);
     ClaimReply message;
-    message.claim = ClaimToken(reader.text("claim"));
+    message.claim = ClaimId(reader.text("claim"));
     message.verdict = reader.keep(verdictOf(reader.text("verdict")));
     message.answer = readOptionalAnswer(reader, value);
     return reader.finish(std::move(message));
@@ -196,14 +194,14 @@
     ClaimReader reader(value);
     ClaimEndNotice message;
     message.key = readKey(reader);
-    message.claim = ClaimToken(reader.text("claim"));
+    message.claim = ClaimId(reader.text("claim"));
     message.fingerprint = reader.text("fingerprint");
     message.end = reader.keep(endOf(reader.text("end")));
     message.answer = readOptionalAnswer(reader, value);
     return reader.finish(std::move(message));
 }
 
-Json::Value encodeConfirm(const ClaimToken& claim)
+Json::Value encodeConfirm(const ClaimId& claim)
 {
     Json::Value value(Json::objectValue);
     value["claim"] = claim.value();
@@ -273,7 +271,7 @@
     ClaimReader reader(value);
     const ClaimKey key = readKey(reader);
     ClaimRecord record;
-    record.id = ClaimToken(reader.text("claim"));
+    record.id = ClaimId(reader.text("claim"));
     record.fingerprint = reader.text("fingerprint");
     record.expires = now + std::chrono::milliseconds(reader.number("left_ms"));
     if (value.isObject() && value.isMember("end"))
--- a/src/libclaim/claim_messages_pvt.h
+++ b/src/libclaim/claim_messages_pvt.h
@@ -19,13 +19,13 @@
 /// Asks a claim host to grant a claim.
 struct ClaimRequest {
     ClaimDemand demand;
-    ClaimToken claim;
+    ClaimId claim;
     std::uint64_t epoch = 0;
 };
 
 /// A claim host's answer. Granted: Run. OutOfReach: the host cannot grant now.
 struct ClaimReply {
-    ClaimToken claim;
+    ClaimId claim;
     ClaimVerdict verdict = ClaimVerdict::OutOfReach;
     std::optional<StoredAnswer> answer;
 };
@@ -33,7 +33,7 @@
 /// Tells a claim host how a claim ended.
 struct ClaimEndNotice {
     ClaimKey key;
-    ClaimToken claim;
+    ClaimId claim;
     std::string fingerprint;
     ClaimEnd end = ClaimEnd::Unknown;
     std::optional<StoredAnswer> answer;
@@ -61,7 +61,7 @@
 Json::Value encode(const ClaimEndNotice& message);
 Json::Value encode(const ClaimFetch& message);
 Json::Value encode(const ClaimFetched& message);
-Json::Value encodeConfirm(const ClaimToken& claim);
+Json::Value encodeConfirm(const ClaimId& claim);
 
 Expected<ClaimRequest> decodeRequest(const Json::Value& value);
 Expected<ClaimReply> decodeReply(const Json::Value& value);
--- a/testsuite/bench/claims_bench.cpp
+++ b/testsuite/bench/claims_bench.cpp
@@ -82,7 +82,7 @@
             fakes::FakeNetwork& network, ClaimCoordinator& coordinator, const HostId& self)
         {
             std::vector<double> times;
-            const StoredAnswer answer { 201, "Created", { { "Content-Type", "application/json" } },
+            const StoredAnswer answer { 201, { { "Content-Type", "application/json" } },
                 std::string(answerBytes, 'x') };
             for (int i = 0; i < claimCount; ++i) {
                 Outbox out(self);
@@ -91,7 +91,7 @@
                     IdempotencyKey("key-" + std::to_string(i)) };
                 coordinator.begin(
                     { key, "POST /claims", 10s },
-                    [&](const ClaimResult& decision) {
+                    [&](const ClaimDecision& decision) {
                         times.push_back(
                             std::chrono::duration<double, std::milli>(network.now() - begun)
                                 .count());
