--- a/src/include/laburnumroute/entry_server.h
+++ b/src/include/laburnumroute/entry_server.h
@@ -19,6 +19,8 @@
     Duration callerHeadTimeout = std::chrono::seconds(10);
     /// Time that a caller's connection may stay open between two requests.
     Duration callerIdleTimeout = std::chrono::seconds(75);
+    /// Time that a request may wait for a free slot.
+    Duration slotWaitTimeout = std::chrono::seconds(1);
     /// Time to open a connection to an instance.
     Duration connectTimeout = std::chrono::seconds(1);
     /// Time without progress after which an answer under way is given up.
--- a/src/libnet/answers_pvt.h
+++ b/src/libnet/answers_pvt.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string>
 
-#include <laburnumroute/claim_gate.h>
+#include <laburnumroute/claims.h>
 #include <laburnumroute/dispatcher.h>
 #include <laburnumroute/http_message.h>
 #include <laburnumroute/request_metrics.h>
@@ -32,6 +32,7 @@
     inline constexpr const char* deadline = "deadline";
     inline constexpr const char* inProgress = "in-progress";
     inline constexpr const char* claimUnknown = "claim-unknown";
+    inline constexpr const char* answeredWithoutCopy = "answered-without-copy";
     inline constexpr const char* keyReused = "key-reused";
     inline constexpr const char* claimsUnreachable = "claims-unreachable";
     inline constexpr const char* replayed = "replayed";
--- a/src/libnet/claim_wait_pvt.h
+++ b/src/libnet/claim_wait_pvt.h
@@ -19,8 +19,7 @@
 public:
     ClaimWait(const asio::any_io_executor& strand, ClaimGate& gate);
 
-    void ask(
-        const ServiceId& service, const IdempotencyKey& key, const RequestFingerprint& fingerprint);
+    void ask(const ClaimDemand& demand);
     /// The decision, or nothing if there is none by `limit`.
     asio::awaitable<std::optional<ClaimDecision>> decision(SteadyTime limit);
 
--- a/src/libnet/exchange.cpp
+++ b/src/libnet/exchange.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "request_vetting_pvt.h"
+
 namespace laburnum::pvt {
 
 namespace {
@@ -21,11 +23,6 @@
         return steadyNow() + std::chrono::duration_cast<std::chrono::steady_clock::duration>(d);
     }
 
-    bool expectsContinue(const HttpHead& request)
-    {
-        return request.versionMinor > 0 && equalNames(request.field("expect"), "100-continue");
-    }
-
     void eraseFields(std::vector<HeaderField>& fields, std::string_view name)
     {
         std::erase_if(
@@ -266,7 +263,7 @@
         = m_caller.request.keepAlive && !untilClose && uploaded && !m_caller.entry.draining;
     auto fields = answerFields(head, framing);
     if (m_caller.capture) {
-        m_outcome.captured = StoredAnswer { head.status, head.reason, endToEndFields(head), {} };
+        m_outcome.captured = StoredAnswer { head.status, endToEndFields(head), {} };
     }
     addConnection(fields, { false, m_caller.request.versionMinor, m_outcome.keepAlive });
     watchProgress();
@@ -314,7 +311,7 @@
     m_outcome.answerBytes += part.size();
     if (!m_outcome.captured)
         return;
-    if (m_outcome.captured->body.size() + part.size() > StoredAnswer::maxBodyBytes)
+    if (m_outcome.captured->body.size() + part.size() > ClaimGate::maxStoredBytes)
         m_outcome.captured.reset();
     else
         m_outcome.captured->body += part;
--- a/src/libnet/request_handler.cpp
+++ b/src/libnet/request_handler.cpp
@@ -93,7 +93,7 @@
         co_await answer(std::move(refusal));
         co_return false;
     }
-    auto assigned = assign();
+    auto assigned = co_await assignFirst();
     if (!assigned) {
         co_await answer(refusalAnswer(assigned.error()));
         co_return m_keepAlive;
@@ -105,7 +105,7 @@
     if (needsClaim()) {
         const auto verdict = co_await claim(assigned->service);
         if (verdict == Verdict::Answered) {
-            giveBack(*assigned);
+            endAttempt(*assigned, { AttemptResult::CallerFault });
             co_return m_keepAlive;
         }
     }
@@ -133,7 +133,7 @@
     co_return co_await conclude(outcome);
 }
 
-tl::expected<Assignment, RefusalReason> RequestHandler::assign()
+RequestHandler::Assigned RequestHandler::assign()
 {
     const RequestFacts facts = factsOf(m_request);
     return m_entry.table.with([&](Dispatcher& dispatcher, TimePoint now) {
@@ -141,21 +141,54 @@
     });
 }
 
+tl::expected<WaiterId, RefusalReason> RequestHandler::enqueue(Duration limit)
+{
+    const RequestFacts facts = factsOf(m_request);
+    return m_entry.table.with([&](Dispatcher& dispatcher, TimePoint now) {
+        return dispatcher.enqueue(facts, now + limit, now);
+    });
+}
+
+asio::awaitable<RequestHandler::Assigned> RequestHandler::assignFirst()
+{
+    const Duration limit = std::min(
+        m_entry.options.slotWaitTimeout, callerDeadline(m_request).value_or(Duration::max()));
+    const SteadyTime until = m_side.arrival + steady(limit);
+    auto assigned = assign();
+    while (!assigned && assigned.error() == RefusalReason::NoSlot) {
+        const SteadyTime before = std::chrono::steady_clock::now();
+        const auto waiter = enqueue(std::max<Duration>(until - before, Duration::zero()));
+        if (!waiter)
+            co_return tl::unexpected<RefusalReason>(waiter.error());
+        const auto strand = m_stream.socket().get_executor();
+        const bool woken = co_await m_entry.waiters.wait(*waiter, strand, until);
+        m_waited += std::chrono::steady_clock::now() - before;
+        if (!woken) {
+            m_entry.table.with(
+                [&](Dispatcher& dispatcher, TimePoint) { dispatcher.abandon(*waiter); });
+            break;
+        }
+        assigned = assign();
+    }
+    co_return assigned;
+}
+
 void RequestHandler::finish(const Assignment& assigned, const AttemptOutcome& outcome)
 {
     m_mayHaveRun = m_mayHaveRun || outcome.mayHaveRun;
     m_waited += outcome.waited;
     m_answerBytes += outcome.answerBytes;
-    m_entry.table.with([&](Dispatcher& dispatcher, TimePoint now) {
-        dispatcher.finish(assigned.attempt, resultOf(outcome), now);
-    });
+    endAttempt(assigned,
+        { resultOf(outcome), outcome.status, outcome.latency,
+            m_body.bytes() + outcome.answerBytes });
 }
 
-void RequestHandler::giveBack(const Assignment& assigned)
+void RequestHandler::endAttempt(const Assignment& assigned, const AttemptReport& report)
 {
-    m_entry.table.with([&](Dispatcher& dispatcher, TimePoint now) {
-        dispatcher.finish(assigned.attempt, AttemptResult::CallerFault, now);
+    const auto waiters = m_entry.table.with([&](Dispatcher& dispatcher, TimePoint now) {
+        return dispatcher.finish(assigned.attempt, report, now);
     });
+    m_entry.waiters.wake(waiters);
 }
 
 bool RequestHandler::mayRepeat(const AttemptOutcome& outcome)
@@ -164,7 +197,9 @@
     const bool allowed = isIdempotentMethod(m_request.method) || !m_mayHaveRun;
     return worthIt && allowed && m_body.replayable()
         && std::chrono::steady_clock::now() < m_side.deadline
-        && takeRetry(m_entry.table, m_service, m_retries);
+        && m_entry.table.with([&](Dispatcher& dispatcher, TimePoint now) {
+               return dispatcher.takeRetry(m_service, now);
+           });
 }
 
 asio::awaitable<bool> RequestHandler::conclude(const AttemptOutcome& outcome)
@@ -212,7 +247,7 @@
         && !m_request.field("idempotency-key").empty();
 }
 
-RequestFingerprint RequestHandler::fingerprint() const
+std::string RequestHandler::fingerprint() const
 {
     const std::string length
         = m_request.contentLength ? std::to_string(*m_request.contentLength) : "-";
@@ -222,73 +257,90 @@
     std::array<char, 33> digits {};
     std::snprintf(digits.data(), digits.size(), "%016llx%016llx",
         static_cast<unsigned long long>(hash.high64), static_cast<unsigned long long>(hash.low64));
-    return RequestFingerprint(digits.data());
+    return digits.data();
 }
 
-asio::awaitable<std::optional<ClaimDecision>> RequestHandler::askClaims(const ServiceId& service)
+asio::awaitable<bool> RequestHandler::readKeyedBody()
+{
+    if (expectsContinue(m_request) && m_body.bytes() == 0 && !m_body.complete()) {
+        m_side.continued = true;
+        co_await m_stream.write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    m_side.watchdog.watch(m_side.deadline, [this] { m_stream.cancel(); });
+    const auto body = co_await m_body.readAhead();
+    m_side.watchdog.clear();
+    if (body)
+        co_return true;
+    const bool malformed = body.error().code != ErrorCode::Closed;
+    m_request.keepAlive = false;
+    OwnAnswer refusal { statusRequestTimeout, RequestOutcome::NotRun, reasons::slowBody };
+    if (malformed)
+        refusal = { statusBadRequest, RequestOutcome::NotRun, reasons::malformedBody };
+    co_await answer(std::move(refusal));
+    co_return false;
+}
+
+asio::awaitable<ClaimDecision> RequestHandler::askClaims(const ServiceId& service)
 {
-    const IdempotencyKey key { std::string(m_request.field("idempotency-key")) };
-    auto wait = std::make_shared<ClaimWait>(m_stream.socket().get_executor(), *m_entry.claims);
-    wait->ask(service, key, fingerprint());
     const SteadyTime before = std::chrono::steady_clock::now();
+    ClaimDemand demand;
+    demand.key = { service, IdempotencyKey(std::string(m_request.field("idempotency-key"))) };
+    demand.fingerprint = fingerprint();
+    // The answer may still flow after the deadline by which it has to begin.
+    demand.deadline = std::max<Duration>(m_side.deadline - before, Duration::zero())
+        + m_entry.options.bodyIdleTimeout;
+    auto wait = std::make_shared<ClaimWait>(m_stream.socket().get_executor(), *m_entry.claims);
+    wait->ask(demand);
     auto decision = co_await wait->decision(m_side.deadline);
     m_waited += std::chrono::steady_clock::now() - before;
-    co_return decision;
+    co_return std::move(decision).value_or(ClaimDecision {});
 }
 
 asio::awaitable<RequestHandler::Verdict> RequestHandler::claim(const ServiceId& service)
 {
-    if (equalNames(m_request.field("expect"), "100-continue") && m_request.versionMinor > 0
-        && !m_body.complete()) {
-        m_side.continued = true;
-        co_await m_stream.write("HTTP/1.1 100 Continue\r\n\r\n");
-    }
-    m_side.watchdog.watch(m_side.deadline, [this] { m_stream.cancel(); });
-    const auto body = co_await m_body.readAhead();
-    m_side.watchdog.clear();
-    if (!body) {
-        const bool malformed = body.error().code != ErrorCode::Closed;
-        m_request.keepAlive = false;
-        co_await answer({ malformed ? statusBadRequest : statusRequestTimeout,
-            RequestOutcome::NotRun, malformed ? reasons::malformedBody : reasons::slowBody });
+    if (!co_await readKeyedBody())
         co_return Verdict::Answered;
+    const ClaimDecision decision = co_await askClaims(service);
+    if (decision.verdict == ClaimVerdict::Run) {
+        m_claim = decision.claim;
+        m_side.capture = true;
+        co_return Verdict::Run;
     }
-    const auto decision = co_await askClaims(service);
-    OwnAnswer refusal { statusUnavailable, RequestOutcome::NotRun, reasons::claimsUnreachable };
-    if (decision) {
-        if (const auto* run = std::get_if<ClaimRun>(&*decision)) {
-            m_claim = run->claim;
-            m_side.capture = true;
-            co_return Verdict::Run;
-        }
-        if (const auto* replay = std::get_if<ClaimReplay>(&*decision)) {
-            m_keepAlive = m_request.keepAlive && m_body.complete() && !m_entry.draining;
-            co_await m_stream.write(renderReplay(replay->answer, answerContext()));
-            count(RequestOutcome::Answered, replay->answer.status);
-            co_return Verdict::Answered;
-        }
-        const auto* refused = std::get_if<ClaimRefused>(&*decision);
-        if (std::holds_alternative<ClaimInProgress>(*decision))
-            refusal = { statusConflict, RequestOutcome::Unknown, reasons::inProgress };
-        else if (std::holds_alternative<ClaimUnknown>(*decision))
-            refusal = { statusConflict, RequestOutcome::Unknown, reasons::claimUnknown };
-        else if (refused != nullptr && refused->cause == ClaimRefused::Cause::KeyReused)
-            refusal = { statusConflict, RequestOutcome::NotRun, reasons::keyReused };
+    co_await answerClaim(decision);
+    co_return Verdict::Answered;
+}
+
+asio::awaitable<void> RequestHandler::answerClaim(const ClaimDecision& decision)
+{
+    if (decision.verdict == ClaimVerdict::Replay) {
+        m_keepAlive = m_request.keepAlive && m_body.complete() && !m_entry.draining;
+        co_await m_stream.write(renderReplay(decision.answer, answerContext()));
+        count(RequestOutcome::Answered, decision.answer.status);
+        co_return;
     }
+    const RequestOutcome unknown = RequestOutcome::Unknown;
+    OwnAnswer refusal { statusUnavailable, RequestOutcome::NotRun, reasons::claimsUnreachable };
+    if (decision.verdict == ClaimVerdict::InProgress)
+        refusal = { statusConflict, unknown, reasons::inProgress };
+    else if (decision.verdict == ClaimVerdict::Unknown)
+        refusal = { statusConflict, unknown, reasons::claimUnknown };
+    else if (decision.verdict == ClaimVerdict::AnsweredWithoutCopy)
+        refusal = { statusConflict, unknown, reasons::answeredWithoutCopy };
+    else if (decision.verdict == ClaimVerdict::Mismatch)
+        refusal = { statusConflict, RequestOutcome::NotRun, reasons::keyReused };
     co_await answer(std::move(refusal));
-    co_return Verdict::Answered;
 }
 
 void RequestHandler::finishClaim(const AttemptOutcome& outcome)
 {
     if (!m_claim)
         return;
-    ClaimOutcome claimed;
+    ClaimEnd end = ClaimEnd::Unknown;
     if (!m_mayHaveRun)
-        claimed.kind = ClaimOutcome::Kind::NotRun;
+        end = ClaimEnd::NotRun;
     else if (outcome.captured || outcome.end == AttemptEnd::Passed)
-        claimed = { ClaimOutcome::Kind::Answered, outcome.captured };
-    m_entry.claims->finish(*m_claim, std::move(claimed));
+        end = ClaimEnd::Answered;
+    m_entry.claims->finish(*m_claim, end, outcome.captured ? &*outcome.captured : nullptr);
 }
 
 } // namespace laburnum::pvt
--- a/src/libnet/request_vetting_pvt.h
+++ b/src/libnet/request_vetting_pvt.h
@@ -12,6 +12,8 @@
 Expected<void> vetRequest(HttpHead& request);
 /// What the dispatcher needs to know of a vetted request.
 RequestFacts factsOf(const HttpHead& request);
+/// True when the caller may wait for `100 Continue` before it sends the body.
+bool expectsContinue(const HttpHead& request);
 /// The caller's own time limit (`Laburnum-Deadline-Ms`), if it states a valid one.
 std::optional<Duration> callerDeadline(const HttpHead& request);
 
