--- a/src/libnet/answers.cpp
+++ b/src/libnet/answers.cpp
@@ -1,5 +1,7 @@
 #include "answers_pvt.h"
 
+#include <http_parser.h>
+
 namespace laburnum::pvt {
 
 namespace {
@@ -9,26 +11,7 @@
 
     const char* reasonPhrase(unsigned status)
     {
-        switch (status) {
-        case 400:
-            return "Bad Request";
-        case 404:
-            return "Not Found";
-        case 408:
-            return "Request Timeout";
-        case 409:
-            return "Conflict";
-        case 431:
-            return "Request Header Fields Too Large";
-        case 502:
-            return "Bad Gateway";
-        case 503:
-            return "Service Unavailable";
-        case 504:
-            return "Gateway Timeout";
-        default:
-            return "";
-        }
+        return http_status_str(static_cast<http_status>(status));
     }
 
 } // namespace
@@ -66,7 +49,7 @@
 {
     HttpHead head;
     head.status = answer.status;
-    head.reason = answer.reason;
+    head.reason = reasonPhrase(answer.status);
     constexpr unsigned statusNoContent = 204;
     constexpr unsigned statusNotModified = 304;
     std::vector<HeaderField> fields;
--- a/src/libnet/claim_wait.cpp
+++ b/src/libnet/claim_wait.cpp
@@ -12,10 +12,9 @@
 {
 }
 
-void ClaimWait::ask(
-    const ServiceId& service, const IdempotencyKey& key, const RequestFingerprint& fingerprint)
+void ClaimWait::ask(const ClaimDemand& demand)
 {
-    m_gate.begin(service, key, fingerprint, [self = shared_from_this()](ClaimDecision decision) {
+    m_gate.begin(demand, [self = shared_from_this()](ClaimDecision decision) {
         asio::post(self->m_event.get_executor(), [self, decision = std::move(decision)]() mutable {
             self->settle(std::move(decision));
         });
@@ -25,8 +24,8 @@
 void ClaimWait::settle(ClaimDecision decision)
 {
     if (m_abandoned) {
-        if (const auto* run = std::get_if<ClaimRun>(&decision))
-            m_gate.finish(run->claim, { ClaimOutcome::Kind::NotRun, std::nullopt });
+        if (decision.verdict == ClaimVerdict::Run)
+            m_gate.finish(decision.claim, ClaimEnd::NotRun, nullptr);
         return;
     }
     m_decision = std::move(decision);
--- a/src/libnet/entry_context_pvt.h
+++ b/src/libnet/entry_context_pvt.h
@@ -7,6 +7,7 @@
 
 #include <laburnumroute/entry_server.h>
 
+#include "slot_waiters_pvt.h"
 #include "upstream_pool_pvt.h"
 
 namespace laburnum::pvt {
@@ -28,6 +29,7 @@
     /// May be null.
     ClaimGate* claims;
     UpstreamPool pool;
+    SlotWaiters waiters;
     RequestMetrics metrics;
     std::atomic<bool> draining { false };
     std::atomic<std::size_t> inFlight { 0 };
--- a/src/libnet/request_handler_pvt.h
+++ b/src/libnet/request_handler_pvt.h
@@ -4,7 +4,6 @@
 #include <set>
 
 #include "exchange_pvt.h"
-#include "retry_pvt.h"
 
 namespace laburnum::pvt {
 
@@ -21,17 +20,24 @@
 
     asio::awaitable<bool> attempt(Assignment assigned);
     asio::awaitable<Verdict> claim(const ServiceId& service);
-    asio::awaitable<std::optional<ClaimDecision>> askClaims(const ServiceId& service);
+    asio::awaitable<bool> readKeyedBody();
+    asio::awaitable<ClaimDecision> askClaims(const ServiceId& service);
+    asio::awaitable<void> answerClaim(const ClaimDecision& decision);
     asio::awaitable<void> answer(OwnAnswer answer);
     asio::awaitable<bool> conclude(const AttemptOutcome& outcome);
 
-    tl::expected<Assignment, RefusalReason> assign();
+    using Assigned = tl::expected<Assignment, RefusalReason>;
+
+    Assigned assign();
+    /// Assigns the first attempt; waits for a slot if there is none.
+    asio::awaitable<Assigned> assignFirst();
+    tl::expected<WaiterId, RefusalReason> enqueue(Duration limit);
     void finish(const Assignment& assigned, const AttemptOutcome& outcome);
-    void giveBack(const Assignment& assigned);
+    void endAttempt(const Assignment& assigned, const AttemptReport& report);
     bool mayRepeat(const AttemptOutcome& outcome);
     void finishClaim(const AttemptOutcome& outcome);
     bool needsClaim() const;
-    RequestFingerprint fingerprint() const;
+    std::string fingerprint() const;
     AnswerContext answerContext() const;
     void count(RequestOutcome outcome, unsigned status);
 
