--- a/src/include/laburnumroute/peer_judge.h
+++ b/src/include/laburnumroute/peer_judge.h
@@ -1,6 +1,7 @@
 /// Judges each instance of a service against its peers, from the outcomes that all hosts saw.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -18,6 +19,10 @@
     double score = 0.0;
     /// Time after an instance was first seen during which it is not judged.
     Duration grace {};
+    /// Judgements, half a second apart, over which errors and slowness must spread to reach the
+    /// score: a short pause of an instance is not sickness.
+    double errorSteps = 1.0;
+    double slownessSteps = 1.0;
 };
 
 /// The thresholds of `weighting`.
@@ -95,9 +100,14 @@
     };
     struct Tests {
         Tests();
+        double score() const { return std::max(errors.score(), slowness.score()); }
         ChangeTest errors;
         ChangeTest slowness;
     };
+    struct HostTally {
+        double troubles = 0.0;
+        double observations = 0.0;
+    };
     /// What the hosts of one data centre saw of one instance.
     struct ScopeState {
         OutcomeCounts pending;
@@ -106,18 +116,14 @@
         double judged = 0.0;
         double answeredErrors = 0.0;
         double pathErrors = 0.0;
-    };
-    struct HostTally {
-        double troubles = 0.0;
-        double observations = 0.0;
+        /// What each host saw since the scores were last 0.
+        std::map<HostId, HostTally> tallies;
     };
     struct InstanceState {
         TimePoint firstSeen {};
         Windows windows;
         Tests tests;
         std::map<DataCentreId, ScopeState> scopes;
-        /// What each host saw since the score was last 0.
-        std::map<HostId, HostTally> tallies;
         std::size_t slowBucket = LatencyHistogram::bucketCount;
     };
     struct Trial {
@@ -139,10 +145,11 @@
     static Reference referenceFor(const Windows& peers);
     void judge(const InstanceId& id, InstanceState& state, const Reference& reference,
         const std::set<HeldScope>& held, TimePoint now);
-    static void addTo(Tests& tests, const FadingCounts& counts, const Reference& reference);
+    void addTo(Tests& tests, const FadingCounts& counts, const Reference& reference) const;
     std::optional<Suspicion> suspicionOf(
         const InstanceId& id, const InstanceState& state, const Reference& reference) const;
-    static bool isOneHostsTrouble(const InstanceState& state);
+    static bool isOneHostsTrouble(
+        const InstanceState& state, const std::optional<DataCentreId>& dataCentre);
     std::optional<DataCentreId> pathOf(const InstanceState& state) const;
 
     DetectionThresholds m_thresholds;
--- a/src/include/laburnumroute/sequential_test.h
+++ b/src/include/laburnumroute/sequential_test.h
@@ -18,8 +18,9 @@
     {
     }
 
-    /// Takes `hits` out of `trials` against the reference rate, which lies inside (0, 1).
-    void add(double hits, double trials, double referenceRate);
+    /// Takes `hits` out of `trials` against the reference rate, which lies inside (0, 1). No sum
+    /// grows by more than `maxRise`, so that a single burst is not enough.
+    void add(double hits, double trials, double referenceRate, double maxRise);
     /// The largest log-likelihood ratio in nats; at least 0.
     double score() const;
     void reset() { m_sums = {}; }
--- a/src/libroute/detection_test.cpp
+++ b/src/libroute/detection_test.cpp
@@ -151,3 +151,61 @@
     strange["permits"][0]["state"] = "else";
     REQUIRE_FALSE(decodePermitGrant(strange).has_value());
 }
+
+TEST_CASE("a short pause of an instance is no sickness")
+{
+    auto fleet = warmFleet(
+        [](const InstanceId& id, const HostPlace&, TimePoint now, Random& random) {
+            const bool pauses = isFirst(id) && now.time_since_epoch() % 10s < 300ms;
+            AttemptReport report = healthyReport(random);
+            report.latency += pauses ? 300ms : 0ms;
+            return report;
+        },
+        Weighting::QuickDetection);
+    fleet->run(60s);
+    REQUIRE(fleet->ejectedAnywhere().empty());
+}
+
+TEST_CASE("a cold instance has its grace")
+{
+    auto fleet = warmFleet([](const InstanceId&, const HostPlace&, TimePoint,
+                               Random& random) { return healthyReport(random); },
+        Weighting::QuickDetection);
+    const InstanceId cold = EjectionFleet::instance(6);
+    const TimePoint joined = fleet->network.now();
+    fleet->health = [=](const InstanceId& id, const HostPlace&, TimePoint now, Random& random) {
+        return slowReport(random, id == cold && now < joined + 5s ? 5 : 1);
+    };
+    fleet->addInstance(6);
+    fleet->run(30s);
+    REQUIRE(fleet->ejectedAnywhere().empty());
+    REQUIRE(fleet->requests[cold] > 0);
+}
+
+TEST_CASE("thin traffic waits for evidence and finds a dead instance in the end")
+{
+    EjectionFleet fleet({ .floorSlots = 6, .rate = 1.0 });
+    fleet.run(60s);
+    fleet.health = [](const InstanceId& id, const HostPlace&, TimePoint, Random& random) {
+        return isFirst(id) ? errorReport() : healthyReport(random);
+    };
+    fleet.run(120s);
+    REQUIRE(fleet.ejectedAnywhere() == std::set { EjectionFleet::instance(0) });
+}
+
+TEST_CASE("an instance that flaps is ejected less often than it flaps")
+{
+    auto fleet = warmFleet(
+        [](const InstanceId& id, const HostPlace&, TimePoint now, Random& random) {
+            const bool sick = isFirst(id) && now.time_since_epoch() % 20s < 10s;
+            return sick ? errorReport() : healthyReport(random);
+        },
+        Weighting::QuickDetection);
+    fleet->run(400s);
+    unsigned grants = 0;
+    for (const auto& decision : fleet->network.decisions())
+        grants += decision.kind == "grant-ejection" ? 1 : 0;
+    REQUIRE(grants >= 1);
+    REQUIRE(grants <= 7);
+    REQUIRE(fleet->violations == 0);
+}
--- a/src/libroute/ejection_test.cpp
+++ b/src/libroute/ejection_test.cpp
@@ -232,3 +232,55 @@
     fleet.run(60s);
     REQUIRE(fleet.ejectedAnywhere().empty());
 }
+
+namespace {
+
+/// One random mishap: a cut, a freeze, a new owner, an instance that leaves, returns or sickens.
+void mishap(EjectionFleet& fleet, Random& random, std::set<unsigned>& sick)
+{
+    const auto host = static_cast<unsigned>(uniformBelow(random, fleet.options.hosts));
+    const auto other = static_cast<unsigned>(uniformBelow(random, fleet.options.hosts));
+    const auto instance = static_cast<unsigned>(uniformBelow(random, fleet.options.instances));
+    const HostId name = fleet.hosts[host]->place.host;
+    const HostId otherName = fleet.hosts[other]->place.host;
+    const bool mends = uniformBelow(random, 2) == 0;
+    switch (uniformBelow(random, 6)) {
+    case 0:
+        fleet.network.cut(name, otherName, mends);
+        break;
+    case 1:
+        fleet.network.freeze(name, mends);
+        break;
+    case 2:
+        fleet.setOwner(host, fleet.network.now());
+        break;
+    case 3:
+        if (mends)
+            fleet.addInstance(instance);
+        else
+            fleet.removeInstance(instance);
+        break;
+    default:
+        if (!sick.erase(instance))
+            sick.insert(instance);
+        fleet.health = failing(sick);
+    }
+}
+
+} // namespace
+
+TEST_CASE("the floor holds under any sequence of mishaps")
+{
+    const auto seed = GENERATE(range(std::uint64_t { 1 }, std::uint64_t { 21 }));
+    CAPTURE(seed);
+    EjectionFleet fleet({ .floorSlots = 18, .seed = seed });
+    fleet.network.setFaults({ 0.05, 0.1, 300ms });
+    fleet.run(10s);
+    Random random(seed);
+    std::set<unsigned> sick;
+    for (int i = 0; i < 30; ++i) {
+        mishap(fleet, random, sick);
+        fleet.run(std::chrono::milliseconds(uniformBelow(random, 3000)));
+    }
+    REQUIRE(fleet.violations == 0);
+}
--- a/src/libroute/peer_judge.cpp
+++ b/src/libroute/peer_judge.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-    constexpr DetectionThresholds fewFalseEjections { 24.0, std::chrono::seconds(20) };
-    constexpr DetectionThresholds quickDetection { 10.0, std::chrono::seconds(5) };
+    constexpr DetectionThresholds fewFalseEjections { 24.0, std::chrono::seconds(20), 3.0, 6.0 };
+    constexpr DetectionThresholds quickDetection { 10.0, std::chrono::seconds(5), 2.0, 4.0 };
 
     /// Half-lives of the two fading windows.
     constexpr double slowHalfLifeSeconds = 120.0;
@@ -73,7 +73,9 @@
     const double grace = between(std::chrono::duration<double>(fewFalseEjections.grace).count(),
         std::chrono::duration<double>(quickDetection.grace).count());
     return { between(fewFalseEjections.score, quickDetection.score),
-        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(grace)) };
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(grace)),
+        between(fewFalseEjections.errorSteps, quickDetection.errorSteps),
+        between(fewFalseEjections.slownessSteps, quickDetection.slownessSteps) };
 }
 
 const char* symptomName(Symptom symptom) noexcept
@@ -121,14 +123,15 @@
         InstanceState& state = entry->second;
         if (added)
             state.firstSeen = now;
-        OutcomeCounts& pending = state.scopes[delta.observer].pending;
+        ScopeState& scope = state.scopes[delta.observer];
+        OutcomeCounts& pending = scope.pending;
         pending.succeeded += counts.succeeded;
         pending.failed += counts.failed;
         pending.broken += counts.broken;
         pending.timedOut += counts.timedOut;
         pending.notConnected += counts.notConnected;
         pending.latency.merge(counts.latency);
-        HostTally& tally = state.tallies[host];
+        HostTally& tally = scope.tallies[host];
         tally.troubles += counts.errors() + counts.latency.countFrom(state.slowBucket);
         tally.observations += counts.judged();
     }
@@ -147,8 +150,7 @@
         const Reference reference = referenceFor(peers);
         state.slowBucket = reference.slowBucket;
         judge(id, state, reference, held, now);
-        const double score = std::max(state.tests.errors.score(), state.tests.slowness.score());
-        if (score >= m_thresholds.score / 2)
+        if (state.tests.score() >= m_thresholds.score / 2)
             ++troubled;
         if (const auto suspicion = suspicionOf(id, state, reference))
             m_suspicions.push_back(*suspicion);
@@ -177,9 +179,10 @@
         return;
     found->second.tests = Tests();
     found->second.windows = {};
-    found->second.tallies.clear();
-    for (auto& [dataCentre, scope] : found->second.scopes)
+    for (auto& [dataCentre, scope] : found->second.scopes) {
         scope.tests = Tests();
+        scope.tallies.clear();
+    }
 }
 
 void PeerJudge::forget(const InstanceId& instance)
@@ -277,33 +280,35 @@
     }
     if (!inGrace)
         addTo(state.tests, total, reference);
-    if (state.tests.errors.score() == 0.0 && state.tests.slowness.score() == 0.0)
-        state.tallies.clear();
+    for (auto& [dataCentre, scope] : state.scopes) {
+        if (state.tests.score() == 0.0 && scope.tests.score() == 0.0)
+            scope.tallies.clear();
+    }
 }
 
-void PeerJudge::addTo(Tests& tests, const FadingCounts& counts, const Reference& reference)
+void PeerJudge::addTo(Tests& tests, const FadingCounts& counts, const Reference& reference) const
 {
     if (reference.errorsKnown)
-        tests.errors.add(counts.errors, counts.judged, reference.errorRate);
+        tests.errors.add(counts.errors, counts.judged, reference.errorRate,
+            m_thresholds.score / m_thresholds.errorSteps);
     if (reference.slownessKnown)
         tests.slowness.add(counts.latency.countFrom(reference.slowBucket), counts.latency.total(),
-            reference.slowRate);
+            reference.slowRate, m_thresholds.score / m_thresholds.slownessSteps);
 }
 
 std::optional<Suspicion> PeerJudge::suspicionOf(
     const InstanceId& id, const InstanceState& state, const Reference& reference) const
 {
-    const double errors = state.tests.errors.score();
-    const double slowness = state.tests.slowness.score();
-    if (std::max(errors, slowness) < m_thresholds.score)
-        return std::nullopt;
-    if (isOneHostsTrouble(state))
+    const auto path = pathOf(state);
+    const Tests& tests = path ? state.scopes.at(*path).tests : state.tests;
+    if (tests.score() < m_thresholds.score || isOneHostsTrouble(state, path))
         return std::nullopt;
     Suspicion suspicion;
     suspicion.instance = id;
-    suspicion.scope = pathOf(state).value_or(DataCentreId());
-    suspicion.symptom = errors >= slowness ? Symptom::Errors : Symptom::Slowness;
-    suspicion.score = std::max(errors, slowness);
+    suspicion.scope = path.value_or(DataCentreId());
+    suspicion.symptom
+        = tests.errors.score() >= tests.slowness.score() ? Symptom::Errors : Symptom::Slowness;
+    suspicion.score = tests.score();
     const FadingCounts& own = state.windows.fast;
     if (suspicion.symptom == Symptom::Errors) {
         suspicion.rate = own.errors / std::max(1.0, own.judged);
@@ -316,16 +321,21 @@
     return suspicion;
 }
 
-bool PeerJudge::isOneHostsTrouble(const InstanceState& state)
+bool PeerJudge::isOneHostsTrouble(
+    const InstanceState& state, const std::optional<DataCentreId>& dataCentre)
 {
     double troubles = 0.0;
     double observations = 0.0;
     HostTally worst;
-    for (const auto& [host, tally] : state.tallies) {
-        troubles += tally.troubles;
-        observations += tally.observations;
-        if (tally.troubles > worst.troubles)
-            worst = tally;
+    for (const auto& [name, scope] : state.scopes) {
+        if (dataCentre && name != *dataCentre)
+            continue;
+        for (const auto& [host, tally] : scope.tallies) {
+            troubles += tally.troubles;
+            observations += tally.observations;
+            if (tally.troubles > worst.troubles)
+                worst = tally;
+        }
     }
     return worst.troubles > oneHostShare * troubles
         && worst.observations < oneHostShare * observations;
@@ -333,18 +343,18 @@
 
 std::optional<DataCentreId> PeerJudge::pathOf(const InstanceState& state) const
 {
-    const auto scoreOf = [](const ScopeState& scope) {
-        return std::max(scope.tests.errors.score(), scope.tests.slowness.score());
-    };
-    const auto worst = std::max_element(state.scopes.begin(), state.scopes.end(),
-        [&](const auto& a, const auto& b) { return scoreOf(a.second) < scoreOf(b.second); });
-    if (worst == state.scopes.end() || worst->second.answeredErrors > worst->second.pathErrors)
+    const auto worst = std::max_element(
+        state.scopes.begin(), state.scopes.end(), [&](const auto& a, const auto& b) {
+            return a.second.tests.score() < b.second.tests.score();
+        });
+    if (worst == state.scopes.end() || worst->second.tests.score() < m_thresholds.score
+        || worst->second.answeredErrors > worst->second.pathErrors)
         return std::nullopt;
     double others = 0.0;
     for (const auto& [dataCentre, scope] : state.scopes) {
         if (dataCentre == worst->first)
             continue;
-        if (scoreOf(scope) >= clearShare * m_thresholds.score)
+        if (scope.tests.score() >= clearShare * m_thresholds.score)
             return std::nullopt;
         others += scope.judged;
     }
--- a/src/libroute/sequential_test.cpp
+++ b/src/libroute/sequential_test.cpp
@@ -16,10 +16,12 @@
 
 } // namespace
 
-void ChangeTest::add(double hits, double trials, double referenceRate)
+void ChangeTest::add(double hits, double trials, double referenceRate, double maxRise)
 {
-    for (std::size_t i = 0; i < alternativeCount; ++i)
-        m_sums[i] = std::max(0.0, m_sums[i] + logRatio(hits, trials, referenceRate, m_rises[i]));
+    for (std::size_t i = 0; i < alternativeCount; ++i) {
+        const double rise = logRatio(hits, trials, referenceRate, m_rises[i]);
+        m_sums[i] = std::max(0.0, m_sums[i] + std::min(rise, maxRise));
+    }
 }
 
 double ChangeTest::score() const { return *std::max_element(m_sums.begin(), m_sums.end()); }
--- a/testsuite/fakes/ejection_fleet.h
+++ b/testsuite/fakes/ejection_fleet.h
@@ -46,6 +46,7 @@
         double rate = 200.0;
         std::uint64_t seed = 1;
         std::string method = "GET";
+        std::string balancer = ServiceSpec {}.balancer;
     };
 
     struct Host {
@@ -74,6 +75,7 @@
         ServiceSpec spec { service };
         spec.floorSlots = options.floorSlots;
         spec.weighting = options.weighting;
+        spec.balancer = options.balancer;
         configuration.services.push_back(spec);
         configuration.routes.push_back({ "", "/", {}, service });
         for (unsigned i = 0; i < options.hosts; ++i) {
