A new owner knows old instances, and waits out the old owner's permits under test

Cause: after a change of owner all instances counted as cold, so that the grace (5 or 20 s) delayed detection and hid whether the new owner waits. Every host now notes since when it knows each instance. Mutation kept: an owner that claims to have owned for long breaks the floor.

--- a/src/include/laburnumroute/ejection_owner.h
+++ b/src/include/laburnumroute/ejection_owner.h
@@ -56,7 +56,6 @@
         std::map<HostId, Reporter> reporters;
         std::vector<GrantedPermit> granted;
         std::map<InstanceId, Strikes> strikes;
-        std::set<InstanceId> known;
         std::set<HeldScope> denied;
         std::uint64_t lastSequence = 0;
         std::uint64_t version = 0;
@@ -64,8 +63,8 @@
     };
 
     Term* termOf(const ServiceId& service, TimePoint now);
-    void step(Term& term, TimePoint now, Outbox& out);
-    static void forgetLeft(Term& term, const ServingSlots& serving);
+    void step(Term& term, const ServingSlots& serving, TimePoint now, Outbox& out);
+    void noteServing(const ServiceId& service, const ServingSlots& serving, TimePoint now);
     static bool dropExpired(Term& term, TimePoint now);
     bool enforceFloor(Term& term, const ServingSlots& serving, TimePoint now, Outbox& out);
     bool advance(Term& term, GrantedPermit& granted, const ServingSlots& serving, TimePoint now,
@@ -83,6 +82,9 @@
     const Ownership& m_ownership;
     const TrafficView& m_traffic;
     std::map<ServiceId, Term> m_terms;
+    /// When this host first knew each serving instance, also of services that others own: a new
+    /// owner must not take old instances for cold ones.
+    std::map<ServiceId, std::map<InstanceId, TimePoint>> m_knownSince;
 };
 
 } // namespace laburnum
--- a/src/include/laburnumroute/peer_judge.h
+++ b/src/include/laburnumroute/peer_judge.h
@@ -64,6 +64,9 @@
     }
 
     void setThresholds(DetectionThresholds thresholds) { m_thresholds = thresholds; }
+    /// Notes an instance that is known since `since`, from which its grace runs; otherwise it runs
+    /// from the first evidence.
+    void noteInstance(const InstanceId& instance, TimePoint since);
     /// Adds what `host` saw.
     void add(const HostId& host, const EvidenceDelta& delta, TimePoint now);
     /// Judges the evidence added since the previous call. Evidence from scopes in `held` counts
--- a/src/libroute/ejection_owner.cpp
+++ b/src/libroute/ejection_owner.cpp
@@ -63,13 +63,15 @@
 {
     std::set<ServiceId> owned;
     for (const auto& spec : m_traffic.declaredServices()) {
+        const ServingSlots serving = m_traffic.servingSlots(spec.name);
         Term* term = termOf(spec.name, now);
+        noteServing(spec.name, serving, now);
         if (!term)
             continue;
         owned.insert(spec.name);
         term->spec = spec;
         term->judge.setThresholds(thresholdsFor(spec.weighting));
-        step(*term, now, out);
+        step(*term, serving, now, out);
     }
     std::erase_if(m_terms, [&](const auto& item) { return !owned.contains(item.first); });
 }
@@ -92,10 +94,8 @@
     return &term;
 }
 
-void EjectionOwner::step(Term& term, TimePoint now, Outbox& out)
+void EjectionOwner::step(Term& term, const ServingSlots& serving, TimePoint now, Outbox& out)
 {
-    const ServingSlots serving = m_traffic.servingSlots(term.spec.name);
-    forgetLeft(term, serving);
     bool changed = dropExpired(term, now);
     if (now >= term.nextJudgement) {
         term.nextJudgement = now + judgeInterval;
@@ -114,15 +114,23 @@
         sendTo(term, host, now, out);
 }
 
-void EjectionOwner::forgetLeft(Term& term, const ServingSlots& serving)
+void EjectionOwner::noteServing(
+    const ServiceId& service, const ServingSlots& serving, TimePoint now)
 {
-    for (const auto& id : term.known) {
-        if (!serving.contains(id))
-            term.judge.forget(id);
+    auto& knownSince = m_knownSince[service];
+    const auto term = m_terms.find(service);
+    PeerJudge* judge = term == m_terms.end() ? nullptr : &term->second.judge;
+    std::erase_if(knownSince, [&](const auto& item) {
+        const bool left = !serving.contains(item.first);
+        if (left && judge)
+            judge->forget(item.first);
+        return left;
+    });
+    for (const auto& [id, slots] : serving) {
+        const TimePoint since = knownSince.try_emplace(id, now).first->second;
+        if (judge)
+            judge->noteInstance(id, since);
     }
-    term.known.clear();
-    for (const auto& [id, slots] : serving)
-        term.known.insert(id);
 }
 
 bool EjectionOwner::dropExpired(Term& term, TimePoint now)
--- a/src/libroute/ejection_test.cpp
+++ b/src/libroute/ejection_test.cpp
@@ -141,6 +141,38 @@
     REQUIRE(fleet.violations == 0);
 }
 
+namespace {
+
+/// Host h3 is cut from the new owner h1 and still holds a permit for instance 1 when instance 3
+/// sickens. Returns the steps in which the floor was broken.
+unsigned violationsAfterTakeover(bool ownerClaimsToBeOld)
+{
+    EjectionFleet fleet({ .floorSlots = 30 });
+    const TimePoint start = fleet.network.now();
+    fleet.run(15s);
+    fleet.health = failing({ 1 });
+    fleet.run(5s);
+    REQUIRE(fleet.isEjectedAt(3, 1));
+    fleet.network.cut(HostId("h3"), HostId("h1"));
+    fleet.health = failing({ 3 });
+    fleet.setOwner(1, ownerClaimsToBeOld ? start : fleet.network.now());
+    fleet.run(10s);
+    REQUIRE(fleet.isEjectedAt(2, 3));
+    return fleet.violations;
+}
+
+} // namespace
+
+TEST_CASE("a new owner waits out the permits of the old one")
+{
+    REQUIRE(violationsAfterTakeover(false) == 0);
+}
+
+TEST_CASE("mutation: a new owner that grants without waiting breaks the floor")
+{
+    REQUIRE(violationsAfterTakeover(true) > 0);
+}
+
 TEST_CASE("mutation: two owners that grant at once without waiting break the floor")
 {
     EjectionFleet fleet({ .floorSlots = 30 });
--- a/src/libroute/peer_judge.cpp
+++ b/src/libroute/peer_judge.cpp
@@ -116,6 +116,13 @@
     batch.merge(other.batch, sign);
 }
 
+void PeerJudge::noteInstance(const InstanceId& instance, TimePoint since)
+{
+    const auto [entry, added] = m_instances.try_emplace(instance);
+    if (added)
+        entry->second.firstSeen = since;
+}
+
 void PeerJudge::add(const HostId& host, const EvidenceDelta& delta, TimePoint now)
 {
     for (const auto& [id, counts] : delta.instances) {
