--- a/src/libnet/request_vetting.cpp
+++ b/src/libnet/request_vetting.cpp
@@ -70,6 +70,11 @@
     return { request.method, std::string(request.field("host")), request.target };
 }
 
+bool expectsContinue(const HttpHead& request)
+{
+    return request.versionMinor > 0 && equalNames(request.field("expect"), "100-continue");
+}
+
 std::optional<Duration> callerDeadline(const HttpHead& request)
 {
     const std::string_view text = request.field(deadlineHeader);
--- a/src/libroute/ejection_test.cpp
+++ b/src/libroute/ejection_test.cpp
@@ -141,6 +141,38 @@
     REQUIRE(fleet.violations == 0);
 }
 
+namespace {
+
+/// Host h3 is cut from the new owner h1 and still holds a permit for instance 1 when instance 3
+/// sickens. Returns the steps in which the floor was broken.
+unsigned violationsAfterTakeover(bool ownerClaimsToBeOld)
+{
+    EjectionFleet fleet({ .floorSlots = 30 });
+    const TimePoint start = fleet.network.now();
+    fleet.run(15s);
+    fleet.health = failing({ 1 });
+    fleet.run(5s);
+    REQUIRE(fleet.isEjectedAt(3, 1));
+    fleet.network.cut(HostId("h3"), HostId("h1"));
+    fleet.health = failing({ 3 });
+    fleet.setOwner(1, ownerClaimsToBeOld ? start : fleet.network.now());
+    fleet.run(10s);
+    REQUIRE(fleet.isEjectedAt(2, 3));
+    return fleet.violations;
+}
+
+} // namespace
+
+TEST_CASE("a new owner waits out the permits of the old one")
+{
+    REQUIRE(violationsAfterTakeover(false) == 0);
+}
+
+TEST_CASE("mutation: a new owner that grants without waiting breaks the floor")
+{
+    REQUIRE(violationsAfterTakeover(true) > 0);
+}
+
 TEST_CASE("mutation: two owners that grant at once without waiting break the floor")
 {
     EjectionFleet fleet({ .floorSlots = 30 });
@@ -232,3 +264,55 @@
     fleet.run(60s);
     REQUIRE(fleet.ejectedAnywhere().empty());
 }
+
+namespace {
+
+/// One random mishap: a cut, a freeze, a new owner, an instance that leaves, returns or sickens.
+void mishap(EjectionFleet& fleet, Random& random, std::set<unsigned>& sick)
+{
+    const auto host = static_cast<unsigned>(uniformBelow(random, fleet.options.hosts));
+    const auto other = static_cast<unsigned>(uniformBelow(random, fleet.options.hosts));
+    const auto instance = static_cast<unsigned>(uniformBelow(random, fleet.options.instances));
+    const HostId name = fleet.hosts[host]->place.host;
+    const HostId otherName = fleet.hosts[other]->place.host;
+    const bool mends = uniformBelow(random, 2) == 0;
+    switch (uniformBelow(random, 6)) {
+    case 0:
+        fleet.network.cut(name, otherName, mends);
+        break;
+    case 1:
+        fleet.network.freeze(name, mends);
+        break;
+    case 2:
+        fleet.setOwner(host, fleet.network.now());
+        break;
+    case 3:
+        if (mends)
+            fleet.addInstance(instance);
+        else
+            fleet.removeInstance(instance);
+        break;
+    default:
+        if (!sick.erase(instance))
+            sick.insert(instance);
+        fleet.health = failing(sick);
+    }
+}
+
+} // namespace
+
+TEST_CASE("the floor holds under any sequence of mishaps")
+{
+    const auto seed = GENERATE(range(std::uint64_t { 1 }, std::uint64_t { 21 }));
+    CAPTURE(seed);
+    EjectionFleet fleet({ .floorSlots = 18, .seed = seed });
+    fleet.network.setFaults({ 0.05, 0.1, 300ms });
+    fleet.run(10s);
+    Random random(seed);
+    std::set<unsigned> sick;
+    for (int i = 0; i < 30; ++i) {
+        mishap(fleet, random, sick);
+        fleet.run(std::chrono::milliseconds(uniformBelow(random, 3000)));
+    }
+    REQUIRE(fleet.violations == 0);
+}
