Instances spread by versions and keys, and a drain is final

Cause: every announcement was sent whole to every host, once; a lost message lost a drain, a lapsed instance came back by any late message, and a restarted upstream with a lower version stayed shut out. Records are ordered by incarnation, drain, version. New content is pushed to random peers; renewals travel as rows of content key, version, age and load in exchanges.

Ruled out: versions per origin host. The platform's balancer picks another host for each announcement, so no host can vouch for an instance for long, and each renewal would be a new entry of another origin.

--- a/src/include/laburnumroute/instance.h
+++ b/src/include/laburnumroute/instance.h
@@ -15,14 +15,16 @@
 /// Phase of an instance's life as it announces it.
 enum class InstancePhase { Serving, Draining };
 
-/// One announcement. `version` grows with each announcement of the same instance; of two records
-/// of an instance the one with the higher version is the newer.
+/// One announcement. The upstream chooses `incarnation` once at its start, higher than at any
+/// earlier start (its start time in milliseconds will do), and raises `version` with each
+/// announcement. Draining is final within an incarnation. supersedes() orders records.
 struct InstanceRecord {
     InstanceId id;
     ServiceId service;
     Endpoint endpoint;
     DataCentreId dataCentre;
     RegionId region;
+    std::uint64_t incarnation = 0;
     std::uint64_t version = 0;
     InstancePhase phase = InstancePhase::Serving;
     /// Requests that the instance works on at one time.
@@ -35,9 +37,13 @@
     Duration lease = std::chrono::seconds(6);
 };
 
+/// True when `record` is newer than `other` of the same instance: by incarnation, then a draining
+/// record before a serving one, then by version. Late or repeated records never supersede.
+bool supersedes(const InstanceRecord& record, const InstanceRecord& other) noexcept;
+
 /// Encodes for the wire; decodeInstance() is the inverse.
 Json::Value encodeInstance(const InstanceRecord& record);
-/// InvalidArgument names the member that is missing or wrong.
+/// A missing incarnation counts as 0. InvalidArgument names the member that is missing or wrong.
 Expected<InstanceRecord> decodeInstance(const Json::Value& value);
 
 } // namespace laburnum
--- a/src/libfleet/instance_directory.cpp
+++ b/src/libfleet/instance_directory.cpp
@@ -1,36 +1,116 @@
 #include <laburnumroute/instance_directory.h>
 
+#include <algorithm>
+
+#include <laburnumroute/json.h>
+
+#include "hash_pvt.h"
+
 namespace laburnum {
 
-bool InstanceDirectory::merge(const InstanceRecord& record, TimePoint now)
+namespace {
+
+    constexpr std::uint64_t keyMask = (std::uint64_t { 1 } << 53) - 1;
+
+} // namespace
+
+std::uint64_t contentKey(const InstanceRecord& record)
 {
+    InstanceRecord content = record;
+    content.version = 0;
+    content.load = 0.0;
+    return pvt::stableHash(toJsonText(encodeInstance(content))) & keyMask;
+}
+
+MergeResult InstanceDirectory::accept(const InstanceRecord& record, Duration age, TimePoint now)
+{
+    const bool lapsed = age >= record.lease;
+    const std::uint64_t key = contentKey(record);
     const auto found = m_entries.find(record.id);
-    if (found != m_entries.end() && found->second.record.version >= record.version)
-        return false;
-    m_entries[record.id] = { record, now + record.lease };
-    return true;
+    if (found == m_entries.end()) {
+        m_entries[record.id] = { record, key, now - age, lapsed };
+        m_keys[key] = record.id;
+        m_size += lapsed ? 0 : 1;
+        return lapsed ? MergeResult::Stale : MergeResult::Changed;
+    }
+    DirectoryEntry& entry = found->second;
+    if (!supersedes(record, entry.record))
+        return MergeResult::Stale;
+    const bool same = key == entry.key && !entry.departed && !lapsed;
+    m_keys.erase(entry.key);
+    m_keys[key] = record.id;
+    entry.record = record;
+    entry.key = key;
+    entry.confirmed = same ? std::max(entry.confirmed, now - age) : now - age;
+    // A live entry whose newer record has lapsed stays until expire() reports it.
+    if (!lapsed)
+        setDeparted(entry, false);
+    if (lapsed && entry.departed)
+        return MergeResult::Stale;
+    return same ? MergeResult::Renewed : MergeResult::Changed;
+}
+
+MergeResult InstanceDirectory::renew(
+    std::uint64_t key, std::uint64_t version, double load, Duration age, TimePoint now)
+{
+    const DirectoryEntry* entry = findKey(key);
+    if (!entry || version <= entry->record.version || age >= entry->record.lease)
+        return MergeResult::Stale;
+    InstanceRecord record = entry->record;
+    record.version = version;
+    record.load = load;
+    return accept(record, age, now);
 }
 
 std::vector<InstanceId> InstanceDirectory::expire(TimePoint now)
 {
     std::vector<InstanceId> lapsed;
-    for (auto entry = m_entries.begin(); entry != m_entries.end();) {
-        if (entry->second.lapses > now) {
-            ++entry;
-            continue;
+    for (auto item = m_entries.begin(); item != m_entries.end();) {
+        DirectoryEntry& entry = item->second;
+        const TimePoint lapses = entry.confirmed + entry.record.lease;
+        if (!entry.departed && lapses <= now) {
+            lapsed.push_back(item->first);
+            setDeparted(entry, true);
         }
-        lapsed.push_back(entry->first);
-        entry = m_entries.erase(entry);
+        item = lapses + departedRetention <= now ? forget(item) : std::next(item);
     }
     return lapsed;
 }
 
+void InstanceDirectory::setDeparted(DirectoryEntry& entry, bool departed) noexcept
+{
+    if (entry.departed == departed)
+        return;
+    entry.departed = departed;
+    m_size = departed ? m_size - 1 : m_size + 1;
+}
+
+InstanceDirectory::Entries::iterator InstanceDirectory::forget(Entries::iterator entry)
+{
+    m_keys.erase(entry->second.key);
+    return m_entries.erase(entry);
+}
+
+const DirectoryEntry* InstanceDirectory::find(const InstanceId& id) const
+{
+    const auto entry = m_entries.find(id);
+    return entry == m_entries.end() ? nullptr : &entry->second;
+}
+
+const DirectoryEntry* InstanceDirectory::findKey(std::uint64_t key) const
+{
+    const auto id = m_keys.find(key);
+    return id == m_keys.end() ? nullptr : find(id->second);
+}
+
 std::vector<InstanceRecord> InstanceDirectory::records() const
 {
     std::vector<InstanceRecord> result;
-    result.reserve(m_entries.size());
-    for (const auto& [id, entry] : m_entries)
-        result.push_back(entry.record);
+    result.reserve(m_size);
+    for (const auto& [id, entry] : m_entries) {
+        if (!entry.departed)
+            result.push_back(entry.record);
+    }
     return result;
 }
 
--- /dev/null
+++ b/src/libfleet/instance_spread.cpp
@@ -0,0 +1,263 @@
+#include <laburnumroute/instance_spread.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "instance_messages_pvt.h"
+#include "sample_pvt.h"
+
+namespace laburnum {
+
+using namespace pvt;
+
+namespace {
+
+    constexpr std::uint64_t lastKey = UINT64_MAX;
+    constexpr std::size_t maxUnservedKeys = 100'000;
+    constexpr auto expiryInterval = std::chrono::milliseconds(200);
+    /// A change of the reported load below this is not worth a change event.
+    constexpr double coarseLoadStep = 0.05;
+
+    InstanceRow rowOf(const DirectoryEntry& entry, TimePoint now)
+    {
+        return { entry.key, entry.record.version, now - entry.confirmed, entry.record.load };
+    }
+
+} // namespace
+
+InstanceSpread::InstanceSpread(
+    HostId self, std::vector<HostId> peers, std::uint64_t seed, InstanceSpreadSettings settings)
+    : m_self(std::move(self))
+    , m_peers(std::move(peers))
+    , m_random(seed)
+    , m_settings(settings)
+{
+    std::erase(m_peers, m_self);
+}
+
+AnnounceResult InstanceSpread::announce(const InstanceRecord& record, TimePoint now)
+{
+    if (take(record, Duration::zero(), now) != MergeResult::Stale)
+        return AnnounceResult::Accepted;
+    const DirectoryEntry* known = m_directory.find(record.id);
+    return supersedes(known->record, record) ? AnnounceResult::Superseded
+                                             : AnnounceResult::Repeated;
+}
+
+void InstanceSpread::setServices(std::optional<std::set<ServiceId>> services)
+{
+    m_services = std::move(services);
+    m_unserved.clear();
+}
+
+bool InstanceSpread::isServed(const ServiceId& service) const
+{
+    return !m_services || m_services->contains(service);
+}
+
+std::vector<std::string> InstanceSpread::methods() const
+{
+    return { methodInstanceDigest, methodInstanceDelta };
+}
+
+void InstanceSpread::receive(const PeerMessage& message, TimePoint now, Outbox& out)
+{
+    if (message.method == methodInstanceDigest)
+        receiveDigest(message, now, out);
+    else if (message.method == methodInstanceDelta)
+        receiveDelta(message, now, out);
+}
+
+void InstanceSpread::tick(TimePoint now, Outbox& out)
+{
+    if (now >= m_nextExpiry)
+        expire(now);
+    pushChanged(now, out);
+    if (now < m_nextExchange)
+        return;
+    m_nextExchange = now + m_settings.exchangeInterval;
+    for (const auto& peer : sample(m_peers, 1, m_random))
+        sendDigest(peer, now, out);
+}
+
+void InstanceSpread::expire(TimePoint now)
+{
+    m_nextExpiry = now + expiryInterval;
+    for (const auto& id : m_directory.expire(now)) {
+        if (const DirectoryEntry* entry = m_directory.find(id))
+            m_changes.push_back({ entry->record, true });
+    }
+}
+
+MergeResult InstanceSpread::take(const InstanceRecord& record, Duration age, TimePoint now)
+{
+    const DirectoryEntry* known = m_directory.find(record.id);
+    const double oldLoad = known ? known->record.load : 0.0;
+    const MergeResult result = m_directory.accept(record, age, now);
+    if (result != MergeResult::Stale)
+        noteChange(*m_directory.find(record.id), result, oldLoad);
+    return result;
+}
+
+void InstanceSpread::noteChange(const DirectoryEntry& entry, MergeResult result, double oldLoad)
+{
+    const bool loadChanged = std::abs(entry.record.load - oldLoad) >= coarseLoadStep;
+    if (result == MergeResult::Changed || loadChanged)
+        m_changes.push_back({ entry.record, false });
+    if (result == MergeResult::Changed)
+        m_unpushed.insert(entry.record.id);
+}
+
+void InstanceSpread::pushChanged(TimePoint now, Outbox& out)
+{
+    const double elapsed = std::chrono::duration<double>(now - m_lastPush).count();
+    const double limit = m_settings.pushesPerSecond;
+    m_lastPush = now;
+    m_pushAllowance = std::min(limit, m_pushAllowance + elapsed * limit);
+    std::vector<InstanceId> drains;
+    std::vector<InstanceId> others;
+    for (const auto& id : std::exchange(m_unpushed, {})) {
+        const DirectoryEntry* entry = m_directory.find(id);
+        if (!entry || entry->departed)
+            continue;
+        if (entry->record.phase == InstancePhase::Draining) {
+            drains.push_back(id);
+        } else if (m_pushAllowance >= 1.0) {
+            m_pushAllowance -= 1.0;
+            others.push_back(id);
+        }
+    }
+    pushRecords(drains, m_settings.drainFanOut, now, out);
+    pushRecords(others, m_settings.fanOut, now, out);
+}
+
+void InstanceSpread::pushRecords(
+    const std::vector<InstanceId>& ids, unsigned fanOut, TimePoint now, Outbox& out)
+{
+    if (ids.empty())
+        return;
+    const auto peers = sample(m_peers, fanOut, m_random);
+    for (std::size_t first = 0; first < ids.size(); first += m_settings.recordsPerMessage) {
+        InstanceDelta delta;
+        const std::size_t end = std::min(ids.size(), first + m_settings.recordsPerMessage);
+        for (std::size_t i = first; i < end; ++i)
+            addRecord(*m_directory.find(ids[i]), now, delta);
+        for (const auto& peer : peers)
+            out.send(peer, methodInstanceDelta, encodeInstanceDelta(delta));
+    }
+}
+
+void InstanceSpread::sendDigest(const HostId& to, TimePoint now, Outbox& out)
+{
+    InstanceDigest digest { m_keyCursor, lastKey, {}, m_services };
+    const auto& keys = m_directory.keys();
+    for (auto key = keys.lower_bound(m_keyCursor); key != keys.end(); ++key) {
+        if (digest.rows.size() == m_settings.rowsPerMessage) {
+            digest.last = key->first - 1;
+            break;
+        }
+        const DirectoryEntry* entry = m_directory.find(key->second);
+        if (!entry->departed)
+            digest.rows.push_back(rowOf(*entry, now));
+    }
+    m_keyCursor = digest.last == lastKey ? 0 : digest.last + 1;
+    out.send(to, methodInstanceDigest, encodeInstanceDigest(digest));
+}
+
+void InstanceSpread::receiveDigest(const PeerMessage& message, TimePoint now, Outbox& out)
+{
+    auto digest = decodeInstanceDigest(message.params);
+    if (!digest)
+        return;
+    InstanceDelta answer;
+    std::sort(digest->rows.begin(), digest->rows.end(),
+        [](const InstanceRow& a, const InstanceRow& b) { return a.key < b.key; });
+    addNewer(digest->first, digest->last, digest->rows, digest->services, now, answer);
+    applyRows(digest->rows, now, answer);
+    if (!answer.empty())
+        out.send(message.from, methodInstanceDelta, encodeInstanceDelta(answer));
+}
+
+/// Adds to `answer` the rows of the range in which this host is ahead of `known`, sorted by key.
+void InstanceSpread::addNewer(std::uint64_t first, std::uint64_t last,
+    const std::vector<InstanceRow>& known, const std::optional<std::set<ServiceId>>& services,
+    TimePoint now, InstanceDelta& answer) const
+{
+    auto row = known.begin();
+    const auto& keys = m_directory.keys();
+    for (auto key = keys.lower_bound(first); key != keys.end() && key->first <= last; ++key) {
+        while (row != known.end() && row->key < key->first)
+            ++row;
+        const DirectoryEntry& entry = *m_directory.find(key->second);
+        const bool isKnown = row != known.end() && row->key == key->first;
+        if (entry.departed || (isKnown && row->version >= entry.record.version))
+            continue;
+        if (services && !services->contains(entry.record.service))
+            continue;
+        if (answer.rows.size() == m_settings.rowsPerMessage)
+            return;
+        answer.rows.push_back(rowOf(entry, now));
+    }
+}
+
+/// Renews by `rows`; unknown keys are asked for in `answer`.
+void InstanceSpread::applyRows(
+    const std::vector<InstanceRow>& rows, TimePoint now, InstanceDelta& answer)
+{
+    for (const auto& row : rows) {
+        const DirectoryEntry* entry = m_directory.findKey(row.key);
+        if (!entry) {
+            const bool isRoom = answer.wanted.size() < m_settings.recordsPerMessage;
+            if (isRoom && !m_unserved.contains(row.key))
+                answer.wanted.push_back(row.key);
+            continue;
+        }
+        if (!isServed(entry->record.service))
+            continue;
+        const double oldLoad = entry->record.load;
+        const auto result = m_directory.renew(row.key, row.version, row.load, row.age, now);
+        if (result != MergeResult::Stale)
+            noteChange(*entry, result, oldLoad);
+    }
+}
+
+void InstanceSpread::receiveDelta(const PeerMessage& message, TimePoint now, Outbox& out)
+{
+    const auto delta = decodeInstanceDelta(message.params);
+    if (!delta)
+        return;
+    InstanceDelta answer;
+    applyRows(delta->rows, now, answer);
+    for (const auto& item : delta->records)
+        receiveRecord(item, now, answer);
+    for (const std::uint64_t key : delta->wanted) {
+        const DirectoryEntry* entry = m_directory.findKey(key);
+        if (entry && answer.records.size() < m_settings.recordsPerMessage)
+            addRecord(*entry, now, answer);
+    }
+    if (!answer.empty())
+        out.send(message.from, methodInstanceDelta, encodeInstanceDelta(answer));
+}
+
+void InstanceSpread::receiveRecord(const AgedRecord& item, TimePoint now, InstanceDelta& answer)
+{
+    const std::uint64_t key = contentKey(item.record);
+    if (!isServed(item.record.service)) {
+        if (m_unserved.size() >= maxUnservedKeys)
+            m_unserved.clear();
+        m_unserved.insert(key);
+        return;
+    }
+    take(item.record, item.age, now);
+    const DirectoryEntry* known = m_directory.find(item.record.id);
+    if (known && known->key != key && supersedes(known->record, item.record))
+        addRecord(*known, now, answer);
+}
+
+void InstanceSpread::addRecord(
+    const DirectoryEntry& entry, TimePoint now, InstanceDelta& answer) const
+{
+    answer.records.push_back({ entry.record, now - entry.confirmed });
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/src/libfleet/instance_spread_test.cpp
@@ -0,0 +1,207 @@
+#include <catch2/catch.hpp>
+
+#include <laburnumroute/instance_spread.h>
+#include <laburnumroute/json.h>
+
+#include "fakes/fake_upstreams.h"
+
+using namespace laburnum;
+using namespace laburnum::fakes;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr unsigned hostCount = 48;
+constexpr unsigned instanceCount = 47;
+constexpr auto serving = InstancePhase::Serving;
+constexpr auto draining = InstancePhase::Draining;
+
+/// Loses, repeats and reorders messages, and cuts 150 random directions.
+void disturb(InstanceFleet& fleet, std::uint64_t seed)
+{
+    fleet.network.setFaults({ 0.2, 0.05, milliseconds(40) });
+    Random random(seed);
+    for (int i = 0; i < 150; ++i)
+        fleet.network.cut(fleet.ids[uniformBelow(random, fleet.ids.size())],
+            fleet.ids[uniformBelow(random, fleet.ids.size())]);
+}
+
+/// Host 0 receives `record` as if it had been on its way for long.
+void deliverLate(InstanceFleet& fleet, const InstanceRecord& record)
+{
+    Json::Value params(Json::objectValue);
+    params["records"][0] = encodeInstance(record);
+    params["records"][0]["age_ms"] = 0;
+    Outbox out(fleet.ids[0]);
+    fleet.hosts[0]->receive(
+        { fleet.ids[1], fleet.ids[0], "instances.delta", params }, fleet.network.now(), out);
+    fleet.network.flush(out);
+}
+
+/// Announces, drains and lets depart upstream 0, then delivers its old record with `incarnation`
+/// and tells whether any host took it up again.
+bool comesBackLate(std::uint64_t incarnation, Duration afterDrain)
+{
+    InstanceFleet fleet(6, 2, 21);
+    fleet.run(seconds(3));
+    InstanceRecord late = fleet.upstreams[0];
+    late.incarnation = incarnation;
+    late.version += 100;
+    fleet.upstreams[0].phase = draining;
+    fleet.run(seconds(3));
+    fleet.silent.insert(0);
+    fleet.run(afterDrain);
+    deliverLate(fleet, late);
+    fleet.restart(1);
+    bool back = false;
+    fleet.run(seconds(3), [&] { back = back || fleet.countKnown(0, serving) > 0; });
+    return back;
+}
+
+} // namespace
+
+TEST_CASE("instances are known at every host within 5 s and none lapses while it announces")
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        CAPTURE(seed);
+        InstanceFleet fleet(hostCount, instanceCount, seed);
+        disturb(fleet, seed);
+        fleet.run(seconds(5));
+        for (unsigned i = 0; i < instanceCount; ++i)
+            REQUIRE(fleet.countKnown(i, serving) == hostCount);
+        unsigned lapses = 0;
+        fleet.run(seconds(20), [&] {
+            for (const auto& host : fleet.hosts) {
+                for (const auto& change : host->takeChanges())
+                    lapses += change.removed ? 1 : 0;
+            }
+        });
+        REQUIRE(lapses == 0);
+    }
+}
+
+TEST_CASE("a drain is in force at every host within 3 s despite loss, cuts and hosts down")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        InstanceFleet fleet(hostCount, 12, seed);
+        fleet.run(seconds(4));
+        disturb(fleet, seed);
+        for (unsigned i = 0; i < 5; ++i) {
+            fleet.down.insert(i);
+            fleet.network.isolate(fleet.ids[i]);
+        }
+        fleet.upstreams[3].phase = draining;
+        fleet.announce(3);
+        // The upstream says it once and no more.
+        fleet.silent.insert(3);
+        fleet.run(seconds(3));
+        REQUIRE(fleet.countKnown(3, draining) == hostCount - 5);
+    }
+}
+
+TEST_CASE("a silent instance leaves everywhere within its lease and the delay of the spread")
+{
+    InstanceFleet fleet(hostCount, 12, 5);
+    fleet.network.setFaults({ 0.2, 0.05, milliseconds(40) });
+    fleet.run(seconds(6));
+    fleet.silent.insert(7);
+    fleet.run(fleet.upstreams[7].lease - seconds(1));
+    REQUIRE(fleet.countKnown(7, serving) > 0);
+    fleet.run(seconds(2));
+    REQUIRE(fleet.countKnown(7, serving) == 0);
+    fleet.run(seconds(10), [&] { REQUIRE(fleet.countKnown(7, serving) == 0); });
+}
+
+TEST_CASE("a drained instance never comes back by a late message")
+{
+    REQUIRE_FALSE(comesBackLate(1, seconds(0)));
+    REQUIRE_FALSE(comesBackLate(1, seconds(30)));
+}
+
+TEST_CASE("mutation: a late message that claims a later start brings a drained instance back")
+{
+    REQUIRE(comesBackLate(2, seconds(0)));
+    REQUIRE(comesBackLate(2, seconds(30)));
+}
+
+TEST_CASE("a restarted upstream with a lower version is accepted, its former self is not")
+{
+    InstanceFleet fleet(4, 2, 23);
+    fleet.run(seconds(5));
+    const InstanceRecord former = fleet.upstreams[0];
+    fleet.upstreams[0].phase = draining;
+    fleet.run(seconds(2));
+    fleet.upstreams[0] = former;
+    fleet.upstreams[0].incarnation = 2;
+    fleet.upstreams[0].version = 0;
+    fleet.run(seconds(3));
+    REQUIRE(fleet.countKnown(0, serving) == 4);
+    REQUIRE(fleet.hosts[2]->announce(former, fleet.network.now()) == AnnounceResult::Superseded);
+    REQUIRE(fleet.hosts[2]->directory().find(former.id)->record.incarnation == 2);
+}
+
+TEST_CASE("a resent announcement is recognized and does not renew")
+{
+    InstanceFleet fleet(2, 1, 25);
+    InstanceRecord record = fleet.upstreams[0];
+    record.version = 1;
+    REQUIRE(fleet.hosts[0]->announce(record, fleet.network.now()) == AnnounceResult::Accepted);
+    REQUIRE(fleet.hosts[0]->announce(record, fleet.network.now()) == AnnounceResult::Repeated);
+}
+
+TEST_CASE("a restarted host gets the directory from its peers within 2 s")
+{
+    InstanceFleet fleet(hostCount, 188, 27);
+    fleet.run(seconds(6));
+    fleet.restart(9);
+    fleet.run(seconds(2));
+    REQUIRE(fleet.hosts[9]->directory().size() == 188);
+}
+
+TEST_CASE("a host keeps the services that it serves, and passes on what upstreams tell it")
+{
+    InstanceFleet fleet(6, 12, 29);
+    fleet.hosts[0]->setServices(std::set<ServiceId> { ServiceId("service-1") });
+    // Everything is announced at host 0 only.
+    fleet.down = { 1, 2, 3, 4, 5 };
+    fleet.run(seconds(4));
+    REQUIRE(fleet.hosts[3]->directory().size() == 12);
+    fleet.down = { 0 };
+    fleet.run(seconds(10));
+    REQUIRE(fleet.hosts[0]->directory().size() == 4);
+    REQUIRE(fleet.hosts[3]->directory().size() == 12);
+    // Records that a host does not serve are not asked for again and again.
+    const auto before = fleet.network.sentBy(fleet.ids[0]).bytes;
+    fleet.run(seconds(10));
+    REQUIRE(fleet.network.sentBy(fleet.ids[0]).bytes - before < std::uint64_t { 20'480 });
+}
+
+TEST_CASE("47 instances at 48 hosts stay inside a third of the control budget")
+{
+    constexpr std::uint64_t budgetBytesPerSecond = 28'000 / 3;
+    InstanceFleet fleet(hostCount, instanceCount, 31);
+    fleet.run(seconds(10));
+    const auto before = fleet.network.bytesSent();
+    fleet.run(seconds(10));
+    REQUIRE((fleet.network.bytesSent() - before) / hostCount / 10 < budgetBytesPerSecond);
+}
+
+TEST_CASE("malformed instance messages are ignored")
+{
+    InstanceFleet fleet(2, 1, 33);
+    fleet.announce(0);
+    for (const char* text :
+        { "[]", "7", "{\"rows\":[1,2,3]}", "{\"records\":[{}]}", "{\"want\":[-1]}",
+            "{\"first\":0,\"last\":9,\"rows\":[1,-2,3,4]}", "{\"first\":0,\"last\":9}" }) {
+        CAPTURE(text);
+        const Json::Value params = parseJson(text).value();
+        for (const auto& method : fleet.hosts[0]->methods()) {
+            Outbox out(fleet.ids[0]);
+            fleet.hosts[0]->receive(
+                { fleet.ids[1], fleet.ids[0], method, params }, fleet.network.now(), out);
+            REQUIRE(out.takeMessages().empty());
+        }
+    }
+}
--- a/src/libkernel/instance.cpp
+++ b/src/libkernel/instance.cpp
@@ -1,5 +1,7 @@
 #include <laburnumroute/instance.h>
 
+#include <tuple>
+
 #include <laburnumroute/json.h>
 
 namespace laburnum {
@@ -90,6 +92,14 @@
 
 } // namespace
 
+bool supersedes(const InstanceRecord& record, const InstanceRecord& other) noexcept
+{
+    const auto order = [](const InstanceRecord& r) {
+        return std::tuple(r.incarnation, r.phase == InstancePhase::Draining, r.version);
+    };
+    return order(record) > order(other);
+}
+
 Json::Value encodeInstance(const InstanceRecord& record)
 {
     Json::Value value(Json::objectValue);
@@ -98,6 +108,7 @@
     value["endpoint"] = formatEndpoint(record.endpoint);
     value["data_centre"] = record.dataCentre.value();
     value["region"] = record.region.value();
+    value["incarnation"] = Json::UInt64(record.incarnation);
     value["version"] = Json::UInt64(record.version);
     value["phase"] = record.phase == InstancePhase::Draining ? "draining" : "serving";
     value["slots"] = record.slots;
@@ -118,6 +129,8 @@
     record.endpoint = readEndpoint(reader);
     record.dataCentre = DataCentreId(reader.text("data_centre"));
     record.region = RegionId(reader.text("region"));
+    if (value.isMember("incarnation"))
+        record.incarnation = reader.number("incarnation", 0, UINT64_MAX);
     record.version = reader.number("version", 0, UINT64_MAX);
     record.phase = readPhase(reader);
     record.slots = static_cast<std::uint32_t>(reader.number("slots", 1, maxSlots));
