Path faults of several data centres avoid the path and eject nothing

Cause: an instance was judged sick as a whole when a second data centre had trouble with it, so that two cut paths of six ejected it everywhere, and one chance failure elsewhere could turn one cut path into an ejection. A path is now to blame when at least as many data centres clear the instance as accuse it and the worst reaches the threshold by itself. The detection bench gains two cut paths and pauses of up to 2 s; gray_answers reports control bytes.

--- a/src/libroute/detection_test.cpp
+++ b/src/libroute/detection_test.cpp
@@ -94,6 +94,34 @@
     REQUIRE_FALSE(fleet->isEjectedAt(3, 0));
 }
 
+TEST_CASE("cut paths of two of six data centres eject nothing elsewhere")
+{
+    PeerJudge judge(thresholdsFor(Weighting::QuickDetection));
+    TimePoint now(1h);
+    const auto feed = [&](bool isCut) {
+        for (unsigned host = 0; host < 12; ++host) {
+            EvidenceDelta delta;
+            delta.observer = DataCentreId("d" + std::to_string(host % 6));
+            for (unsigned i = 0; i < 4; ++i) {
+                OutcomeCounts& counts = delta.instances[EjectionFleet::instance(i)];
+                const bool fails = isCut && i == 0 && host % 6 < 2;
+                (fails ? counts.notConnected : counts.succeeded) = 3;
+            }
+            judge.add(HostId("h" + std::to_string(host)), delta, now);
+        }
+        now += 500ms;
+        judge.evaluate({}, now);
+    };
+    for (int i = 0; i < 60; ++i)
+        feed(false);
+    while (judge.suspicions().empty())
+        feed(true);
+    REQUIRE(judge.suspicions().size() == 1);
+    REQUIRE(judge.suspicions()[0].instance == EjectionFleet::instance(0));
+    REQUIRE(judge.suspicions()[0].scope < DataCentreId("d2"));
+    REQUIRE_FALSE(judge.suspicions()[0].scope.value().empty());
+}
+
 TEST_CASE("trouble that one host alone sees ejects nothing")
 {
     auto fleet = warmFleet(
--- a/src/libroute/peer_judge.cpp
+++ b/src/libroute/peer_judge.cpp
@@ -37,13 +37,13 @@
     constexpr double priorWeight = 5.0;
     /// More suspects than this share of the instances are no instance's own trouble.
     constexpr double maxSuspectShare = 1.0 / 3.0;
-    /// Observations from other data centres that clear the instance and blame the path.
-    constexpr double minOtherObservations = 10.0;
     /// A host that saw more than this share of the troubles in less than this share of the
     /// observations is itself the trouble.
     constexpr double oneHostShare = 0.75;
-    /// Share of the threshold below which a score counts as none.
-    constexpr double clearShare = 0.25;
+    /// Observations with which a data centre can clear an instance.
+    constexpr double minClearObservations = 10.0;
+    /// Share of the threshold below which a data centre's score clears the instance.
+    constexpr double clearShare = 0.5;
 
     double halfLifeFactor(Duration time, double halfLifeSeconds)
     {
@@ -357,15 +357,15 @@
     if (worst == state.scopes.end() || worst->second.tests.score() < m_thresholds.score
         || worst->second.answeredErrors > worst->second.pathErrors)
         return std::nullopt;
-    double others = 0.0;
+    unsigned troubled = 0;
+    unsigned clear = 0;
     for (const auto& [dataCentre, scope] : state.scopes) {
-        if (dataCentre == worst->first)
-            continue;
         if (scope.tests.score() >= clearShare * m_thresholds.score)
-            return std::nullopt;
-        others += scope.judged;
+            ++troubled;
+        else if (scope.judged >= minClearObservations)
+            ++clear;
     }
-    return others >= minOtherObservations ? std::optional(worst->first) : std::nullopt;
+    return clear >= troubled ? std::optional(worst->first) : std::nullopt;
 }
 
 } // namespace laburnum
--- a/testsuite/bench/detection_bench.cpp
+++ b/testsuite/bench/detection_bench.cpp
@@ -25,7 +25,8 @@
     constexpr double healthyErrorRate = 0.001;
     /// Now and then an instance pauses, as for garbage collection.
     constexpr double pausesPerSecond = 1.0 / 300.0;
-    constexpr double pauseSeconds = 0.3;
+    constexpr double shortPauseSeconds = 0.3;
+    constexpr double longPauseSeconds = 2.0;
 
     constexpr double warmUpSeconds = 120.0;
     constexpr double faultSeconds = 120.0;
@@ -41,11 +42,14 @@
         double slowdown = 1.0;
         /// Half of a flapping period; 0 for a steady fault.
         double flapSeconds = 0.0;
-        bool onePath = false;
+        /// Data centres whose paths to instance 0 are cut, in place of a fault of its own.
+        unsigned cutDataCentres = 0;
         bool allInstances = false;
         /// Instance 0 joins at the fault's start and is well but slow for 5 s.
         bool coldStart = false;
         double rate = ordinaryRate;
+        /// Longest pause; each lasts from a tenth of it to the whole.
+        double maxPauseSeconds = shortPauseSeconds;
         /// Whether an instance should be found at all.
         bool shouldFind = true;
     };
@@ -117,7 +121,7 @@
         {
             const bool right = m_fault.shouldFind && time >= m_faultStart
                 && suspicion.instance == InstanceId("0")
-                && suspicion.scope.value().empty() != m_fault.onePath;
+                && suspicion.scope.value().empty() == (m_fault.cutDataCentres == 0);
             if (right)
                 outcome.found = time - m_faultStart;
             else
@@ -129,7 +133,7 @@
         {
             for (double& end : m_pauseEnds) {
                 if (uniformReal(m_random) < pausesPerSecond * stepSeconds)
-                    end = time + pauseSeconds;
+                    end = time + m_fault.maxPauseSeconds * (0.1 + 0.9 * uniformReal(m_random));
             }
         }
 
@@ -156,7 +160,8 @@
         {
             if (time < m_faultStart || (ended.instance != 0 && !m_fault.allInstances))
                 return false;
-            if (m_fault.onePath && ended.host % dataCentreCount != 0)
+            if (m_fault.cutDataCentres > 0
+                && ended.host % dataCentreCount >= m_fault.cutDataCentres)
                 return false;
             if (m_fault.flapSeconds == 0.0)
                 return true;
@@ -170,7 +175,7 @@
                 return;
             ended.latency *= m_fault.slowdown;
             ended.failed = ended.failed || uniformReal(m_random) < m_fault.errorRate;
-            ended.connected = !(ended.failed && m_fault.onePath);
+            ended.connected = !(ended.failed && m_fault.cutDataCentres > 0);
         }
 
         void report(double time)
@@ -214,7 +219,8 @@
             { .name = "slow-3x", .slowdown = 3.0 },
             { .name = "slow-10x", .slowdown = 10.0 },
             { .name = "flapping-5s", .errorRate = 1.0, .flapSeconds = 5.0 },
-            { .name = "one-path-cut", .errorRate = 1.0, .onePath = true },
+            { .name = "one-path-cut", .errorRate = 1.0, .cutDataCentres = 1 },
+            { .name = "two-paths-cut", .errorRate = 1.0, .cutDataCentres = 2 },
             { .name = "thin-traffic-errors-100%", .errorRate = 1.0, .rate = thinRate },
             { .name = "whole-service-slow-5x",
                 .slowdown = 5.0,
@@ -239,7 +245,12 @@
             for (const double quickness : { 0.0, 0.25, 0.5, 0.75, 1.0 }) {
                 for (const auto& fault : faults())
                     measureFault(reporter, fault, quickness, seed);
-                measureQuiet(reporter, quickness, seed);
+                measureQuiet(reporter, { .name = "quiet", .shouldFind = false }, quickness, seed);
+                measureQuiet(reporter,
+                    { .name = "quiet-with-long-pauses",
+                        .maxPauseSeconds = longPauseSeconds,
+                        .shouldFind = false },
+                    quickness, seed);
             }
         }
 
@@ -282,12 +293,13 @@
             reporter.report({ name + "/worst", times.back(), "s", "" });
         }
 
-        static void measureQuiet(const Reporter& reporter, double quickness, std::uint64_t seed)
+        static void measureQuiet(
+            const Reporter& reporter, const Fault& fault, double quickness, std::uint64_t seed)
         {
             const double seconds = quietHours * 3600.0;
-            Simulation simulation({ .name = "quiet", .shouldFind = false }, quickness, seed);
+            Simulation simulation(fault, quickness, seed);
             const Outcome outcome = simulation.run(seconds, 0.0);
-            reporter.report({ prefixOf(quickness) + "quiet/false",
+            reporter.report({ prefixOf(quickness) + fault.name + "/false",
                 outcome.falseSuspicions * secondsPerDay / outcome.seconds, "ejections/service-day",
                 "" });
         }
--- a/testsuite/bench/gray_answers_bench.cpp
+++ b/testsuite/bench/gray_answers_bench.cpp
@@ -83,6 +83,13 @@
                 / static_cast<double>(count.requests);
         }
 
+        /// Bytes per second and host of evidence and permits.
+        double controlBytes() const
+        {
+            const double time = std::chrono::duration<double>(warmUp + measured + drain).count();
+            return static_cast<double>(m_fleet.network.bytesSent()) / time / hostCount;
+        }
+
         double p99Millis()
         {
             const auto rank = static_cast<std::ptrdiff_t>(m_latencies.size() * 99 / 100);
@@ -233,6 +240,9 @@
                         reporter.report({ kind + name, simulation.answeredPercent(orders), "%",
                             baseline.empty() ? "" : kind + baseline });
                     }
+                    if (policy.ejects)
+                        reporter.report(
+                            { "control-bytes/" + name, simulation.controlBytes(), "B/s/host", "" });
                     reporter.report({ "p99/" + name, simulation.p99Millis(), "ms",
                         baseline.empty() ? "" : "p99/" + baseline });
                 }
