Least-in-flight becomes the default balancer

Tests besides: a leaving instance whose word spreads host by host, and instances that one data centre alone uses.

--- a/src/include/laburnumroute/configuration.h
+++ b/src/include/laburnumroute/configuration.h
@@ -28,7 +28,7 @@
     std::uint32_t floorSlots = 0;
     Weighting weighting = Weighting::FewFalseEjections;
     /// Name of a registered balancer.
-    std::string balancer = "round-robin";
+    std::string balancer = "least-in-flight";
     /// Time after which a request without an answer is given up.
     Duration deadline = std::chrono::seconds(10);
     /// Retries allowed, as a percentage of requests.
--- a/src/libroute/ejection_test.cpp
+++ b/src/libroute/ejection_test.cpp
@@ -101,6 +101,38 @@
     REQUIRE(fleet.violations == 0);
 }
 
+TEST_CASE("while word of a leaving instance spreads the floor may miss it, and not after")
+{
+    EjectionFleet fleet({});
+    fleet.run(15s);
+    fleet.health = failing({ 0, 1 });
+    fleet.run(10s);
+    REQUIRE(fleet.ejectedAnywhere().size() == 2);
+    constexpr auto spread = 50ms;
+    for (auto& host : fleet.hosts) {
+        host->dispatcher.removeInstance(EjectionFleet::instance(4), fleet.network.now());
+        fleet.run(spread);
+    }
+    REQUIRE(fleet.violations <= fleet.options.hosts * 50);
+    fleet.violations = 0;
+    fleet.run(5s);
+    REQUIRE(fleet.violations == 0);
+}
+
+TEST_CASE("an instance that one data centre alone uses is ejected, not its path avoided")
+{
+    EjectionFleet fleet({ .localInstances = true });
+    fleet.run(15s);
+    fleet.health = [](const InstanceId& id, const HostPlace&, TimePoint, Random& random) {
+        return id == EjectionFleet::instance(2) ? AttemptReport { AttemptResult::TimedOut }
+                                                : healthyReport(random);
+    };
+    fleet.run(5s);
+    for (unsigned host = 0; host < fleet.options.hosts; ++host)
+        REQUIRE(fleet.isEjectedAt(host, 2));
+    REQUIRE(fleet.violations == 0);
+}
+
 TEST_CASE("permits lapse when the owner dies, and a new owner waits before it grants")
 {
     EjectionFleet fleet({});
--- a/testsuite/fakes/ejection_fleet.h
+++ b/testsuite/fakes/ejection_fleet.h
@@ -33,7 +33,8 @@
     return { AttemptResult::Failed, 500, std::chrono::milliseconds(5), 1000 };
 }
 
-/// Hosts h0, h1, ... alternate between data centres d0 and d1; instances stand in neither.
+/// Hosts h0, h1, ... alternate between data centres d0 and d1; instances stand in neither unless
+/// options say otherwise.
 class EjectionFleet {
 public:
     struct Options {
@@ -47,6 +48,8 @@
         std::uint64_t seed = 1;
         std::string method = "GET";
         std::string balancer = ServiceSpec {}.balancer;
+        /// Instances alternate between d0 and d1 too, so that each host sees those of its own.
+        bool localInstances = false;
     };
 
     struct Host {
@@ -94,16 +97,22 @@
     static InstanceId instance(unsigned i) { return InstanceId("i" + std::to_string(i)); }
 
     void addInstance(unsigned i)
+    {
+        for (auto& host : hosts)
+            host->dispatcher.upsertInstance(recordOf(i), network.now());
+    }
+
+    InstanceRecord recordOf(unsigned i) const
     {
         InstanceRecord record;
         record.id = instance(i);
         record.service = service;
-        record.dataCentre = DataCentreId("upstreams");
+        record.dataCentre
+            = DataCentreId(options.localInstances ? "d" + std::to_string(i % 2) : "upstreams");
         record.region = RegionId("r");
         record.slots = options.slots;
         record.connections = 400;
-        for (auto& host : hosts)
-            host->dispatcher.upsertInstance(record, network.now());
+        return record;
     }
 
     /// Takes the instance away in every host's eyes, as when its lease ran out.
