--- a/src/include/laburnumroute/dispatcher.h
+++ b/src/include/laburnumroute/dispatcher.h
@@ -20,6 +20,7 @@
 #include <laburnumroute/decision.h>
 #include <laburnumroute/ejection.h>
 #include <laburnumroute/explanation.h>
+#include <laburnumroute/host_place.h>
 #include <laburnumroute/instance.h>
 #include <laburnumroute/random.h>
 #include <laburnumroute/retry_budget.h>
@@ -28,13 +29,6 @@
 
 namespace laburnum {
 
-/// Where a host stands; placement prefers what is near.
-struct HostPlace {
-    HostId host;
-    DataCentreId dataCentre;
-    RegionId region;
-};
-
 /// What the dispatcher needs to know of a request.
 struct RequestFacts {
     std::string method;
