--- a/src/libfleet/membership.cpp
+++ b/src/libfleet/membership.cpp
@@ -239,7 +239,7 @@
         const std::size_t count = others.size();
         m_order = sample(std::move(others), count, m_random);
     }
-    const HostId target = m_order.back();
+    HostId target = std::move(m_order.back());
     m_order.pop_back();
     return target;
 }
