--- a/src/libnet/admin_server.cpp
+++ b/src/libnet/admin_server.cpp
@@ -41,6 +41,14 @@
         return result;
     }
 
+    /// Lets a restarted process bind at once. The library's default also lets two processes share the
+    /// port, which would hide a wrong setting.
+    void allowRebind(socket_t socket)
+    {
+        const int yes = 1;
+        ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+    }
+
 } // namespace
 
 struct AdminServer::Impl {
@@ -85,6 +93,7 @@
     m_impl->server.set_keep_alive_max_count(1);
     m_impl->server.set_read_timeout(readTimeoutSeconds);
     m_impl->server.set_tcp_nodelay(true);
+    m_impl->server.set_socket_options(allowRebind);
     if (key)
         m_impl->verifier = std::make_unique<RequestVerifier>(std::move(*key), wallClock());
 }
--- a/src/libnet/admin_server_test.cpp
+++ b/src/libnet/admin_server_test.cpp
@@ -80,3 +80,12 @@
     REQUIRE((!refused || refused->status == 413));
     REQUIRE(listener.handled == 1);
 }
+
+TEST_CASE("a second listener on the same address is refused")
+{
+    const Listener first(std::nullopt);
+    AdminServer second;
+    const auto bound = second.listen(first.endpoint);
+    REQUIRE_FALSE(bound.has_value());
+    REQUIRE(bound.error().code == ErrorCode::Io);
+}
--- a/testsuite/fleet.py
+++ b/testsuite/fleet.py
@@ -20,11 +20,18 @@
 REGIONS = {"cpt": ["cpt-1", "cpt-2"], "jnb": ["jnb-1", "jnb-2"], "dur": ["dur-1", "dur-2"]}
 
 
+GIVEN_PORTS = set()
+
+
 def free_port():
-    """A TCP port on loopback that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A TCP port on loopback that was free a moment ago and that no other call has returned."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        if port not in GIVEN_PORTS:
+            GIVEN_PORTS.add(port)
+            return port
 
 
 def http(method, url, body=None, headers=None, timeout=10.0):
@@ -196,7 +203,7 @@
         """Applies a configuration at the control hosts in turn until one accepts; returns its revision."""
         answers = []
         for host in self.controls:
-            answers.append(self.ctl("apply", str(path), "--change-id", change_id, "--json", control=host))
+            answers.append(self.ctl("apply", str(path), "--change-id", change_id, control=host))
             if answers[-1].returncode == 0:
                 return json.loads(answers[-1].stdout)["revision"]
         raise RuntimeError("no control host accepted: " + " | ".join(a.stdout + a.stderr for a in answers))
