--- a/src/include/laburnumroute/instance_spread.h
+++ b/src/include/laburnumroute/instance_spread.h
@@ -29,8 +29,12 @@
     Duration exchangeInterval = std::chrono::milliseconds(500);
     /// Peers to which new content is pushed.
     unsigned fanOut = 3;
-    /// Peers to which a drain is pushed.
-    unsigned drainFanOut = 6;
+    /// Peers to which a drain is pushed each time.
+    unsigned drainFanOut = 5;
+    /// Times that a host pushes a drain, each time to other peers.
+    unsigned drainPushes = 4;
+    /// Interval between these pushes.
+    Duration drainPushInterval = std::chrono::milliseconds(300);
     /// Rows in one message; a larger directory takes several exchanges.
     std::size_t rowsPerMessage = 256;
     /// Records in one message, and keys in one request for records.
@@ -87,10 +91,16 @@
         pvt::InstanceDelta& answer) const;
     void addRecord(const DirectoryEntry& entry, TimePoint now, pvt::InstanceDelta& answer) const;
     MergeResult take(const InstanceRecord& record, Duration age, TimePoint now);
+    struct DrainPush {
+        unsigned left = 0;
+        TimePoint next;
+    };
+
     void noteChange(const DirectoryEntry& entry, MergeResult result, double oldLoad);
     void sendDigest(const HostId& to, TimePoint now, Outbox& out);
     void expire(TimePoint now);
     void pushChanged(TimePoint now, Outbox& out);
+    void pushDrains(TimePoint now, Outbox& out);
     void pushRecords(
         const std::vector<InstanceId>& ids, unsigned fanOut, TimePoint now, Outbox& out);
     bool isServed(const ServiceId& service) const;
@@ -107,6 +117,8 @@
     std::set<std::uint64_t> m_unserved;
     /// Instances whose new content is still to be pushed.
     std::set<InstanceId> m_unpushed;
+    /// Drains that are still to be pushed again.
+    std::map<InstanceId, DrainPush> m_drainPushes;
     double m_pushAllowance = 0.0;
     TimePoint m_lastPush;
     TimePoint m_nextExchange;
--- a/src/libfleet/instance_spread.cpp
+++ b/src/libfleet/instance_spread.cpp
@@ -114,21 +114,35 @@
     const double limit = m_settings.pushesPerSecond;
     m_lastPush = now;
     m_pushAllowance = std::min(limit, m_pushAllowance + elapsed * limit);
-    std::vector<InstanceId> drains;
     std::vector<InstanceId> others;
     for (const auto& id : std::exchange(m_unpushed, {})) {
         const DirectoryEntry* entry = m_directory.find(id);
         if (!entry || entry->departed)
             continue;
         if (entry->record.phase == InstancePhase::Draining) {
-            drains.push_back(id);
+            m_drainPushes[id] = { m_settings.drainPushes, now };
         } else if (m_pushAllowance >= 1.0) {
             m_pushAllowance -= 1.0;
             others.push_back(id);
         }
     }
-    pushRecords(drains, m_settings.drainFanOut, now, out);
     pushRecords(others, m_settings.fanOut, now, out);
+    pushDrains(now, out);
+}
+
+void InstanceSpread::pushDrains(TimePoint now, Outbox& out)
+{
+    std::vector<InstanceId> due;
+    for (auto push = m_drainPushes.begin(); push != m_drainPushes.end();) {
+        if (now < push->second.next) {
+            ++push;
+            continue;
+        }
+        due.push_back(push->first);
+        push->second.next = now + m_settings.drainPushInterval;
+        push = --push->second.left == 0 ? m_drainPushes.erase(push) : std::next(push);
+    }
+    pushRecords(due, m_settings.drainFanOut, now, out);
 }
 
 void InstanceSpread::pushRecords(
--- a/src/libfleet/instance_spread_test.cpp
+++ b/src/libfleet/instance_spread_test.cpp
@@ -83,12 +83,13 @@
 
 TEST_CASE("a drain is in force at every host within 3 s despite loss, cuts and hosts down")
 {
-    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    constexpr unsigned downCount = 10;
+    for (std::uint64_t seed = 41; seed <= 60; ++seed) {
         CAPTURE(seed);
         InstanceFleet fleet(hostCount, 12, seed);
         fleet.run(seconds(4));
         disturb(fleet, seed);
-        for (unsigned i = 0; i < 5; ++i) {
+        for (unsigned i = 0; i < downCount; ++i) {
             fleet.down.insert(i);
             fleet.network.isolate(fleet.ids[i]);
         }
@@ -97,7 +98,7 @@
         // The upstream says it once and no more.
         fleet.silent.insert(3);
         fleet.run(seconds(3));
-        REQUIRE(fleet.countKnown(3, draining) == hostCount - 5);
+        REQUIRE(fleet.countKnown(3, draining) == hostCount - downCount);
     }
 }
 
