A host that cannot store a version does not fetch it again and again

Cause: found while reading the code: a host with a full disk asked for the content every 400 ms and was sent it in each exchange: 90 contents in 20 s with 12 hosts. While it holds an unstored version it asks for nothing that is not newer, and its exchanges ask for no answer: at most 3 (test seen failing).

--- a/src/libfleet/config_spread.cpp
+++ b/src/libfleet/config_spread.cpp
@@ -82,7 +82,7 @@
     if (now >= m_nextExchange) {
         m_nextExchange = now + m_settings.exchangeInterval;
         for (const auto& peer : sample(m_peers, 1, m_random))
-            sendDigest(peer, true, now, out);
+            sendDigest(peer, !m_unstored, now, out);
     }
 }
 
@@ -204,6 +204,8 @@
 {
     if (offered <= revision() || offered < m_lowest)
         return;
+    if (m_unstored && offered <= m_unstored->revision)
+        return;
     if (offered <= m_wanted && now < m_wantEnds)
         return;
     m_wanted = offered;
--- a/src/libfleet/config_spread_test.cpp
+++ b/src/libfleet/config_spread_test.cpp
@@ -194,6 +194,22 @@
     REQUIRE_FALSE(fleet.hosts[1].spread->takeNewVersion());
 }
 
+TEST_CASE("a host with a full disk does not ask for the same content again and again")
+{
+    ConfigFleet fleet(12, 12);
+    fleet.hosts[1].storage.failWrites(1000);
+    fleet.submit(0, 1);
+    fleet.network.run(seconds(3));
+    const auto before = fleet.network.messagesSent("config.content");
+    fleet.network.run(seconds(20));
+    REQUIRE(fleet.network.messagesSent("config.content") - before <= 3);
+    fleet.submit(0, 2);
+    fleet.network.run(seconds(5));
+    fleet.hosts[1].storage.failWrites(0);
+    fleet.network.run(seconds(3));
+    REQUIRE(fleet.inForce(2, 12));
+}
+
 TEST_CASE("a host whose file is damaged starts from peers and never goes below its last revision")
 {
     ConfigFleet fleet(3, 13);
