--- a/src/libfleet/membership.cpp
+++ b/src/libfleet/host_membership.cpp
@@ -1,4 +1,4 @@
-#include <laburnumroute/membership.h>
+#include <laburnumroute/host_membership.h>
 
 #include <algorithm>
 #include <bit>
@@ -26,8 +26,8 @@
 
 } // namespace
 
-Membership::Membership(const HostId& self, const std::vector<HostPlace>& hosts, std::uint64_t seed,
-    MembershipSettings settings)
+HostMembership::HostMembership(const HostId& self, const std::vector<HostPlace>& hosts,
+    std::uint64_t seed, MembershipSettings settings)
     : m_self(self)
     , m_place { self, {}, {} }
     , m_random(seed)
@@ -46,7 +46,7 @@
     m_ownNewsTold = m_maxTellings;
 }
 
-std::vector<HostPlace> Membership::liveHosts() const
+std::vector<HostPlace> HostMembership::liveHosts() const
 {
     std::vector<HostPlace> live { m_place };
     for (const auto& [host, member] : m_members) {
@@ -58,7 +58,7 @@
     return live;
 }
 
-MemberState Membership::stateOf(const HostId& host) const
+MemberState HostMembership::stateOf(const HostId& host) const
 {
     if (host == m_self)
         return MemberState::Alive;
@@ -66,14 +66,14 @@
     return member == m_members.end() ? MemberState::Dead : member->second.state;
 }
 
-bool Membership::isLive(const HostId& host) const { return stateOf(host) != MemberState::Dead; }
+bool HostMembership::isLive(const HostId& host) const { return stateOf(host) != MemberState::Dead; }
 
-std::vector<std::string> Membership::methods() const
+std::vector<std::string> HostMembership::methods() const
 {
     return { methodMemberPing, methodMemberAck, methodMemberRequest };
 }
 
-void Membership::receive(const PeerMessage& message, TimePoint now, Outbox& out)
+void HostMembership::receive(const PeerMessage& message, TimePoint now, Outbox& out)
 {
     if (!m_members.contains(message.from))
         return;
@@ -85,7 +85,7 @@
         receiveRequest(message, now, out);
 }
 
-void Membership::receivePing(const PeerMessage& message, TimePoint now, Outbox& out)
+void HostMembership::receivePing(const PeerMessage& message, TimePoint now, Outbox& out)
 {
     const auto ping = decodeMemberPing(message.params);
     if (!ping)
@@ -95,7 +95,7 @@
         encodeMemberPing({ ping->number, std::nullopt, pickNews(message.from) }));
 }
 
-void Membership::receiveAck(const PeerMessage& message, TimePoint now, Outbox& out)
+void HostMembership::receiveAck(const PeerMessage& message, TimePoint now, Outbox& out)
 {
     const auto ack = decodeMemberPing(message.params);
     if (!ack)
@@ -111,7 +111,7 @@
     m_errands.erase(errand);
 }
 
-void Membership::receiveRequest(const PeerMessage& message, TimePoint now, Outbox& out)
+void HostMembership::receiveRequest(const PeerMessage& message, TimePoint now, Outbox& out)
 {
     const auto request = decodeMemberPing(message.params);
     if (!request || !request->target || !m_members.contains(*request->target))
@@ -121,7 +121,8 @@
     sendPing(*request->target, m_lastNumber, out);
 }
 
-void Membership::applyNews(const HostId& from, const std::vector<MemberNews>& news, TimePoint now)
+void HostMembership::applyNews(
+    const HostId& from, const std::vector<MemberNews>& news, TimePoint now)
 {
     // A host that is itself in doubt, perhaps because it does not hear, gives no bad news.
     const bool trusted = stateOf(from) == MemberState::Alive;
@@ -141,7 +142,7 @@
 }
 
 /// Refutes a suspicion of this host by a higher incarnation.
-void Membership::applyOwnNews(const MemberNews& item)
+void HostMembership::applyOwnNews(const MemberNews& item)
 {
     if (item.incarnation < m_incarnation)
         return;
@@ -153,7 +154,7 @@
     m_hasUrgentNews = true;
 }
 
-void Membership::setState(
+void HostMembership::setState(
     Member& member, MemberState state, std::uint64_t incarnation, TimePoint now)
 {
     if (state == MemberState::Suspect && member.state != MemberState::Suspect)
@@ -165,7 +166,7 @@
     member.told = 0;
 }
 
-void Membership::tick(TimePoint now, Outbox& out)
+void HostMembership::tick(TimePoint now, Outbox& out)
 {
     if (m_probe && !m_probe->answered && !m_probe->helpersAsked
         && now >= m_probe->started + m_settings.pingTimeout)
@@ -179,7 +180,7 @@
     expire(now, out);
 }
 
-void Membership::sendUrgent(Outbox& out)
+void HostMembership::sendUrgent(Outbox& out)
 {
     for (const auto& host : std::exchange(m_toVerify, {}))
         sendPing(host, ++m_lastNumber, out);
@@ -194,7 +195,7 @@
         sendPing(host, ++m_lastNumber, out);
 }
 
-void Membership::endProbe(TimePoint now)
+void HostMembership::endProbe(TimePoint now)
 {
     const auto probe = std::exchange(m_probe, std::nullopt);
     if (!probe)
@@ -215,7 +216,7 @@
     m_hasUrgentNews = true;
 }
 
-void Membership::startProbe(TimePoint now, Outbox& out)
+void HostMembership::startProbe(TimePoint now, Outbox& out)
 {
     if (m_members.empty())
         return;
@@ -224,7 +225,7 @@
 }
 
 /// Goes through all hosts in random order. Dead hosts have turns of their own.
-HostId Membership::nextTarget()
+HostId HostMembership::nextTarget()
 {
     std::vector<HostId> dead;
     std::vector<HostId> others;
@@ -244,7 +245,7 @@
     return target;
 }
 
-void Membership::askHelpers(Outbox& out)
+void HostMembership::askHelpers(Outbox& out)
 {
     m_probe->helpersAsked = true;
     std::vector<HostId> candidates;
@@ -257,7 +258,7 @@
             encodeMemberPing({ m_probe->number, m_probe->target, pickNews(helper) }));
 }
 
-void Membership::expire(TimePoint now, Outbox& out)
+void HostMembership::expire(TimePoint now, Outbox& out)
 {
     for (auto& [host, member] : m_members) {
         if (member.state == MemberState::Suspect && now >= member.deadline && !doubtsItself())
@@ -272,7 +273,7 @@
 }
 
 /// News that were told least, and always what the receiver has to refute.
-std::vector<MemberNews> Membership::pickNews(const HostId& receiver)
+std::vector<MemberNews> HostMembership::pickNews(const HostId& receiver)
 {
     std::vector<MemberNews> news;
     const auto itself = m_members.find(receiver);
@@ -298,7 +299,7 @@
     return news;
 }
 
-void Membership::sendPing(const HostId& to, std::uint64_t number, Outbox& out)
+void HostMembership::sendPing(const HostId& to, std::uint64_t number, Outbox& out)
 {
     out.send(to, methodMemberPing, encodeMemberPing({ number, std::nullopt, pickNews(to) }));
 }
--- a/src/libfleet/membership_test.cpp
+++ b/src/libfleet/host_membership_test.cpp
@@ -2,7 +2,7 @@
 
 #include <memory>
 
-#include <laburnumroute/membership.h>
+#include <laburnumroute/host_membership.h>
 
 #include "fakes/fake_network.h"
 
@@ -33,7 +33,7 @@
     {
         if (hosts[i])
             network.detach(places[i].host);
-        hosts[i] = std::make_unique<Membership>(places[i].host, places, m_random());
+        hosts[i] = std::make_unique<HostMembership>(places[i].host, places, m_random());
         network.attach(places[i].host, *hosts[i]);
     }
 
@@ -57,7 +57,7 @@
 
     FakeNetwork network;
     std::vector<HostPlace> places;
-    std::vector<std::unique_ptr<Membership>> hosts;
+    std::vector<std::unique_ptr<HostMembership>> hosts;
 
 private:
     Random m_random;
--- a/src/libfleet/membership_messages_pvt.h
+++ b/src/libfleet/membership_messages_pvt.h
@@ -7,7 +7,7 @@
 #include <json/value.h>
 
 #include <laburnumroute/error.h>
-#include <laburnumroute/membership.h>
+#include <laburnumroute/host_membership.h>
 
 namespace laburnum::pvt {
 
--- a/testsuite/bench/control_bytes_bench.cpp
+++ b/testsuite/bench/control_bytes_bench.cpp
@@ -7,8 +7,8 @@
 #include <malloc.h>
 
 #include <laburnumroute/config_spread.h>
+#include <laburnumroute/host_membership.h>
 #include <laburnumroute/json.h>
-#include <laburnumroute/membership.h>
 #include <laburnumroute/ownership_leases.h>
 
 #include "bench.h"
@@ -79,7 +79,7 @@
         {
             const HostId& id = m_fleet.ids[i];
             m_configs.push_back(std::make_unique<ConfigSpread>(id, m_fleet.ids, nullptr, seed));
-            m_members.push_back(std::make_unique<Membership>(id, m_places, seed));
+            m_members.push_back(std::make_unique<HostMembership>(id, m_places, seed));
             m_leases.push_back(std::make_unique<OwnershipLeases>(id, m_places, seed));
             m_leases.back()->setServices(services);
             m_fleet.network.attach(id, *m_configs.back());
@@ -107,7 +107,7 @@
         fakes::InstanceFleet m_fleet;
         std::vector<HostPlace> m_places;
         std::vector<std::unique_ptr<ConfigSpread>> m_configs;
-        std::vector<std::unique_ptr<Membership>> m_members;
+        std::vector<std::unique_ptr<HostMembership>> m_members;
         std::vector<std::unique_ptr<OwnershipLeases>> m_leases;
         double m_changesDue = 0.0;
         std::uint64_t m_revision = 0;
