Entry server tests hold their closed port and wait for the drain to be in force

Cause: under six parallel runs 2 of 24 and 4 of 48 failed: a port taken for closed was taken by another process's upstream, and one answer left before the drain began. Ruled out: a fault of the server (in the second case the connection closes as idle). Change: ClosedPort keeps the port bound; the test waits until connections are refused; draining is set before the acceptor closes.

--- a/src/libnet/entry_claim_test.cpp
+++ b/src/libnet/entry_claim_test.cpp
@@ -180,7 +180,8 @@
     SECTION("no instance could be reached")
     {
         Rig rig({}, &gate);
-        rig.addInstance(closedEndpoint());
+        const ClosedPort closed;
+        rig.addInstance(closed.endpoint());
         rig.exchange(keyed("abc"));
         REQUIRE(gate.finished.wait());
         CHECK(gate.finishedEnd == ClaimEnd::NotRun);
--- a/src/libnet/entry_drain_test.cpp
+++ b/src/libnet/entry_drain_test.cpp
@@ -14,6 +14,16 @@
 constexpr const char* get = "GET /s HTTP/1.1\r\nHost: h\r\n\r\n";
 constexpr const char* okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
+/// True once `port` takes no connection.
+bool refuses(std::uint16_t port)
+{
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    std::error_code code;
+    socket.connect({ asio::ip::address_v4::loopback(), port }, code);
+    return code == asio::error::connection_refused;
+}
+
 /// A drain that was asked for.
 struct Drain {
     void start(EntryServer& server)
@@ -38,18 +48,14 @@
     used.send(get);
     CHECK(used.readMessage().ends_with("ok"));
     Connection unused = rig.connect();
-    const Endpoint endpoint = rig.server().localEndpoint();
+    const std::uint16_t port = rig.server().localEndpoint().port;
     Drain drain;
     drain.start(rig.server());
     REQUIRE(drain.done.wait());
     CHECK(drain.report.cut == 0);
     CHECK(used.peerCloses());
     CHECK(unused.peerCloses());
-    asio::io_context context;
-    asio::ip::tcp::socket late(context);
-    std::error_code code;
-    late.connect({ asio::ip::address_v4::loopback(), endpoint.port }, code);
-    CHECK(code == asio::error::connection_refused);
+    CHECK(refuses(port));
 }
 
 TEST_CASE("a drain lets uploads and answers in flight run to their end")
@@ -79,8 +85,11 @@
     lookup.send(get);
     REQUIRE(uploadStarted.wait());
     REQUIRE(lookupStarted.wait());
+    const std::uint16_t port = rig.server().localEndpoint().port;
     Drain drain;
     drain.start(rig.server());
+    while (!refuses(port))
+        std::this_thread::yield();
     release.set();
     const std::string looked = lookup.readMessage();
     CHECK(looked.ends_with("ok"));
--- a/src/libnet/entry_outcome_test.cpp
+++ b/src/libnet/entry_outcome_test.cpp
@@ -71,7 +71,8 @@
     CHECK(learned.outcome == "not-run");
     CHECK(learned.reason == "no-instance");
     CHECK(learned.retryAfter);
-    rig.addInstance(closedEndpoint());
+    const ClosedPort closed;
+    rig.addInstance(closed.endpoint());
     learned = learn(rig.exchange(request("POST")));
     CHECK(learned.status == "503");
     CHECK(learned.outcome == "not-run");
@@ -127,7 +128,8 @@
     Counted healthy(okAnswer);
     Rig rig;
     rig.addInstance(shedding.upstream.endpoint());
-    rig.addInstance(closedEndpoint());
+    const ClosedPort closed;
+    rig.addInstance(closed.endpoint());
     rig.addInstance(healthy.upstream.endpoint());
     for (int i = 0; i < 6; ++i) {
         const auto learned = learn(rig.exchange(request("POST")));
--- a/src/libnet/entry_server.cpp
+++ b/src/libnet/entry_server.cpp
@@ -89,11 +89,11 @@
             return force();
         }
         onDrained.push_back(std::move(done));
+        entry->draining = true;
         acceptPending();
         std::error_code ignored;
         acceptor.close(ignored);
         sweep.cancel();
-        entry->draining = true;
         forEachSession([](Session& session) { session.drain(); });
         drainLimit.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(
             entry->options.drainTimeout));
--- a/src/libnet/loopback_test.cpp
+++ b/src/libnet/loopback_test.cpp
@@ -233,13 +233,13 @@
     return head;
 }
 
-Endpoint closedEndpoint()
+ClosedPort::ClosedPort()
+    : m_socket(m_context, loopback(0))
 {
-    asio::io_context context;
-    const tcp::acceptor probe(context, loopback(0));
-    return { "127.0.0.1", probe.local_endpoint().port() };
 }
 
+Endpoint ClosedPort::endpoint() const { return { "127.0.0.1", m_socket.local_endpoint().port() }; }
+
 ScriptedUpstream::Script answerAlways(const std::string& body)
 {
     return [body](Connection& connection, int) {
--- a/src/libnet/loopback_test.h
+++ b/src/libnet/loopback_test.h
@@ -121,8 +121,16 @@
 
 /// Removes the lines of `head` that start with `name`, which tests cannot know.
 std::string withoutField(std::string head, const std::string& name);
-/// A port on which nothing listens.
-Endpoint closedEndpoint();
+/// Holds a port on which nothing listens, so that no other process takes it.
+class ClosedPort {
+public:
+    ClosedPort();
+    Endpoint endpoint() const;
+
+private:
+    asio::io_context m_context;
+    asio::ip::tcp::socket m_socket;
+};
 /// Answers every request on the connection with 200 and `body`.
 ScriptedUpstream::Script answerAlways(const std::string& body);
 
