--- a/src/libfleet/host_membership.cpp
+++ b/src/libfleet/host_membership.cpp
@@ -26,8 +26,8 @@
 
 } // namespace
 
-HostMembership::HostMembership(const HostId& self, const std::vector<HostPlace>& hosts, std::uint64_t seed,
-    MembershipSettings settings)
+HostMembership::HostMembership(const HostId& self, const std::vector<HostPlace>& hosts,
+    std::uint64_t seed, MembershipSettings settings)
     : m_self(self)
     , m_place { self, {}, {} }
     , m_random(seed)
@@ -121,7 +121,8 @@
     sendPing(*request->target, m_lastNumber, out);
 }
 
-void HostMembership::applyNews(const HostId& from, const std::vector<MemberNews>& news, TimePoint now)
+void HostMembership::applyNews(
+    const HostId& from, const std::vector<MemberNews>& news, TimePoint now)
 {
     // A host that is itself in doubt, perhaps because it does not hear, gives no bad news.
     const bool trusted = stateOf(from) == MemberState::Alive;
--- a/src/libnet/entry_claim_test.cpp
+++ b/src/libnet/entry_claim_test.cpp
@@ -17,6 +17,7 @@
     void begin(const ClaimDemand& demand, Callback callback) override
     {
         demands.push_back(demand);
+        asked.set();
         if (silent)
             kept = std::move(callback);
         else
@@ -36,6 +37,7 @@
     bool silent = false;
     Callback kept;
     std::vector<ClaimDemand> demands;
+    Signal asked;
     Signal finished;
     ClaimId finishedClaim;
     ClaimEnd finishedEnd = ClaimEnd::Unknown;
@@ -122,6 +124,26 @@
     CHECK(gate.demands[0].fingerprint != gate.demands[3].fingerprint);
 }
 
+TEST_CASE("the fingerprint of a large body does not depend on how it arrives")
+{
+    FakeGate gate;
+    Rig rig({}, &gate);
+    Order order(created);
+    rig.addInstance(order.upstream.endpoint());
+    const std::string request = keyed(std::string(60000, 'x'));
+    rig.exchange(request);
+    FakeGate second;
+    Rig other({}, &second);
+    other.addInstance(order.upstream.endpoint());
+    Connection caller = other.connect();
+    constexpr std::size_t atFirst = 52000;
+    caller.send(request.substr(0, atFirst));
+    REQUIRE(second.asked.wait());
+    caller.send(request.substr(atFirst));
+    caller.readAll();
+    CHECK(gate.demands[0].fingerprint == second.demands[0].fingerprint);
+}
+
 TEST_CASE("a resent request gets the stored answer and does not run")
 {
     FakeGate gate;
--- a/src/libnet/request_body.cpp
+++ b/src/libnet/request_body.cpp
@@ -48,15 +48,18 @@
     co_return fresh;
 }
 
-asio::awaitable<Expected<void>> RequestBody::readAhead()
+asio::awaitable<Expected<void>> RequestBody::readAhead(std::size_t wanted)
 {
-    constexpr std::size_t largestPart = std::size_t { 16 } * 1024;
-    keep(m_caller.takeBufferedBody());
-    while (!complete() && m_kept.size() + largestPart <= m_replayLimit) {
+    const auto append = [this](const std::string& part) {
+        m_bytes += part.size();
+        m_kept += part;
+    };
+    append(m_caller.takeBufferedBody());
+    while (!complete() && m_kept.size() < wanted) {
         auto part = co_await m_caller.readBodyPart();
         if (!part)
             co_return tl::unexpected<Error>(part.error());
-        keep(*part);
+        append(*part);
     }
     co_return Expected<void> {};
 }
--- a/src/libnet/request_body_pvt.h
+++ b/src/libnet/request_body_pvt.h
@@ -21,8 +21,9 @@
     asio::awaitable<Expected<std::string>> readPart();
     /// The next bytes that need no reading from the caller; may be empty.
     std::string takeAtHand();
-    /// Reads ahead until the body is whole or the replay buffer is full.
-    asio::awaitable<Expected<void>> readAhead();
+    /// Reads ahead until the body is whole or at least `wanted` bytes are kept. Call it before
+    /// anything is handed out.
+    asio::awaitable<Expected<void>> readAhead(std::size_t wanted);
     /// Goes back to the first byte; only while replayable().
     void rewind() { m_position = 0; }
 
--- a/src/libnet/request_handler.cpp
+++ b/src/libnet/request_handler.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+    /// Bytes of a keyed request's body by which it is told from others with the same key.
+    constexpr std::size_t fingerprintedBytes = std::size_t { 48 } * 1024;
+
     constexpr unsigned statusBadRequest = 400;
     constexpr unsigned statusRequestTimeout = 408;
     constexpr unsigned statusConflict = 409;
@@ -252,7 +255,7 @@
     const std::string length
         = m_request.contentLength ? std::to_string(*m_request.contentLength) : "-";
     const std::string text = m_request.method + '\n' + std::string(m_request.field("host")) + '\n'
-        + m_request.target + '\n' + length + '\n' + m_body.kept();
+        + m_request.target + '\n' + length + '\n' + m_body.kept().substr(0, fingerprintedBytes);
     const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
     std::array<char, 33> digits {};
     std::snprintf(digits.data(), digits.size(), "%016llx%016llx",
@@ -267,7 +270,7 @@
         co_await m_stream.write("HTTP/1.1 100 Continue\r\n\r\n");
     }
     m_side.watchdog.watch(m_side.deadline, [this] { m_stream.cancel(); });
-    const auto body = co_await m_body.readAhead();
+    const auto body = co_await m_body.readAhead(fingerprintedBytes);
     m_side.watchdog.clear();
     if (body)
         co_return true;
