--- a/src/include/laburnumroute/auth.h
+++ b/src/include/laburnumroute/auth.h
@@ -60,9 +60,10 @@
 /// Signs `request` for the time `now`; the result is the value of signatureHeader.
 std::string signRequest(const SharedKey& key, const RequestParts& request, WallTime now);
 
-/// Verifies signed requests at one host. It accepts a signed request at most once, also across its
-/// own restart, and not at all when the signer's clock is off by more than maxSkew. Another host
-/// with the same key can still accept a copy within that time. Safe from any thread.
+/// Verifies signed requests at one host. One run accepts a signed request at most once, and not at
+/// all when the signer's clock is off by more than maxSkew. A restarted host refuses what was signed
+/// before its start; only when the signer's clock is ahead of its own can it take a request again.
+/// Another host with the same key can accept a copy within maxSkew. Safe from any thread.
 class RequestVerifier {
 public:
     /// Clock difference up to which a signature counts as fresh.
--- a/src/libauth/request_signature.cpp
+++ b/src/libauth/request_signature.cpp
@@ -96,7 +96,7 @@
     if (parsed->signedAt < now - maxSkew || parsed->signedAt > now + maxSkew)
         return deny("the signature is stale: the clocks of signer and host differ by more than "
             + std::to_string(maxSkew.count()) + " s, or the request is old");
-    if (parsed->signedAt <= m_started)
+    if (parsed->signedAt < m_started)
         return deny("the signature was made before this host started; sign the request again");
     return remember(mac, parsed->signedAt, now);
 }
--- a/src/libnet/admin_server.cpp
+++ b/src/libnet/admin_server.cpp
@@ -75,6 +75,7 @@
     std::thread thread;
     std::unique_ptr<RequestVerifier> verifier;
     std::atomic<std::uint64_t> refused { 0 };
+    std::atomic<bool> ended { false };
 };
 
 AdminServer::AdminServer(std::optional<SharedKey> key)
@@ -111,7 +112,13 @@
 {
     if (!m_impl->server.bind_to_port(endpoint.address, endpoint.port))
         return fail(ErrorCode::Io, "listen on " + formatEndpoint(endpoint) + ": cannot bind");
-    m_impl->thread = std::thread([this] { m_impl->server.listen_after_bind(); });
+    m_impl->thread = std::thread([this] {
+        m_impl->server.listen_after_bind();
+        m_impl->ended = true;
+    });
+    // The library ignores a stop() that comes before its loop runs, and would then never end.
+    while (!m_impl->server.is_running() && !m_impl->ended)
+        std::this_thread::yield();
     return {};
 }
 
--- a/src/libnet/admin_server_test.cpp
+++ b/src/libnet/admin_server_test.cpp
@@ -80,3 +80,12 @@
     REQUIRE((!refused || refused->status == 413));
     REQUIRE(listener.handled == 1);
 }
+
+TEST_CASE("a listener that is stopped at once ends")
+{
+    for (int i = 0; i < 100; ++i) {
+        CAPTURE(i);
+        AdminServer server;
+        REQUIRE(server.listen(pvt::freeEndpoint()).has_value());
+    }
+}
