--- /dev/null
+++ b/src/include/laburnumroute/claim_gate.h
@@ -0,0 +1,28 @@
+/// Claims on idempotency keys as the request path sees them: ask before a keyed request runs, tell
+/// afterwards how it ended.
+#pragma once
+
+#include <functional>
+
+#include <laburnumroute/claim_coordinator.h>
+#include <laburnumroute/claims.h>
+
+namespace laburnum {
+
+/// Grants claims. Calls may come from any thread.
+class ClaimGate {
+public:
+    using Callback = std::function<void(ClaimDecision)>;
+
+    /// Largest body of an answer that is handed over for storage, in bytes.
+    static constexpr std::size_t maxStoredBytes = std::size_t { 64 } * 1024;
+
+    virtual ~ClaimGate() = default;
+    /// Asks to run a request. `callback` is called at most once, from any thread, also before
+    /// begin() returns.
+    virtual void begin(const ClaimDemand& demand, Callback callback) = 0;
+    /// Ends a claim that begin() granted. `answer` is null unless the whole answer is at hand.
+    virtual void finish(const ClaimId& claim, ClaimEnd end, const StoredAnswer* answer) = 0;
+};
+
+} // namespace laburnum
--- a/testsuite/fakes/fake_network.h
+++ b/testsuite/fakes/fake_network.h
@@ -56,6 +56,10 @@
     void setClockRate(const HostId& host, double rate) { m_clockRates[host] = rate; }
     /// What the clock of `host` shows.
     TimePoint localNow(const HostId& host) const;
+    /// Calls `tap` with each message when it is sent. The tap may change it, or lose it by
+    /// returning false.
+    using Tap = std::function<bool(PeerMessage& message)>;
+    void setTap(Tap tap) { m_tap = std::move(tap); }
 
     /// Runs for `time`, in steps of one millisecond, calling `check` after each step.
     void run(Duration time, const std::function<void()>& check = {});
@@ -80,13 +84,14 @@
         std::size_t bytes = 0;
     };
 
-    void enqueue(const PeerMessage& message);
+    void enqueue(PeerMessage message);
     void deliverDue();
     void deliver(const InFlight& item);
     void tickAll();
 
     Random m_random;
     Delay m_delay;
+    Tap m_tap;
     NetworkFaults m_faults;
     TimePoint m_now { std::chrono::seconds(1) };
     std::map<HostId, std::vector<Participant*>> m_hosts;
