--- a/src/libnet/admin_server_test.cpp
+++ b/src/libnet/admin_server_test.cpp
@@ -89,3 +89,12 @@
     REQUIRE_FALSE(bound.has_value());
     REQUIRE(bound.error().code == ErrorCode::Io);
 }
+
+TEST_CASE("a listener that is stopped at once ends")
+{
+    for (int i = 0; i < 100; ++i) {
+        CAPTURE(i);
+        AdminServer server;
+        REQUIRE(server.listen(pvt::freeEndpoint()).has_value());
+    }
+}
