--- a/src/libstate/log_membership.cpp
+++ b/src/libstate/log_membership.cpp
@@ -15,6 +15,8 @@
     constexpr auto joinAge = std::chrono::milliseconds(1000); // a join counts for this long
     constexpr std::uint64_t promotionLag = 16; // entries that a learner may be behind to vote
 
+    constexpr int forgottenAfter = 4; // election timeouts without a leader
+
     /// Number of members that stand in one membership only, or differ.
     std::size_t difference(const Membership& a, const Membership& b)
     {
@@ -102,11 +104,20 @@
         = { request.sender, request.blank, request.nonce, request.echo == m_nonce, now };
 }
 
-/// A member that is in no membership tells the control hosts, and founds the log when all of them
-/// hold nothing.
+/// Whether this member is in the membership, as far as it can tell. One that no leader has
+/// contacted for long may have been removed without hearing of it.
+bool ReplicatedLog::Impl::seemsAdmitted(TimePoint now) const
+{
+    const TimePoint contact = m_leaderHeard.value_or(m_startedAt);
+    return memberships.current().find(self()) != nullptr
+        && (role == LogRole::Leader || now - contact < options.timing.electionMax * forgottenAfter);
+}
+
+/// A member that does not seem admitted tells the control hosts. It founds the log when all of
+/// them hold nothing.
 void ReplicatedLog::Impl::tickJoin(TimePoint now, Outbox& out)
 {
-    if (now < m_joinDue || memberships.current().find(self()) != nullptr)
+    if (now < m_joinDue || seemsAdmitted(now))
         return;
     m_joinDue = now + joinInterval;
     for (const HostId& host : options.controlHosts) {
--- a/src/libstate/replicated_log.cpp
+++ b/src/libstate/replicated_log.cpp
@@ -40,6 +40,7 @@
     , applied(store.snapshot().index)
     , memberships(store)
     , m_state(state)
+    , m_startedAt(now)
     , m_random(options.seed)
     , m_nonce(m_random() | 1U)
     , m_joinDue(now)
--- a/src/libstate/replicated_log_pvt.h
+++ b/src/libstate/replicated_log_pvt.h
@@ -146,6 +146,7 @@
     // Membership.
     void onJoin(const pvt::JoinRequest& request, const HostId& from, TimePoint now, Outbox& out);
     void tickJoin(TimePoint now, Outbox& out);
+    bool seemsAdmitted(TimePoint now) const;
     void found(TimePoint now, Outbox& out);
     bool everyoneIsBlank(TimePoint now) const;
     void admitJoining(TimePoint now, Outbox& out);
@@ -154,6 +155,7 @@
     void trackFollowers(TimePoint now);
 
     AppliedState& m_state;
+    const TimePoint m_startedAt;
     Random m_random;
     MemberId m_leader;
     HostId m_leaderHost;
--- a/src/libstate/replicated_log_test.cpp
+++ b/src/libstate/replicated_log_test.cpp
@@ -308,3 +308,87 @@
         REQUIRE(
             log.propose("{}", cluster.network().now(), out).error().code == ErrorCode::Unavailable);
 }
+
+TEST_CASE("a member that was removed while it was away joins again")
+{
+    StateClusterOptions options;
+    options.seed = GENERATE(1, 2);
+    CAPTURE(options.seed);
+    StateCluster cluster(options);
+    elect(cluster);
+    submitMany(cluster, *cluster.leader(), 3, "before-");
+    const HostId away = followers(cluster).front();
+    const MemberId id = cluster.log(away).member();
+    cluster.kill(away);
+    const HostId leader = *cluster.leader();
+    Outbox out(leader);
+    ReplicatedLog& log = cluster.log(leader);
+    REQUIRE(log.changeMembership(log.membership().without(id), cluster.network().now(), out));
+    cluster.network().flush(out);
+    cluster.run(1s);
+    cluster.settle();
+    REQUIRE(cluster.log(leader).membership().isVoter(id));
+    REQUIRE(cluster.violations() == none);
+}
+
+TEST_CASE("random faults over fixed seeds break no promise")
+{
+    StateClusterOptions options;
+    options.seed = GENERATE(range(1, 41));
+    options.hosts = options.seed % 2 == 0 ? 5 : 3;
+    CAPTURE(options.seed, options.hosts);
+    StateCluster cluster(options);
+    Random random(options.seed);
+    const auto anyHost = [&] { return cluster.hosts()[uniformBelow(random, options.hosts)]; };
+    elect(cluster);
+    for (unsigned round = 0; round < 60; ++round) {
+        const HostId host = anyHost();
+        switch (uniformBelow(random, 9)) {
+        case 0:
+            cluster.kill(host, CrashKind::Sectors);
+            break;
+        case 1:
+            cluster.kill(host, CrashKind::Process);
+            break;
+        case 2:
+            cluster.storage(host).stopAt(
+                1 + static_cast<unsigned>(uniformBelow(random, 20)), StopPoint::Half);
+            break;
+        case 3:
+            cluster.storage(host).failSyncs(1);
+            break;
+        case 4:
+            cluster.network().cut(host, anyHost());
+            break;
+        case 5:
+            cluster.network().isolate(host, uniformBelow(random, 2) == 0);
+            break;
+        case 6:
+            cluster.network().freeze(host, uniformBelow(random, 2) == 0);
+            break;
+        case 7:
+            cluster.network().setFaults({ 0.1, 0.2, 50ms });
+            break;
+        default:
+            cluster.network().setFaults({});
+            for (const HostId& other : cluster.hosts()) {
+                cutOut(cluster, other, false);
+                cluster.network().isolate(other, false);
+                cluster.network().freeze(other, false);
+            }
+        }
+        const ChangeId id("change-" + std::to_string(round));
+        cluster.submit(anyHost(), { id, cluster.newestAccepted(), "content" });
+        cluster.submit(anyHost(), cluster.submitted().at(id).change);
+        cluster.run(std::chrono::milliseconds(uniformBelow(random, 800)));
+        for (const HostId& other : cluster.hosts())
+            if (uniformBelow(random, 3) == 0 && (!cluster.isUp(other) || cluster.refusal(other))) {
+                if (cluster.isUp(other))
+                    cluster.kill(other);
+                cluster.start(other);
+            }
+    }
+    cluster.settle();
+    REQUIRE(cluster.violations() == none);
+    REQUIRE(cluster.newestAccepted() > Revision(0));
+}
--- a/testsuite/fakes/state_cluster.h
+++ b/testsuite/fakes/state_cluster.h
@@ -98,8 +98,8 @@
 
     /// Runs for `time`, checking after every step. Stops early once `until` is true.
     void run(Duration time, const std::function<bool()>& until = {});
-    /// Mends the network, starts what is down, and lets everything settle. Then checks that every
-    /// host votes, holds the same revision, and that a new change is accepted.
+    /// Mends network and disks, starts what is down, and lets everything settle. Then checks that
+    /// every host votes, holds the same revision, and that a new change is accepted.
     void settle();
 
     std::vector<HostId> hosts() const;
@@ -148,6 +148,7 @@
     void checkDurable(const ConfigChange& change);
     void onAnswer(const ChangeId& id, const Expected<Revision>& result);
     bool hasSettled() const;
+    bool acceptsChange();
 
     StateClusterOptions m_options;
     Random m_random;
