Records aligned to sectors: a torn tail is told from a flipped bit

The rule that found unwritten sectors also took a short last sector of legal zeros for torn: a flipped bit in such a record was cut instead of refused. Ruled out: a lost sync (the record had not been acknowledged). Change: records begin at multiples of 8 bytes and end with a trailer that is not zero, so that an unwritten sector and a written one always differ; a file whose header was never written counts as torn.

--- a/src/libstate/log_store_test.cpp
+++ b/src/libstate/log_store_test.cpp
@@ -215,3 +215,66 @@
     REQUIRE(store->lastIndex() == LogIndex(3));
     REQUIRE(store->at(LogIndex(3)).command == "c");
 }
+
+TEST_CASE("a torn tail is cut wherever its record lies in the sectors")
+{
+    for (std::size_t size = 0; size < 1100; size += 7)
+        for (std::uint64_t seed = 0; seed < 8; ++seed) {
+            CAPTURE(size, seed);
+            FakeStorage storage;
+            {
+                auto store = LogStore::open(storage, fresh);
+                REQUIRE(store->append(LogIndex(1), { entry(1, std::string(size, 'a')) }));
+                storage.stopAt(2, StopPoint::Before); // the append ends, its sync does not
+                REQUIRE_FALSE(
+                    store->append(LogIndex(2), { entry(1, std::string(size, 'b')), { Term(1) } }));
+            }
+            Random random(seed);
+            storage.crashInSectors(random);
+            const auto store = LogStore::open(storage, fresh);
+            if (!store)
+                FAIL(store.error().message);
+            REQUIRE((store->lastIndex() == LogIndex(1) || store->lastIndex() == LogIndex(3)));
+        }
+}
+
+TEST_CASE("a flipped bit is not taken for a torn tail wherever the last record ends")
+{
+    for (std::size_t size = 0; size < 600; ++size) {
+        CAPTURE(size);
+        FakeStorage storage;
+        const std::size_t before = [&] {
+            auto store = LogStore::open(storage, fresh);
+            REQUIRE(store->append(LogIndex(1), { entry(1, std::string(size, 'a')) }));
+            const std::size_t written = storage.read("log-00000001")->size();
+            REQUIRE(store->append(LogIndex(2), { { Term(1) } }));
+            return written;
+        }();
+        const std::size_t end = storage.read("log-00000001")->size();
+        for (std::size_t offset = before; offset < end; ++offset) {
+            CAPTURE(offset);
+            FakeStorage flipped = storage;
+            flipped.flipBit("log-00000001", offset, 3);
+            REQUIRE_FALSE(LogStore::open(flipped, fresh));
+        }
+    }
+}
+
+TEST_CASE("a torn first record of a file is cut")
+{
+    for (std::uint64_t seed = 0; seed < 64; ++seed) {
+        CAPTURE(seed);
+        FakeStorage storage;
+        {
+            auto store = LogStore::open(storage, fresh);
+            storage.stopAt(2, StopPoint::Before);
+            REQUIRE_FALSE(store->append(LogIndex(1), { entry(1, std::string(2000, 'a')) }));
+        }
+        Random random(seed);
+        storage.crashInSectors(random);
+        const auto store = LogStore::open(storage, fresh);
+        if (!store)
+            FAIL(store.error().message);
+        REQUIRE(store->lastIndex() <= LogIndex(1));
+    }
+}
--- a/src/libstate/record_file.cpp
+++ b/src/libstate/record_file.cpp
@@ -11,6 +11,7 @@
 namespace {
 
     constexpr std::string_view magic = "LBRN";
+    constexpr std::string_view trailer = "LBRN-END";
     constexpr std::size_t sectorSize = 512; // bytes that a disk writes whole or not at all
     constexpr XXH32_hash_t checksumSeed32 = 0x6c627231;
     constexpr XXH64_hash_t checksumSeed64 = 0x6c627231;
@@ -37,16 +38,33 @@
         return std::all_of(bytes.begin(), bytes.end(), [](char c) { return c == 0; });
     }
 
-    /// Whether a whole sector between `begin` and the end of `content` was never written.
-    bool hasUnwrittenSector(std::string_view content, std::size_t begin)
+    /// Whether the part of some sector that belongs to `record` was never written. `record` begins
+    /// at `offset` of its file.
+    bool hasUnwrittenSector(std::string_view record, std::size_t offset)
     {
-        const std::size_t first = (begin + sectorSize - 1) / sectorSize * sectorSize;
-        for (std::size_t at = first; at < content.size(); at += sectorSize)
-            if (allZero(content.substr(at, sectorSize)))
+        while (!record.empty()) {
+            const std::size_t part = std::min(sectorSize - offset % sectorSize, record.size());
+            if (allZero(record.substr(0, part)))
                 return true;
+            record.remove_prefix(part);
+            offset += part;
+        }
         return false;
     }
 
+    std::size_t paddingOf(std::size_t payloadSize)
+    {
+        return (recordAlignment - payloadSize % recordAlignment) % recordAlignment;
+    }
+
+    bool isWhole(std::string_view record, std::uint64_t checksum, std::size_t payloadSize)
+    {
+        const std::string_view payload = record.substr(recordHeaderSize, payloadSize);
+        const std::string_view rest = record.substr(recordHeaderSize + payloadSize);
+        return checksum64(payload) == checksum && allZero(rest.substr(0, paddingOf(payloadSize)))
+            && rest.ends_with(trailer);
+    }
+
     Expected<void> checkHeader(
         std::string_view name, std::string_view content, FileKind kind, std::uint64_t sequence)
     {
@@ -56,6 +74,7 @@
         const auto version = reader.u8();
         reader.raw(2);
         const auto foundSequence = reader.u64();
+        reader.raw(sizeof(std::uint32_t));
         if (reader.u32() != checksum32(content.substr(0, fileHeaderSize - sizeof(std::uint32_t)))
             || !isMagic)
             return corrupt(name, 0, "bad file header");
@@ -77,6 +96,7 @@
     writer.u8(0);
     writer.u8(0);
     writer.u64(sequence);
+    writer.u32(0);
     std::string header = writer.take();
     ByteWriter checksum;
     checksum.u32(checksum32(header));
@@ -93,6 +113,8 @@
     record.u32(checksum32(lengthBytes));
     record.u64(checksum64(payload));
     record.raw(payload);
+    record.raw(std::string(paddingOf(payload.size()), '\0'));
+    record.raw(trailer);
     return record.take();
 }
 
@@ -100,7 +122,7 @@
     std::string_view name, std::string_view content, FileKind kind, std::uint64_t sequence)
 {
     RecordScan scan;
-    if (content.size() < fileHeaderSize || allZero(content))
+    if (content.size() < fileHeaderSize || allZero(content.substr(0, fileHeaderSize)))
         return scan;
     if (auto header = checkHeader(name, content, kind, sequence); !header)
         return tl::unexpected<Error>(header.error());
@@ -109,23 +131,23 @@
     while (content.size() - at >= recordHeaderSize) {
         ByteReader reader(content.substr(at, recordHeaderSize));
         const std::uint32_t size = reader.u32();
-        if (reader.u32() != checksum32(content.substr(at, sizeof size))) {
-            if (allZero(content.substr(at)) || hasUnwrittenSector(content, at))
-                break;
-            return corrupt(name, at, "bad record length");
-        }
+        const std::uint32_t lengthChecksum = reader.u32();
         const std::uint64_t checksum = reader.u64();
-        const std::size_t begin = at + recordHeaderSize;
-        if (content.size() - begin < size)
+        if (size == 0 && lengthChecksum == 0)
+            break;
+        if (lengthChecksum != checksum32(content.substr(at, sizeof size)))
+            return corrupt(name, at, "bad record length");
+        const std::size_t total = recordHeaderSize + size + paddingOf(size) + trailer.size();
+        if (content.size() - at < total)
             break;
-        const std::string_view payload = content.substr(begin, size);
-        if (checksum64(payload) != checksum) {
-            if (begin + size == content.size() && hasUnwrittenSector(content, at))
+        const std::string_view record = content.substr(at, total);
+        if (!isWhole(record, checksum, size)) {
+            if (at + total == content.size() && hasUnwrittenSector(record, at))
                 break;
             return corrupt(name, at, "bad record checksum");
         }
-        scan.payloads.push_back(payload);
-        at = begin + size;
+        scan.payloads.push_back(record.substr(recordHeaderSize, size));
+        at += total;
         scan.wholeSize = at;
     }
     return scan;
--- a/src/libstate/record_file_pvt.h
+++ b/src/libstate/record_file_pvt.h
@@ -16,13 +16,17 @@
 /// The only version that this program reads and writes.
 constexpr std::uint8_t formatVersion = 1;
 /// Bytes of a file header.
-constexpr std::size_t fileHeaderSize = 20;
+constexpr std::size_t fileHeaderSize = 24;
+/// Records begin at multiples of this many bytes, so that a sector holds the length with its
+/// checksum, or the trailer, whole or not at all.
+constexpr std::size_t recordAlignment = 8;
 /// Bytes of a record in front of its payload.
 constexpr std::size_t recordHeaderSize = 16;
 
 /// The header of a file. `sequence` tells a renamed segment from the right one.
 std::string encodeFileHeader(FileKind kind, std::uint64_t sequence);
-/// A record: length, checksum of the length, checksum of the payload, payload.
+/// A record: length, checksum of the length, checksum of the payload, payload, zeros up to the
+/// alignment, and a trailer that is not zero.
 std::string encodeRecord(std::string_view payload);
 
 /// What a scan found.
@@ -34,8 +38,8 @@
 };
 
 /// Reads all records. An append that did not end leaves a torn tail, which the scan leaves out:
-/// a record cut short, or one at the very end with a sector that was never written. Anything else
-/// that is wrong is Corrupt, naming `name` and the offset.
+/// a record cut short, or one of which some sector was never written and reads as zeros. Anything
+/// else that is wrong is Corrupt, naming `name` and the offset.
 Expected<RecordScan> scanRecords(
     std::string_view name, std::string_view content, FileKind kind, std::uint64_t sequence);
 
--- a/testsuite/matrix/state_scenario.cpp
+++ b/testsuite/matrix/state_scenario.cpp
@@ -187,8 +187,9 @@
     } else if (fault == Fault::OperatorRace) {
         later(0ms, [this] {
             const Revision expected = newestRevision();
-            m_cluster.submit(randomHost(), { ChangeId("race-a"), expected, "a" });
-            m_cluster.submit(randomHost(), { ChangeId("race-b"), expected, "b" });
+            const std::string race = "race-" + std::to_string(++m_races);
+            m_cluster.submit(randomHost(), { ChangeId(race + "a"), expected, "a" });
+            m_cluster.submit(randomHost(), { ChangeId(race + "b"), expected, "b" });
         });
     } else {
         later(0ms, [this] {
--- a/testsuite/matrix/state_scenario.h
+++ b/testsuite/matrix/state_scenario.h
@@ -72,6 +72,7 @@
     bool m_hasStruck = false;
     unsigned m_skips = 0;
     unsigned m_changes = 0;
+    unsigned m_races = 0;
     std::optional<ConfigChange> m_current;
     TimePoint m_resendDue;
 };
