--- a/src/laburnumd/claim_role.h
+++ b/src/laburnumd/claim_role.h
@@ -18,8 +18,8 @@
     ClaimRole(asio::io_context& context, const Settings& settings, PeerTransport& transport,
         const Clock& clock, DecisionLog& log);
 
-    /// Opens the claims journal on claim hosts and registers the participants. Corrupt names the file
-    /// and the offset.
+    /// Opens the claims journal on claim hosts and registers the participants. Corrupt names the
+    /// file and the offset.
     Expected<void> open(const Settings& settings, const Clock& clock);
     void start() { m_runner.start(); }
     void stop() { m_runner.stop(); }
--- a/src/laburnumd/cluster_claim_gate.cpp
+++ b/src/laburnumd/cluster_claim_gate.cpp
@@ -6,9 +6,10 @@
 
 void ClusterClaimGate::begin(const ClaimDemand& demand, Callback callback)
 {
-    m_role.runner().post([this, demand, callback = std::move(callback)](TimePoint now, Outbox& out) {
-        m_role.coordinator().begin(demand, callback, now, out);
-    });
+    m_role.runner().post(
+        [this, demand, callback = std::move(callback)](TimePoint now, Outbox& out) {
+            m_role.coordinator().begin(demand, callback, now, out);
+        });
 }
 
 void ClusterClaimGate::finish(const ClaimId& claim, ClaimEnd end, const StoredAnswer* answer)
--- a/src/laburnumd/control_role.cpp
+++ b/src/laburnumd/control_role.cpp
@@ -28,8 +28,8 @@
 
 } // namespace
 
-ControlRole::ControlRole(asio::io_context& context, const Settings& settings, PeerTransport& transport,
-    const Clock& clock, DecisionLog& log, Committed committed)
+ControlRole::ControlRole(asio::io_context& context, const Settings& settings,
+    PeerTransport& transport, const Clock& clock, DecisionLog& log, Committed committed)
     : m_runner(context, settings.place.host, transport, clock, log)
     , m_committed(std::move(committed))
     , m_service(settings.place.host)
@@ -65,7 +65,8 @@
     auto promise = std::make_shared<std::promise<Expected<Revision>>>();
     auto result = promise->get_future();
     m_runner.post([this, change, promise](TimePoint now, Outbox& out) {
-        m_service.submit(change, now, out, [promise](const Expected<Revision>& done) { promise->set_value(done); });
+        m_service.submit(change, now, out,
+            [promise](const Expected<Revision>& done) { promise->set_value(done); });
     });
     return result.get();
 }
--- a/src/laburnumd/control_role.h
+++ b/src/laburnumd/control_role.h
@@ -31,7 +31,8 @@
     ControlRole(asio::io_context& context, const Settings& settings, PeerTransport& transport,
         const Clock& clock, DecisionLog& log, Committed committed);
 
-    /// Opens the log in the data folder and registers the participants. Corrupt names file and offset.
+    /// Opens the log in the data folder and registers the participants. Corrupt names file and
+    /// offset.
     Expected<void> open(const Settings& settings, const Clock& clock);
     void start() { m_runner.start(); }
     void stop() { m_runner.stop(); }
--- a/src/laburnumd/fleet_role.cpp
+++ b/src/laburnumd/fleet_role.cpp
@@ -17,6 +17,20 @@
         return hosts;
     }
 
+    std::vector<HostPlace> allHostsOf(const Settings& settings)
+    {
+        std::vector<HostPlace> hosts { settings.place };
+        for (const auto& peer : settings.peers)
+            hosts.push_back(peer.place);
+        return hosts;
+    }
+
+    std::uint64_t drawNumber()
+    {
+        std::random_device device;
+        return (std::uint64_t { device() } << 32U) | device();
+    }
+
 } // namespace
 
 FleetRole::FleetRole(asio::io_context& context, const Settings& settings, PeerTransport& transport,
@@ -25,6 +39,7 @@
     , m_clock(clock)
     , m_log(log)
     , m_table(table)
+    , m_traffic(table)
 {
 }
 
@@ -36,12 +51,22 @@
             return tl::unexpected<Error>(storage.error());
         m_storage = std::move(*storage);
     }
-    std::random_device seeds;
+    const HostId& self = settings.place.host;
     const auto peers = peersOf(settings);
-    m_config = std::make_unique<ConfigSpread>(settings.place.host, peers, m_storage.get(), seeds());
-    m_instances = std::make_unique<InstanceSpread>(settings.place.host, peers, seeds());
+    const auto hosts = allHostsOf(settings);
+    m_config = std::make_unique<ConfigSpread>(self, peers, m_storage.get(), drawNumber());
+    m_instances = std::make_unique<InstanceSpread>(self, peers, drawNumber());
+    m_membership = std::make_unique<HostMembership>(self, hosts, drawNumber());
+    m_ownership = std::make_unique<OwnershipLeases>(self, hosts, drawNumber());
+    m_ejectionOwner = std::make_unique<EjectionOwner>(*m_ownership, m_traffic);
+    m_ejectionClient = std::make_unique<EjectionClient>(
+        settings.place.dataCentre, drawNumber() >> 11U, *m_ownership, m_traffic);
     m_runner.add(*m_config);
     m_runner.add(*m_instances);
+    m_runner.add(*m_membership);
+    m_runner.add(*m_ownership);
+    m_runner.add(*m_ejectionOwner);
+    m_runner.add(*m_ejectionClient);
     m_runner.setAfterEach([this] { carryChanges(); });
     m_table.with([&](Dispatcher& dispatcher, TimePoint) {
         dispatcher.setHostCount(static_cast<unsigned>(peers.size() + 1));
@@ -51,7 +76,8 @@
 
 AnnounceResult FleetRole::announce(const InstanceRecord& record)
 {
-    return m_runner.call([&](TimePoint now, Outbox&) { return m_instances->announce(record, now); });
+    return m_runner.call(
+        [&](TimePoint now, Outbox&) { return m_instances->announce(record, now); });
 }
 
 Expected<void> FleetRole::drain(const InstanceId& id)
@@ -70,16 +96,26 @@
 
 void FleetRole::publish(ConfigVersion version)
 {
-    m_runner.post([this, version = std::move(version)](TimePoint now, Outbox& out) {
-        m_config->adopt(version, now, out);
-    });
+    m_runner.post([this, version = std::move(version)](
+                      TimePoint now, Outbox& out) { m_config->adopt(version, now, out); });
 }
 
 FleetStatus FleetRole::status()
 {
     return m_runner.call([&](TimePoint now, Outbox&) {
-        return FleetStatus { m_config->current().revision, m_instances->directory().size(),
-            m_config->revisions(now) };
+        FleetStatus status { m_config->current().revision, m_instances->directory().size(),
+            m_config->revisions(now), {} };
+        for (const auto& place : m_membership->liveHosts())
+            status.live.insert(place.host);
+        return status;
+    });
+}
+
+void FleetRole::resign()
+{
+    m_runner.call([&](TimePoint now, Outbox& out) {
+        m_ownership->resign(now, out);
+        return true;
     });
 }
 
@@ -109,7 +145,12 @@
 {
     Findings findings;
     const Configuration configuration = readConfiguration(version.content, "content", findings);
-    m_table.with([&](Dispatcher& dispatcher, TimePoint) { dispatcher.setConfiguration(configuration); });
+    m_table.with(
+        [&](Dispatcher& dispatcher, TimePoint) { dispatcher.setConfiguration(configuration); });
+    std::set<ServiceId> services;
+    for (const auto& service : configuration.services)
+        services.insert(service.name);
+    m_ownership->setServices(services);
     Decision decision { "config", "in-force" };
     decision.facts["revision"] = Json::UInt64(version.revision.value());
     decision.facts["change"] = version.change.value();
--- a/src/laburnumd/fleet_role.h
+++ b/src/laburnumd/fleet_role.h
@@ -7,7 +7,12 @@
 
 #include <laburnumroute/config_spread.h>
 #include <laburnumroute/dispatch_table.h>
+#include <laburnumroute/ejection_client.h>
+#include <laburnumroute/ejection_owner.h>
+#include <laburnumroute/host_membership.h>
 #include <laburnumroute/instance_spread.h>
+#include <laburnumroute/ownership_leases.h>
+#include <laburnumroute/shared_traffic.h>
 
 #include "participant_runner.h"
 #include "settings.h"
@@ -19,6 +24,8 @@
     Revision revision;
     std::size_t instances = 0;
     std::vector<HostRevision> hosts;
+    /// Hosts that the failure detection counts as live, this one included.
+    std::set<HostId> live;
 };
 
 /// Owns the fleet participants and their strand. Lock order: the strand, then the dispatch table.
@@ -32,11 +39,14 @@
     Expected<void> open(const Settings& settings);
     void start() { m_runner.start(); }
     void stop() { m_runner.stop(); }
+    /// Gives up the ownership of all services, so that others take it at once. Blocks; not for the
+    /// control context.
+    void resign();
 
     /// Handles an announcement of an upstream. Blocks; not for the control context.
     AnnounceResult announce(const InstanceRecord& record);
-    /// Drains an instance on an operator's behalf; NotFound when it is not known. Blocks; not for the
-    /// control context.
+    /// Drains an instance on an operator's behalf; NotFound when it is not known. Blocks; not for
+    /// the control context.
     Expected<void> drain(const InstanceId& id);
     /// Spreads a version that the control hosts accepted; safe from any thread.
     void publish(ConfigVersion version);
@@ -53,9 +63,14 @@
     const Clock& m_clock;
     DecisionLog& m_log;
     DispatchTable& m_table;
+    SharedTraffic m_traffic;
     std::unique_ptr<Storage> m_storage;
     std::unique_ptr<ConfigSpread> m_config;
     std::unique_ptr<InstanceSpread> m_instances;
+    std::unique_ptr<HostMembership> m_membership;
+    std::unique_ptr<OwnershipLeases> m_ownership;
+    std::unique_ptr<EjectionOwner> m_ejectionOwner;
+    std::unique_ptr<EjectionClient> m_ejectionClient;
 };
 
 } // namespace laburnum
--- a/src/laburnumd/http_api.cpp
+++ b/src/laburnumd/http_api.cpp
@@ -64,17 +64,15 @@
         return found == request.query.end() ? std::string() : found->second;
     }
 
-    Json::Value encodeHosts(const std::vector<HostRevision>& hosts, Revision newest)
+    Json::Value encodeHosts(const FleetStatus& fleet)
     {
-        // A host that has not been heard of for this long counts as not alive.
-        constexpr auto aliveFor = std::chrono::seconds(15);
         Json::Value list(Json::arrayValue);
-        for (const auto& host : hosts) {
+        for (const auto& host : fleet.hosts) {
             Json::Value row(Json::objectValue);
             row["host"] = host.host.value();
             row["revision"] = Json::UInt64(host.revision.value());
-            row["alive"] = host.age.has_value() && *host.age < aliveFor;
-            row["behind"] = host.revision < newest;
+            row["alive"] = fleet.live.contains(host.host);
+            row["behind"] = host.revision < fleet.revision;
             if (host.age)
                 row["heard_ms"] = Json::Int64(toMillis(*host.age));
             list.append(row);
@@ -90,7 +88,7 @@
         body["revision"] = Json::UInt64(fleet.revision.value());
         body["instances"] = Json::UInt64(fleet.instances);
         body["serving"] = parts.serving.load();
-        body["hosts"] = encodeHosts(fleet.hosts, fleet.revision);
+        body["hosts"] = encodeHosts(fleet);
         if (!parts.control)
             return jsonResponse(body);
         const ControlStatus control = parts.control->status();
@@ -148,7 +146,8 @@
         const auto expected = unsignedMember(*value, "expected");
         if (!id || !expected)
             return fail(ErrorCode::InvalidArgument, "a change needs 'change' and 'expected'");
-        ConfigChange change { ChangeId(*id), Revision(*expected), "", value->get("note", "").asString(), {} };
+        ConfigChange change { ChangeId(*id), Revision(*expected), "",
+            value->get("note", "").asString(), {} };
         if (const auto restored = unsignedMember(*value, "restore")) {
             change.restored = Revision(*restored);
             return change;
@@ -179,11 +178,12 @@
     {
         const std::string wanted = queryValue(request, "revision");
         if (wanted.empty()) {
-            return jsonResponse(encodeVersion(
-                parts.control->withLedger([](const ConfigLedger& ledger) { return ledger.current(); })));
+            return jsonResponse(encodeVersion(parts.control->withLedger(
+                [](const ConfigLedger& ledger) { return ledger.current(); })));
         }
         std::uint64_t number = 0;
-        const auto [end, code] = std::from_chars(wanted.data(), wanted.data() + wanted.size(), number);
+        const auto [end, code]
+            = std::from_chars(wanted.data(), wanted.data() + wanted.size(), number);
         if (code != std::errc() || end != wanted.data() + wanted.size())
             return errorResponse({ ErrorCode::InvalidArgument, "'revision' must be a number" });
         const auto version = parts.control->withLedger(
@@ -193,8 +193,8 @@
 
     AdminResponse history(const ApiParts& parts)
     {
-        const auto records
-            = parts.control->withLedger([](const ConfigLedger& ledger) { return ledger.history(); });
+        const auto records = parts.control->withLedger(
+            [](const ConfigLedger& ledger) { return ledger.history(); });
         Json::Value list(Json::arrayValue);
         for (const auto& record : records) {
             Json::Value row(Json::objectValue);
@@ -224,18 +224,21 @@
     AdminResponse drain(const ApiParts& parts, const AdminRequest& request)
     {
         const auto value = parseJson(request.body);
-        const auto id = value ? stringMember(*value, "instance") : Expected<std::string>(tl::unexpected(value.error()));
+        const auto id = value ? stringMember(*value, "instance")
+                              : Expected<std::string>(tl::unexpected(value.error()));
         if (!id)
             return errorResponse(id.error());
         const auto drained = parts.fleet.drain(InstanceId(*id));
-        return drained ? jsonResponse(Json::Value(Json::objectValue)) : errorResponse(drained.error());
+        return drained ? jsonResponse(Json::Value(Json::objectValue))
+                       : errorResponse(drained.error());
     }
 
 } // namespace
 
 void registerOpenCalls(AdminServer& server, const ApiParts& parts)
 {
-    server.handle("GET", "/healthz", [](const AdminRequest&) { return textResponse(statusOk, "ok\n"); });
+    server.handle(
+        "GET", "/healthz", [](const AdminRequest&) { return textResponse(statusOk, "ok\n"); });
     server.handle("GET", "/readyz", [parts](const AdminRequest&) { return ready(parts); });
     server.handle("GET", "/metrics", [parts](const AdminRequest&) {
         return AdminResponse { statusOk, "text/plain; version=0.0.4", parts.renderMetrics() };
--- a/src/laburnumd/http_api.h
+++ b/src/laburnumd/http_api.h
@@ -1,5 +1,5 @@
-/// The HTTP calls of a laburnumd process besides the request path: announcements, health and metrics
-/// on the open listener, operators' calls on the signed one (docs/operators-api.md).
+/// The HTTP calls of a laburnumd process besides the request path: announcements, health and
+/// metrics on the open listener, operators' calls on the signed one (docs/operators-api.md).
 #pragma once
 
 #include <atomic>
--- a/src/laburnumd/node.cpp
+++ b/src/laburnumd/node.cpp
@@ -23,7 +23,8 @@
 
 namespace {
 
-    /// Threads of the control context: one for each strand that may wait for a disk, and one besides.
+    /// Threads of the control context: one for each strand that may wait for a disk, and one
+    /// besides.
     constexpr unsigned controlThreads = 3;
 
     std::map<HostId, Endpoint> endpointsOf(const std::vector<PeerSettings>& peers)
@@ -54,7 +55,8 @@
         , m_log(openDecisionLog(m_settings.place.host, m_settings.logFile))
         , m_dispatcher(m_settings.place, std::random_device {}(), *m_log)
         , m_table(m_dispatcher, m_clock)
-        , m_transport(m_controlContext.get_executor(), m_settings.place.host, endpointsOf(m_settings.peers), key)
+        , m_transport(m_controlContext.get_executor(), m_settings.place.host,
+              endpointsOf(m_settings.peers), key)
         , m_fleet(m_controlContext, m_settings, m_transport, m_clock, *m_log, m_table)
         , m_claims(m_controlContext, m_settings, m_transport, m_clock, *m_log)
         , m_gate(m_claims)
@@ -63,8 +65,9 @@
         , m_open(!key)
     {
         if (m_settings.control)
-            m_control = std::make_unique<ControlRole>(m_controlContext, m_settings, m_transport, m_clock, *m_log,
-                [this](const ConfigVersion& version) { m_fleet.publish(version); });
+            m_control
+                = std::make_unique<ControlRole>(m_controlContext, m_settings, m_transport, m_clock,
+                    *m_log, [this](const ConfigVersion& version) { m_fleet.publish(version); });
     }
 
     Expected<void> start()
@@ -130,7 +133,8 @@
         signals.async_wait([this, &signals](std::error_code code, int) {
             if (code)
                 return;
-            m_serving = false;
+            if (m_serving.exchange(false))
+                m_fleet.resign();
             m_entry.drain([this](DrainReport report) { finishStop(report); });
             waitForSignal(signals);
         });
@@ -155,7 +159,8 @@
         const PeerTransportCounts counts = m_transport.counts();
         std::string text = m_entry.metrics().render();
         const auto add = [&](const char* name, std::uint64_t value) {
-            text += std::string("# TYPE ") + name + " counter\n" + name + ' ' + std::to_string(value) + '\n';
+            text += std::string("# TYPE ") + name + " counter\n" + name + ' '
+                + std::to_string(value) + '\n';
         };
         add("laburnum_peer_sent_bytes_total", counts.sentBytes);
         add("laburnum_peer_received_bytes_total", counts.receivedBytes);
@@ -169,7 +174,9 @@
     std::unique_ptr<DecisionLog> m_log;
     asio::io_context m_context;
     asio::io_context m_controlContext;
-    asio::executor_work_guard<asio::io_context::executor_type> m_controlWork { m_controlContext.get_executor() };
+    asio::executor_work_guard<asio::io_context::executor_type> m_controlWork {
+        m_controlContext.get_executor()
+    };
     Dispatcher m_dispatcher;
     DispatchTable m_table;
     PeerTransport m_transport;
--- a/src/laburnumd/settings_test.cpp
+++ b/src/laburnumd/settings_test.cpp
@@ -20,12 +20,13 @@
 TEST_CASE("settings of an entry host with one control peer")
 {
     Findings findings;
-    const Settings settings = readSettings(
-        "host = \"e1\"\ndata_centre = \"cpt-1\"\nregion = \"cpt\"\n"
-        "entry = \"127.0.0.1:8000\"\nadmin = \"127.0.0.1:8001\"\n"
-        "peer_address = \"127.0.0.1:8002\"\n"
-        "[[peer]]\nhost = \"c1\"\nregion = \"cpt\"\ndata_centre = \"cpt-2\"\nclaims = true\naddress = \"127.0.0.1:8102\"\nrole = \"control\"\n",
-        "s.toml", findings);
+    const Settings settings
+        = readSettings("host = \"e1\"\ndata_centre = \"cpt-1\"\nregion = \"cpt\"\n"
+                       "entry = \"127.0.0.1:8000\"\nadmin = \"127.0.0.1:8001\"\n"
+                       "peer_address = \"127.0.0.1:8002\"\n"
+                       "[[peer]]\nhost = \"c1\"\nregion = \"cpt\"\ndata_centre = \"cpt-2\"\nclaims "
+                       "= true\naddress = \"127.0.0.1:8102\"\nrole = \"control\"\n",
+            "s.toml", findings);
     REQUIRE(findings.empty());
     REQUIRE(settings.entry->port == 8000);
     REQUIRE(settings.peers.size() == 1);
--- a/src/libnet/admin_server.cpp
+++ b/src/libnet/admin_server.cpp
@@ -41,8 +41,8 @@
         return result;
     }
 
-    /// Lets a restarted process bind at once. The library's default also lets two processes share the
-    /// port, which would hide a wrong setting.
+    /// Lets a restarted process bind at once. The library's default also lets two processes share
+    /// the port, which would hide a wrong setting.
     void allowRebind(socket_t socket)
     {
         const int yes = 1;
--- a/testsuite/standin/upstream.cpp
+++ b/testsuite/standin/upstream.cpp
@@ -1,7 +1,8 @@
 // Stand-in upstream: answers with what it was sent, announces itself, and can be told to fail.
 //
 // A file given by --mode holds one word that sets how work fares: ok, fail (500 at once), slow (ten
-// times the work time) or shed (503, marked as not run). Probes (/probe) always pass. A file given by
+// times the work time) or shed (503, marked as not run). Probes (/probe) always pass. A file given
+// by
 // --runs gets one line for each request other than GET and HEAD that ran: the X-Order header.
 
 #include <atomic>
@@ -43,7 +44,8 @@
 std::uint64_t wallMillis()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
 /// Keeps the instance announced until it is told to stop, then announces its drain.
@@ -69,7 +71,8 @@
     {
         while (!m_draining) {
             announce();
-            for (auto waited = pollInterval; waited < announceInterval && !m_draining; waited += pollInterval)
+            for (auto waited = pollInterval; waited < announceInterval && !m_draining;
+                 waited += pollInterval)
                 std::this_thread::sleep_for(pollInterval);
         }
     }
@@ -111,7 +114,8 @@
         }
         countRun(request);
         std::this_thread::sleep_for(m_options.work * (mode == "slow" ? slowFactor : 1));
-        response.set_content(request.method + ' ' + request.target + '\n' + request.body, "text/plain");
+        response.set_content(
+            request.method + ' ' + request.target + '\n' + request.body, "text/plain");
     }
 
 private:
@@ -128,7 +132,8 @@
         if (m_options.runsFile.empty() || request.method == "GET" || request.method == "HEAD")
             return;
         const std::lock_guard lock(m_mutex);
-        std::ofstream(m_options.runsFile, std::ios::app) << request.get_header_value("X-Order") << std::endl;
+        std::ofstream(m_options.runsFile, std::ios::app)
+            << request.get_header_value("X-Order") << std::endl;
     }
 
     const StandinOptions& m_options;
@@ -142,8 +147,12 @@
     server.new_task_queue = [] { return new httplib::ThreadPool(workerCount); };
     server.set_keep_alive_max_count(std::numeric_limits<std::size_t>::max());
     server.set_tcp_nodelay(true);
-    const auto work = [&](const httplib::Request& request, httplib::Response& response) { desk.serve(request, response); };
-    server.Get("/probe", [](const httplib::Request&, httplib::Response& response) { response.set_content("ok", "text/plain"); });
+    const auto work = [&](const httplib::Request& request, httplib::Response& response) {
+        desk.serve(request, response);
+    };
+    server.Get("/probe", [](const httplib::Request&, httplib::Response& response) {
+        response.set_content("ok", "text/plain");
+    });
     server.Get(".*", work);
     server.Post(".*", work);
     server.Put(".*", work);
@@ -186,13 +195,16 @@
 
 int main(int argc, char** argv)
 {
-    const auto text = [](const char* fallback) { return cxxopts::value<std::string>()->default_value(fallback); };
+    const auto text = [](const char* fallback) {
+        return cxxopts::value<std::string>()->default_value(fallback);
+    };
     cxxopts::Options options("standin_upstream", "Stand-in upstream for demonstrations and tests.");
     options.add_options()("id", "instance", cxxopts::value<std::string>())("service", "service",
-        cxxopts::value<std::string>())("listen", "IP:PORT", cxxopts::value<std::string>())("data-centre",
-        "data centre", cxxopts::value<std::string>())("region", "region", cxxopts::value<std::string>())(
-        "admin", "admin address of an entry host", cxxopts::value<std::string>())("runs", "file of runs", text(""))(
-        "mode", "file that holds the mode", text(""))(
+        cxxopts::value<std::string>())("listen", "IP:PORT", cxxopts::value<std::string>())(
+        "data-centre", "data centre", cxxopts::value<std::string>())(
+        "region", "region", cxxopts::value<std::string>())(
+        "admin", "admin address of an entry host", cxxopts::value<std::string>())(
+        "runs", "file of runs", text(""))("mode", "file that holds the mode", text(""))(
         "work-ms", "time that a request takes", cxxopts::value<int>()->default_value("0"));
     try {
         std::signal(SIGTERM, [](int) { stopping = true; });
