A caller that goes away no longer waits for a slot; a mutation for the count of runs

Cause: a waiting request did not watch its caller, so a queue place was held to the time limit. Change: the wait ends when the caller's connection does.

--- a/src/libnet/entry_drain_test.cpp
+++ b/src/libnet/entry_drain_test.cpp
@@ -160,6 +160,32 @@
     CHECK(second.readMessage().ends_with("ok"));
 }
 
+TEST_CASE("a caller that goes away no longer waits for a slot")
+{
+    Signal started;
+    ScriptedUpstream upstream([&](Connection& connection, int) {
+        connection.readHead();
+        started.set();
+        connection.peerCloses();
+    });
+    EntryOptions options;
+    options.slotWaitTimeout = 1h;
+    Rig rig(options);
+    rig.addInstance(upstream.endpoint(), 1);
+    Connection first = rig.connect();
+    first.send(get);
+    REQUIRE(started.wait());
+    Connection second = rig.connect();
+    second.send(get);
+    while (rig.server().inFlight() < 2)
+        std::this_thread::yield();
+    second.close();
+    const auto limit = std::chrono::steady_clock::now() + 20s;
+    while (rig.server().inFlight() > 1 && std::chrono::steady_clock::now() < limit)
+        std::this_thread::yield();
+    CHECK(rig.server().inFlight() == 1);
+}
+
 TEST_CASE("a request that finds no slot in time was not run")
 {
     Signal started;
--- a/src/libnet/entry_outcome_test.cpp
+++ b/src/libnet/entry_outcome_test.cpp
@@ -122,6 +122,17 @@
     CHECK(silent.runs + other.runs == 1);
 }
 
+TEST_CASE("mutation: instances that run a request and deny it make the count of runs red")
+{
+    Counted lying(shedAnswer);
+    Counted other(shedAnswer);
+    Rig rig;
+    rig.addInstance(lying.upstream.endpoint());
+    rig.addInstance(other.upstream.endpoint());
+    rig.exchange(request("POST"));
+    CHECK(lying.runs + other.runs == 2);
+}
+
 TEST_CASE("a request that is not idempotent goes on when it is proved not run")
 {
     Counted shedding(shedAnswer);
--- a/src/libnet/request_handler.cpp
+++ b/src/libnet/request_handler.cpp
@@ -164,7 +164,9 @@
         if (!waiter)
             co_return tl::unexpected<RefusalReason>(waiter.error());
         const auto strand = m_stream.socket().get_executor();
+        m_stream.watchPeer([this, id = *waiter] { m_entry.waiters.leave(id); });
         const bool woken = co_await m_entry.waiters.wait(*waiter, strand, until);
+        m_stream.unwatchPeer();
         m_waited += std::chrono::steady_clock::now() - before;
         if (!woken) {
             m_entry.table.with(
--- a/src/libnet/slot_waiters.cpp
+++ b/src/libnet/slot_waiters.cpp
@@ -29,6 +29,14 @@
     co_return waiter->woken;
 }
 
+void SlotWaiters::leave(WaiterId id)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_waiters.find(id);
+    if (found != m_waiters.end())
+        found->second->event.cancel();
+}
+
 void SlotWaiters::wake(const std::vector<WaiterId>& ids)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/libnet/slot_waiters_pvt.h
+++ b/src/libnet/slot_waiters_pvt.h
@@ -24,6 +24,8 @@
     asio::awaitable<bool> wait(
         WaiterId waiter, const asio::any_io_executor& strand, SteadyTime limit);
     void wake(const std::vector<WaiterId>& waiters);
+    /// Ends the wait of `waiter` without a slot. Call it on the waiter's strand.
+    void leave(WaiterId waiter);
 
 private:
     struct Waiter {
