The test of a waiting caller's leave outlasts no deadline

Cause: its time limit was the request's deadline, so it passed without the watch too. Seen failing now with the watch taken out (2 == 1 after 10 s), passing with it.

--- a/src/libnet/entry_drain_test.cpp
+++ b/src/libnet/entry_drain_test.cpp
@@ -170,7 +170,7 @@
     });
     EntryOptions options;
     options.slotWaitTimeout = 1h;
-    Rig rig(options);
+    Rig rig(options, nullptr, 1h);
     rig.addInstance(upstream.endpoint(), 1);
     Connection first = rig.connect();
     first.send(get);
@@ -180,7 +180,7 @@
     while (rig.server().inFlight() < 2)
         std::this_thread::yield();
     second.close();
-    const auto limit = std::chrono::steady_clock::now() + 20s;
+    const auto limit = std::chrono::steady_clock::now() + 10s;
     while (rig.server().inFlight() > 1 && std::chrono::steady_clock::now() < limit)
         std::this_thread::yield();
     CHECK(rig.server().inFlight() == 1);
