--- a/src/include/laburnumroute/auth.h
+++ b/src/include/laburnumroute/auth.h
@@ -61,9 +61,9 @@
 std::string signRequest(const SharedKey& key, const RequestParts& request, WallTime now);
 
 /// Verifies signed requests at one host. One run accepts a signed request at most once, and not at
-/// all when the signer's clock is off by more than maxSkew. A restarted host refuses what was signed
-/// before its start; only when the signer's clock is ahead of its own can it take a request again.
-/// Another host with the same key can accept a copy within maxSkew. Safe from any thread.
+/// all when the signer's clock is off by more than maxSkew. A restarted host refuses what was
+/// signed before its start; only when the signer's clock is ahead of its own can it take a request
+/// again. Another host with the same key can accept a copy within maxSkew. Safe from any thread.
 class RequestVerifier {
 public:
     /// Clock difference up to which a signature counts as fresh.
--- a/testsuite/cases/run_case.py
+++ b/testsuite/cases/run_case.py
@@ -3,8 +3,8 @@
 
 Usage: run_case.py CASE_FOLDER BIN_FOLDER [--update]
 
-`command` is a shell script that runs from the root of the tree with the programs' folder on its PATH and CASE naming
-the case's folder. `expected` holds its standard output and error, and as last line its exit code. --update writes
+`command` is a shell script that runs from the root of the tree with the programs' folder on its PATH, CASE naming the
+case's folder and TMPDIR an empty one. `expected` holds its standard output and error, and as last line its exit code. --update writes
 `expected` anew; read the difference before you commit it."""
 
 import difflib
@@ -12,6 +12,7 @@
 import pathlib
 import subprocess
 import sys
+import tempfile
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 
@@ -19,8 +20,10 @@
 def run(case, programs):
     """What the case prints, and its exit code as last line."""
     environment = os.environ | {"PATH": f"{programs}:{os.environ['PATH']}", "CASE": str(case.relative_to(ROOT))}
-    done = subprocess.run(["sh", case / "command"], cwd=ROOT, env=environment, stdout=subprocess.PIPE,
-                          stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL, text=True, check=False)
+    with tempfile.TemporaryDirectory(prefix="laburnum-case-") as scratch:
+        done = subprocess.run(["sh", case / "command"], cwd=ROOT, env=environment | {"TMPDIR": scratch},
+                              stdout=subprocess.PIPE, stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL, text=True,
+                              check=False)
     return f"{done.stdout}exit {done.returncode}\n"
 
 
