A fleet kept by the demonstration stops when asked

Seen in the README's walk: 90 s after SIGTERM the fleet still ran. Change: fleet.py starts processes with both signals unblocked.

--- a/testsuite/fleet.py
+++ b/testsuite/fleet.py
@@ -47,6 +47,12 @@
         time.sleep(POLL_INTERVAL_S)
 
 
+def spawn(command, **options):
+    """Starts a process that takes the signals which this one may have blocked."""
+    signals = {signal.SIGTERM, signal.SIGINT}
+    return subprocess.Popen(command, preexec_fn=lambda: signal.pthread_sigmask(signal.SIG_UNBLOCK, signals), **options)
+
+
 class Host:
     """One laburnumd process, its addresses and its settings file."""
 
@@ -74,8 +80,7 @@
 
     def start(self):
         with open(self.folder / "output.log", "ab") as output:
-            self.process = subprocess.Popen([BIN / "laburnumd", self.folder / "settings.toml"],
-                                            stdout=output, stderr=output)
+            self.process = spawn([BIN / "laburnumd", self.folder / "settings.toml"], stdout=output, stderr=output)
 
     def status(self):
         code, _, body = http("GET", f"http://{self.admin}/v1/status", timeout=2.0)
@@ -93,7 +98,7 @@
         self.process = None
 
     def start(self):
-        self.process = subprocess.Popen(self.command)
+        self.process = spawn(self.command)
 
 
 class Fleet:
