--- a/src/laburnumd/http_api.cpp
+++ b/src/laburnumd/http_api.cpp
@@ -128,7 +128,9 @@
     Expected<void> checkContent(const std::string& content)
     {
         Findings findings;
-        readConfiguration(content, "content", findings);
+        ConfigContext context;
+        context.balancers = BalancerRegistry::instance().names();
+        readConfiguration(content, "content", findings, context);
         if (!findings.hasErrors())
             return {};
         std::string all;
@@ -208,6 +210,31 @@
         return jsonResponse(list);
     }
 
+    /// An explanation in the members of docs/operators-api.md.
+    Json::Value encodeForOperators(const Explanation& explanation)
+    {
+        Json::Value body(Json::objectValue);
+        body["service"] = explanation.service ? explanation.service->value() : "";
+        body["reason"] = explanation.outcome;
+        body["balancer"] = explanation.balancer;
+        body["waiting"] = Json::UInt64(explanation.waiting);
+        body["retry_tokens"] = explanation.retryTokens;
+        body["candidates"] = Json::Value(Json::arrayValue);
+        for (const auto& instance : explanation.instances) {
+            Json::Value row(Json::objectValue);
+            row["instance"] = instance.instance.value();
+            row["distance"] = Json::UInt64(instance.distance);
+            row["state"] = instance.verdict;
+            row["reason"] = instance.standing;
+            row["in_flight"] = instance.inFlight;
+            row["slots"] = instance.slots;
+            row["load"] = instance.load;
+            row["weight"] = instance.weight;
+            body["candidates"].append(row);
+        }
+        return body;
+    }
+
     AdminResponse explain(const ApiParts& parts, const AdminRequest& request)
     {
         RequestFacts facts { queryValue(request, "method"), queryValue(request, "host"),
@@ -217,7 +244,7 @@
         if (facts.target.empty())
             facts.target = "/";
         return jsonResponse(parts.table.with([&](Dispatcher& dispatcher, TimePoint now) {
-            return encodeExplanation(dispatcher.explain(facts, now));
+            return encodeForOperators(dispatcher.explain(facts, now));
         }));
     }
 
--- a/testsuite/fleet.py
+++ b/testsuite/fleet.py
@@ -55,6 +55,12 @@
         time.sleep(POLL_INTERVAL_S)
 
 
+def spawn(command, **options):
+    """Starts a process that takes the signals which this one may have blocked."""
+    signals = {signal.SIGTERM, signal.SIGINT}
+    return subprocess.Popen(command, preexec_fn=lambda: signal.pthread_sigmask(signal.SIG_UNBLOCK, signals), **options)
+
+
 class Host:
     """One laburnumd process, its addresses and its settings file."""
 
@@ -91,8 +97,7 @@
 
     def start(self):
         with open(self.folder / "output.log", "ab") as output:
-            self.process = subprocess.Popen([BIN / "laburnumd", self.folder / "settings.toml"],
-                                            stdout=output, stderr=output)
+            self.process = spawn([BIN / "laburnumd", self.folder / "settings.toml"], stdout=output, stderr=output)
 
     def kill(self):
         """Ends the process at once, as a crash does."""
@@ -132,7 +137,7 @@
         self.process = None
 
     def start(self):
-        self.process = subprocess.Popen(self.command)
+        self.process = spawn(self.command)
 
     def kill(self):
         self.process.kill()
@@ -203,7 +208,7 @@
         """Applies a configuration at the control hosts in turn until one accepts; returns its revision."""
         answers = []
         for host in self.controls:
-            answers.append(self.ctl("apply", str(path), "--change-id", change_id, control=host))
+            answers.append(self.ctl("apply", str(path), "--change-id", change_id, "--json", control=host))
             if answers[-1].returncode == 0:
                 return json.loads(answers[-1].stdout)["revision"]
         raise RuntimeError("no control host accepted: " + " | ".join(a.stdout + a.stderr for a in answers))
