--- a/src/include/laburnumroute/claim_replica.h
+++ b/src/include/laburnumroute/claim_replica.h
@@ -46,8 +46,10 @@
 /// last tick. After a failed write or sync it grants nothing more until it is opened anew.
 class ClaimReplica final : public Participant {
 public:
-    /// Keeps a reference to `storage`. open() comes before any other call.
-    ClaimReplica(HostId self, ClaimPlacement placement, ClaimLimits limits, Storage& storage);
+    /// Keeps a reference to `storage`. `life` differs between any two processes that ever ran on this
+    /// host. open() comes before any other call.
+    ClaimReplica(HostId self, ClaimPlacement placement, ClaimLimits limits, Storage& storage,
+        std::string life);
 
     /// Reads the journal. Corrupt names the file and the offset; a torn tail is cut.
     Expected<void> open(TimePoint now);
@@ -71,6 +73,10 @@
     struct PeerFetch {
         bool complete = false;
         bool alsoNew = false;
+        /// It became ready with this host, in this life, among the hosts that were new then: this host
+        /// has never granted anything.
+        bool witness = false;
+        std::string life;
         std::string position;
     };
 
@@ -98,6 +104,7 @@
     Expected<void> loadEntry(const Json::Value& entry, TimePoint now);
 
     HostId m_self;
+    std::string m_life;
     ClaimPlacement m_placement;
     ClaimLimits m_limits;
     Storage& m_storage;
@@ -106,6 +113,8 @@
     std::deque<ClaimKey> m_answerOrder;
     std::size_t m_answerBytes = 0;
     std::map<HostId, PeerFetch> m_peers;
+    /// Lives of the peers that were new when this host became ready as one of a new fleet.
+    std::map<HostId, std::string> m_newWith;
     std::vector<PeerMessage> m_afterSync;
     std::string m_unwritten;
     std::size_t m_journalBytes = 0;
--- a/src/laburnumd/claim_role.cpp
+++ b/src/laburnumd/claim_role.cpp
@@ -50,7 +50,7 @@
         return tl::unexpected<Error>(storage.error());
     m_storage = std::move(*storage);
     m_replica = std::make_unique<ClaimReplica>(
-        settings.place.host, m_placement, ClaimLimits {}, *m_storage);
+        settings.place.host, m_placement, ClaimLimits {}, *m_storage, drawNonce());
     if (auto opened = m_replica->open(clock.now()); !opened)
         return opened;
     m_runner.add(*m_replica);
--- a/src/libclaim/claim_messages.cpp
+++ b/src/libclaim/claim_messages.cpp
@@ -213,13 +213,14 @@
     Json::Value value(Json::objectValue);
     value["epoch"] = Json::UInt64(message.epoch);
     value["position"] = message.position;
+    value["life"] = message.life;
     return value;
 }
 
 Expected<ClaimFetch> decodeFetch(const Json::Value& value)
 {
     ClaimReader reader(value);
-    ClaimFetch message { reader.number("epoch"), reader.text("position") };
+    ClaimFetch message { reader.number("epoch"), reader.text("position"), reader.text("life") };
     return reader.finish(std::move(message));
 }
 
@@ -228,6 +229,8 @@
     Json::Value value(Json::objectValue);
     value["epoch"] = Json::UInt64(message.epoch);
     value["position"] = message.position;
+    value["life"] = message.life;
+    value["witness"] = message.witness;
     value["new"] = message.alsoNew;
     value["complete"] = message.complete;
     value["entries"] = Json::Value(Json::arrayValue);
@@ -242,11 +245,13 @@
     ClaimFetched message;
     message.epoch = reader.number("epoch");
     message.position = reader.text("position");
-    if (!value.isObject() || !value["new"].isBool() || !value["complete"].isBool()
+    message.life = reader.text("life");
+    if (!value.isObject() || !value["new"].isBool() || !value["complete"].isBool() || !value["witness"].isBool()
         || !value["entries"].isArray())
         return fail(ErrorCode::InvalidArgument, "not an answer to a fetch");
     message.alsoNew = value["new"].asBool();
     message.complete = value["complete"].asBool();
+    message.witness = value["witness"].asBool();
     for (const auto& entry : value["entries"])
         message.entries.push_back(entry);
     return reader.finish(std::move(message));
--- a/src/libclaim/claim_messages_pvt.h
+++ b/src/libclaim/claim_messages_pvt.h
@@ -44,6 +44,8 @@
     std::uint64_t epoch = 0;
     /// Where to go on; empty at the start.
     std::string position;
+    /// The asking process.
+    std::string life;
 };
 
 /// A part of the answer to a fetch.
@@ -52,7 +54,11 @@
     /// The answering host is itself recovering and has nothing that the sender could rely on.
     bool alsoNew = false;
     bool complete = false;
+    /// The answering host became ready when the asking process was new, together with it.
+    bool witness = false;
     std::string position;
+    /// The answering process.
+    std::string life;
     std::vector<Json::Value> entries;
 };
 
--- a/src/libclaim/claim_replica_recovery.cpp
+++ b/src/libclaim/claim_replica_recovery.cpp
@@ -35,9 +35,10 @@
 
 } // namespace
 
-ClaimReplica::ClaimReplica(
-    HostId self, ClaimPlacement placement, ClaimLimits limits, Storage& storage)
+ClaimReplica::ClaimReplica(HostId self, ClaimPlacement placement, ClaimLimits limits,
+    Storage& storage, std::string life)
     : m_self(std::move(self))
+    , m_life(std::move(life))
     , m_placement(std::move(placement))
     , m_limits(limits)
     , m_storage(storage)
@@ -115,16 +116,26 @@
 {
     if (m_ready)
         return;
-    const auto all = [&](auto member) {
-        return std::all_of(
-            m_peers.begin(), m_peers.end(), [&](const auto& peer) { return peer.second.*member; });
-    };
-    // Either every peer was fetched, or the whole fleet of claim hosts is new, or every claim that
-    // this host may have known is past its retention.
-    m_ready = all(&PeerFetch::complete) || (!m_hasHistory && all(&PeerFetch::alsoNew))
-        || now - m_started > m_limits.retention;
-    if (!m_ready)
+    std::size_t complete = 0;
+    std::size_t alsoNew = 0;
+    bool witnessed = false;
+    for (const auto& [host, peer] : m_peers) {
+        complete += peer.complete ? 1 : 0;
+        alsoNew += !peer.complete && peer.alsoNew ? 1 : 0;
+        witnessed = witnessed || peer.witness;
+    }
+    // A host that has never granted anything may rely on peers that are new like itself: either all
+    // are, or one that became ready meanwhile saw this process when all were.
+    const bool neverGranted = !m_hasHistory && (alsoNew == m_peers.size() || witnessed);
+    const bool allKnown = complete == m_peers.size();
+    const bool newFleet = neverGranted && complete + alsoNew == m_peers.size();
+    if (!allKnown && !newFleet && now - m_started <= m_limits.retention)
         return;
+    if (newFleet) {
+        for (const auto& [host, peer] : m_peers)
+            m_newWith[host] = peer.life;
+    }
+    m_ready = true;
     m_hasHistory = true;
     journal(readyEntry(m_placement.epoch()));
 }
@@ -144,7 +155,7 @@
 
 void ClaimReplica::sendFetch(const HostId& peer, const PeerFetch& state, Outbox& out)
 {
-    out.send(peer, methodFetch, encode(ClaimFetch { m_placement.epoch(), state.position }));
+    out.send(peer, methodFetch, encode(ClaimFetch { m_placement.epoch(), state.position, m_life }));
 }
 
 void ClaimReplica::onFetch(const PeerMessage& message, TimePoint now, Outbox& out)
@@ -155,6 +166,9 @@
     ClaimFetched reply { m_placement.epoch() };
     reply.alsoNew = !m_hasHistory;
     reply.complete = m_hasHistory;
+    reply.life = m_life;
+    const auto newWith = m_newWith.find(message.from);
+    reply.witness = newWith != m_newWith.end() && newWith->second == request->life;
     std::size_t bytes = 0;
     auto next = m_claims.begin();
     if (!request->position.empty()) {
@@ -194,6 +208,8 @@
             put(record->first, std::move(record->second), now);
     }
     peer->second.alsoNew = part->alsoNew;
+    peer->second.witness = part->witness;
+    peer->second.life = part->life;
     peer->second.complete = part->complete;
     if (!part->position.empty())
         peer->second.position = part->position;
--- a/src/libclaim/claim_test.cpp
+++ b/src/libclaim/claim_test.cpp
@@ -60,7 +60,7 @@
 /// Six claim hosts and a coordinator beside each, on a fake network; counts the runs of every key.
 class Rig {
 public:
-    explicit Rig(std::uint64_t seed, bool lyingDisks = false)
+    explicit Rig(std::uint64_t seed, bool lyingDisks = false, Duration startInterval = 0ms)
         : network(seed)
         , m_lying(lyingDisks)
     {
@@ -70,6 +70,7 @@
         for (const auto& host : claimHosts) {
             startReplica(host.host);
             startCoordinator(host.host);
+            run(startInterval);
         }
         run(2s);
     }
@@ -79,7 +80,7 @@
         Node& node = nodes[host];
         Storage& storage = m_lying ? static_cast<Storage&>(node.lyingDisk) : node.disk;
         node.replica = std::make_unique<ClaimReplica>(
-            host, ClaimPlacement(claimHosts), ClaimLimits {}, storage);
+            host, ClaimPlacement(claimHosts), ClaimLimits {}, storage, std::to_string(++m_starts));
         REQUIRE(node.replica->open(network.now()).has_value());
         attach(host);
     }
@@ -200,6 +201,16 @@
     REQUIRE(regions.size() == 3);
 }
 
+TEST_CASE("a new fleet becomes ready, however its claim hosts start one after the other")
+{
+    for (const Duration interval : { Duration(0ms), Duration(130ms), Duration(700ms), Duration(3s) }) {
+        CAPTURE(interval.count());
+        Rig rig(1, false, interval);
+        for (const auto& host : claimHosts)
+            CHECK(rig.nodes[host.host].replica->ready());
+    }
+}
+
 TEST_CASE("a resend through another host gets the first answer and does not run")
 {
     Rig rig(1);
@@ -353,7 +364,7 @@
         FakeStorage damaged;
         REQUIRE(damaged.replace(pvt::journalName, text));
         damaged.flipBit(pvt::journalName, offset);
-        ClaimReplica replica(host, ClaimPlacement(claimHosts), {}, damaged);
+        ClaimReplica replica(host, ClaimPlacement(claimHosts), {}, damaged, "life");
         const auto opened = replica.open(rig.network.now());
         REQUIRE_FALSE(opened.has_value());
         REQUIRE(opened.error().message.find("offset") != std::string::npos);
@@ -362,7 +373,7 @@
         CAPTURE(length);
         FakeStorage torn;
         REQUIRE(torn.replace(pvt::journalName, text.substr(0, length)));
-        ClaimReplica replica(host, ClaimPlacement(claimHosts), {}, torn);
+        ClaimReplica replica(host, ClaimPlacement(claimHosts), {}, torn, "life");
         if (text[length] != '\n')
             REQUIRE(replica.open(rig.network.now()).has_value());
     }
--- a/testsuite/bench/claims_bench.cpp
+++ b/testsuite/bench/claims_bench.cpp
@@ -50,7 +50,7 @@
             std::vector<std::unique_ptr<ClaimReplica>> replicas;
             for (const auto& host : sixHosts()) {
                 replicas.push_back(std::make_unique<ClaimReplica>(
-                    host.host, placement, ClaimLimits {}, disks[host.host]));
+                    host.host, placement, ClaimLimits {}, disks[host.host], "bench"));
                 if (!replicas.back()->open(network.now()))
                     return;
                 network.attach(host.host, *replicas.back());
