--- a/cmake/Laburnum.cmake
+++ b/cmake/Laburnum.cmake
@@ -2,7 +2,7 @@
 
 add_library(laburnum_options INTERFACE)
 # -Wrestrict of g++ 12 warns about std::string concatenation without cause (GCC bug 105651).
-target_compile_options(laburnum_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wno-missing-field-initializers -Wno-restrict)
+target_compile_options(laburnum_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wno-missing-field-initializers -Wno-restrict -Wno-unknown-warning-option)
 if(LABURNUM_WERROR)
   target_compile_options(laburnum_options INTERFACE -Werror)
 endif()
--- a/src/include/laburnumroute/claim_replica.h
+++ b/src/include/laburnumroute/claim_replica.h
@@ -46,8 +46,8 @@
 /// last tick. After a failed write or sync it grants nothing more until it is opened anew.
 class ClaimReplica final : public Participant {
 public:
-    /// Keeps a reference to `storage`. `life` differs between any two processes that ever ran on this
-    /// host. open() comes before any other call.
+    /// Keeps a reference to `storage`. `life` differs between any two processes that ever ran on
+    /// this host. open() comes before any other call.
     ClaimReplica(HostId self, ClaimPlacement placement, ClaimLimits limits, Storage& storage,
         std::string life);
 
@@ -73,8 +73,8 @@
     struct PeerFetch {
         bool complete = false;
         bool alsoNew = false;
-        /// It became ready with this host, in this life, among the hosts that were new then: this host
-        /// has never granted anything.
+        /// It became ready with this host, in this life, among the hosts that were new then: this
+        /// host has never granted anything.
         bool witness = false;
         std::string life;
         std::string position;
--- a/src/laburnumd/fleet_role.cpp
+++ b/src/laburnumd/fleet_role.cpp
@@ -36,7 +36,6 @@
 FleetRole::FleetRole(asio::io_context& context, const Settings& settings, PeerTransport& transport,
     const Clock& clock, DecisionLog& log, DispatchTable& table)
     : m_runner(context, settings.place.host, transport, clock, log)
-    , m_clock(clock)
     , m_log(log)
     , m_table(table)
     , m_traffic(table)
--- a/src/laburnumd/fleet_role.h
+++ b/src/laburnumd/fleet_role.h
@@ -60,7 +60,6 @@
     void putInForce(const ConfigVersion& version);
 
     ParticipantRunner m_runner;
-    const Clock& m_clock;
     DecisionLog& m_log;
     DispatchTable& m_table;
     SharedTraffic m_traffic;
--- a/src/laburnumd/node.cpp
+++ b/src/laburnumd/node.cpp
@@ -50,7 +50,7 @@
 
 class Node::Impl {
 public:
-    Impl(Settings settings, std::optional<SharedKey> key)
+    Impl(Settings settings, const std::optional<SharedKey>& key)
         : m_settings(std::move(settings))
         , m_log(openDecisionLog(m_settings.place.host, m_settings.logFile))
         , m_dispatcher(m_settings.place, std::random_device {}(), *m_log)
@@ -205,7 +205,7 @@
     auto key = readKey(settings);
     if (!key)
         return tl::unexpected<Error>(key.error());
-    return Node(std::make_unique<Impl>(std::move(settings), std::move(*key)));
+    return Node(std::make_unique<Impl>(std::move(settings), *key));
 }
 
 Expected<void> Node::start() { return m_impl->start(); }
--- a/src/libclaim/claim_messages.cpp
+++ b/src/libclaim/claim_messages.cpp
@@ -246,8 +246,8 @@
     message.epoch = reader.number("epoch");
     message.position = reader.text("position");
     message.life = reader.text("life");
-    if (!value.isObject() || !value["new"].isBool() || !value["complete"].isBool() || !value["witness"].isBool()
-        || !value["entries"].isArray())
+    if (!value.isObject() || !value["new"].isBool() || !value["complete"].isBool()
+        || !value["witness"].isBool() || !value["entries"].isArray())
         return fail(ErrorCode::InvalidArgument, "not an answer to a fetch");
     message.alsoNew = value["new"].asBool();
     message.complete = value["complete"].asBool();
--- a/src/libclaim/claim_replica_recovery.cpp
+++ b/src/libclaim/claim_replica_recovery.cpp
@@ -35,8 +35,8 @@
 
 } // namespace
 
-ClaimReplica::ClaimReplica(HostId self, ClaimPlacement placement, ClaimLimits limits,
-    Storage& storage, std::string life)
+ClaimReplica::ClaimReplica(
+    HostId self, ClaimPlacement placement, ClaimLimits limits, Storage& storage, std::string life)
     : m_self(std::move(self))
     , m_life(std::move(life))
     , m_placement(std::move(placement))
--- a/src/libnet/uploader.cpp
+++ b/src/libnet/uploader.cpp
@@ -27,8 +27,13 @@
 asio::awaitable<void> Uploader::run()
 {
     const auto self = shared_from_this();
-    while (!m_stopping && co_await sendPart())
+    // g++ 12 miscompiles co_await on the right of a short-circuit operator.
+    while (!m_stopping) {
+        const bool sent = co_await sendPart();
+        if (!sent)
+            break;
         m_onProgress();
+    }
     m_ended = true;
     m_endEvent.cancel();
     if (!m_stopping)
--- a/testsuite/fleet.py
+++ b/testsuite/fleet.py
@@ -208,7 +208,7 @@
         """Applies a configuration at the control hosts in turn until one accepts; returns its revision."""
         answers = []
         for host in self.controls:
-            answers.append(self.ctl("apply", str(path), "--change-id", change_id, "--json", control=host))
+            answers.append(self.ctl("apply", str(path), "--change-id", change_id, "--json", "--wait", "0", control=host))
             if answers[-1].returncode == 0:
                 return json.loads(answers[-1].stdout)["revision"]
         raise RuntimeError("no control host accepted: " + " | ".join(a.stdout + a.stderr for a in answers))
