--- a/src/libnet/admin_server.cpp
+++ b/src/libnet/admin_server.cpp
@@ -41,6 +41,14 @@
         return result;
     }
 
+    /// Lets a restarted process bind at once. The library's default also lets two processes share
+    /// the port, which would hide a wrong setting.
+    void allowRebind(socket_t socket)
+    {
+        const int yes = 1;
+        ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+    }
+
 } // namespace
 
 struct AdminServer::Impl {
@@ -75,6 +83,7 @@
     std::thread thread;
     std::unique_ptr<RequestVerifier> verifier;
     std::atomic<std::uint64_t> refused { 0 };
+    std::atomic<bool> ended { false };
 };
 
 AdminServer::AdminServer(std::optional<SharedKey> key)
@@ -85,6 +94,7 @@
     m_impl->server.set_keep_alive_max_count(1);
     m_impl->server.set_read_timeout(readTimeoutSeconds);
     m_impl->server.set_tcp_nodelay(true);
+    m_impl->server.set_socket_options(allowRebind);
     if (key)
         m_impl->verifier = std::make_unique<RequestVerifier>(std::move(*key), wallClock());
 }
@@ -111,7 +121,13 @@
 {
     if (!m_impl->server.bind_to_port(endpoint.address, endpoint.port))
         return fail(ErrorCode::Io, "listen on " + formatEndpoint(endpoint) + ": cannot bind");
-    m_impl->thread = std::thread([this] { m_impl->server.listen_after_bind(); });
+    m_impl->thread = std::thread([this] {
+        m_impl->server.listen_after_bind();
+        m_impl->ended = true;
+    });
+    // The library ignores a stop() that comes before its loop runs, and would then never end.
+    while (!m_impl->server.is_running() && !m_impl->ended)
+        std::this_thread::yield();
     return {};
 }
 
