A server error of an instance is replaced by another instance's answer

Cause: one of six instances answered 500 to all its work, and until it was ejected its errors went to the callers as answers, also for lookups that any other instance could have answered.

Change: for an idempotent request, within the retry budget and before the first byte to the caller, 500, 502, 503 and 504 are dropped when another instance is held ready; else the error passes as before. Other requests are untouched.

Ruled out: retrying without holding an instance first, which could lose the instance's own answer and give the caller a 502 in its place.

--- a/src/libnet/entry_outcome_test.cpp
+++ b/src/libnet/entry_outcome_test.cpp
@@ -168,6 +168,27 @@
     CHECK(silent.runs > 0);
 }
 
+TEST_CASE("a server error is replaced by another instance's answer, for idempotent requests only")
+{
+    Counted failing("HTTP/1.1 500 Mine\r\nContent-Length: 0\r\n\r\n");
+    ScriptedUpstream healthy([&](Connection& connection, int) {
+        connection.readMessage();
+        connection.send(okAnswer);
+        connection.close();
+    });
+    Rig rig;
+    rig.addInstance(failing.upstream.endpoint());
+    rig.addInstance(healthy.endpoint());
+    for (int i = 0; i < 8; ++i)
+        CHECK(learn(rig.exchange(request("PUT"))).status == "200");
+    CHECK(failing.runs > 0);
+    const int before = failing.runs;
+    int passed = 0;
+    for (int i = 0; i < 8; ++i)
+        passed += learn(rig.exchange(request("POST"))).status == "500" ? 1 : 0;
+    CHECK(passed == failing.runs - before);
+}
+
 TEST_CASE("a body larger than the replay buffer is not sent again")
 {
     EntryOptions options;
--- a/src/libnet/exchange.cpp
+++ b/src/libnet/exchange.cpp
@@ -29,6 +29,17 @@
             fields, [&](const HeaderField& field) { return equalNames(field.name, name); });
     }
 
+    /// Statuses with which an instance says that it failed at this request, and another may not.
+    bool isServerFailure(unsigned status)
+    {
+        constexpr unsigned internalError = 500;
+        constexpr unsigned badGateway = 502;
+        constexpr unsigned unavailable = 503;
+        constexpr unsigned gatewayTimeout = 504;
+        return status == internalError || status == badGateway || status == unavailable
+            || status == gatewayTimeout;
+    }
+
 } // namespace
 
 Expected<tcp::endpoint> toAsio(const Endpoint& endpoint)
@@ -228,6 +239,11 @@
         m_outcome.retryAfter = head->field("retry-after");
         co_return;
     }
+    if (isServerFailure(head->status) && m_caller.replacesError && m_caller.replacesError()) {
+        m_outcome.end = AttemptEnd::ServerError;
+        m_upstreamKeepAlive = false;
+        co_return;
+    }
     co_await relayAnswer(std::move(*head));
 }
 
--- a/src/libnet/exchange_pvt.h
+++ b/src/libnet/exchange_pvt.h
@@ -1,6 +1,7 @@
 /// One attempt of a request at one instance: connection, request, answer.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -34,6 +35,8 @@
     Passed,
     /// The caller got a part of the answer; its connection must break.
     Cut,
+    /// The answer was a server error; another instance is to answer in its place.
+    ServerError,
 };
 
 /// What the caller's side of a request gives to each of its attempts.
@@ -49,6 +52,9 @@
     bool capture = false;
     /// `100 Continue` went to the caller already.
     bool continued = false;
+    /// Asked when an instance answers with a server error: true when another instance is held ready
+    /// for the request, so that the error is dropped.
+    std::function<bool()> replacesError;
 };
 
 /// What became of an attempt.
--- a/src/libnet/request_handler.cpp
+++ b/src/libnet/request_handler.cpp
@@ -39,6 +39,7 @@
         case AttemptEnd::NoAnswer:
         case AttemptEnd::BadAnswer:
         case AttemptEnd::Cut:
+        case AttemptEnd::ServerError:
             return AttemptResult::Failed;
         }
         return AttemptResult::Failed;
@@ -119,9 +120,17 @@
 {
     AttemptOutcome outcome;
     while (true) {
+        m_side.replacesError = [this, &assigned] { return replaceAfterError(assigned); };
         Exchange exchange(m_side, assigned);
         outcome = co_await exchange.run();
         finish(assigned, outcome);
+        if (m_replacement) {
+            ++m_retries;
+            assigned = std::move(*m_replacement);
+            m_replacement.reset();
+            m_body.rewind();
+            continue;
+        }
         if (!mayRepeat(outcome))
             break;
         m_tried.insert(assigned.instance);
@@ -200,13 +209,28 @@
 {
     const bool worthIt = outcome.end <= AttemptEnd::BadAnswer;
     const bool allowed = isIdempotentMethod(m_request.method) || !m_mayHaveRun;
-    return worthIt && allowed && m_body.replayable()
-        && std::chrono::steady_clock::now() < m_side.deadline
+    return worthIt && allowed && takeRetry();
+}
+
+bool RequestHandler::takeRetry()
+{
+    return m_body.replayable() && std::chrono::steady_clock::now() < m_side.deadline
         && m_entry.table.with([&](Dispatcher& dispatcher, TimePoint now) {
                return dispatcher.takeRetry(m_service, now);
            });
 }
 
+bool RequestHandler::replaceAfterError(const Assignment& failed)
+{
+    if (!isIdempotentMethod(m_request.method) || !takeRetry())
+        return false;
+    m_tried.insert(failed.instance);
+    auto another = assign();
+    if (another)
+        m_replacement = std::move(*another);
+    return m_replacement.has_value();
+}
+
 asio::awaitable<bool> RequestHandler::conclude(const AttemptOutcome& outcome)
 {
     if (outcome.end == AttemptEnd::Passed) {
--- a/src/libnet/request_handler_pvt.h
+++ b/src/libnet/request_handler_pvt.h
@@ -35,6 +35,9 @@
     void finish(const Assignment& assigned, const AttemptOutcome& outcome);
     void endAttempt(const Assignment& assigned, const AttemptReport& report);
     bool mayRepeat(const AttemptOutcome& outcome);
+    bool takeRetry();
+    /// Holds another instance ready in place of one that answered with a server error.
+    bool replaceAfterError(const Assignment& failed);
     void finishClaim(const AttemptOutcome& outcome);
     bool needsClaim() const;
     std::string fingerprint() const;
@@ -47,6 +50,7 @@
     RequestBody m_body;
     CallerSide m_side;
     std::set<InstanceId> m_tried;
+    std::optional<Assignment> m_replacement;
     ServiceId m_service;
     std::optional<ClaimId> m_claim;
     /// An earlier attempt may have run the request.
