--- a/src/laburnumd/http_api.cpp
+++ b/src/laburnumd/http_api.cpp
@@ -74,7 +74,7 @@
             row["alive"] = fleet.live.contains(host.host);
             row["behind"] = host.revision < fleet.revision;
             if (host.age)
-                row["heard_ms"] = Json::Int64(toMillis(*host.age));
+                row["lag_ms"] = Json::Int64(toMillis(*host.age));
             list.append(row);
         }
         return list;
@@ -285,6 +285,8 @@
     server.handle("GET", "/v1/history", [parts](const AdminRequest&) { return history(parts); });
     server.handle("GET", "/v1/explain",
         [parts](const AdminRequest& request) { return explain(parts, request); });
+    server.handle("POST", "/v1/announce",
+        [parts](const AdminRequest& request) { return announce(parts, request); });
     server.handle("POST", "/v1/drain",
         [parts](const AdminRequest& request) { return drain(parts, request); });
 }
