One base64 in the tree: the log uses the kernel's

The kernel's, over OpenSSL, stays; it is tested over lengths 0 to 299 and on bad text.

Shown: libstate_test, 32 cases, and the fault matrix pass with it.

--- a/src/libstate/log_messages.cpp
+++ b/src/libstate/log_messages.cpp
@@ -1,9 +1,8 @@
 #include "log_messages_pvt.h"
 
+#include <laburnumroute/base64.h>
 #include <laburnumroute/json.h>
 
-#include "base64_pvt.h"
-
 namespace laburnum::pvt {
 
 namespace {
