One encoder of explanations; one place that counts stored answers

The operators' call encoded explanations a second time and left libroute's encoder unused; three places of the claim replica kept the count of answer bytes by hand.

Change: libroute's encoder writes the members of the operators' interface and the call uses it; insert() and erase() of the claim replica keep the count. Answers of the call and the claims' behaviour stay as they were.

--- a/src/include/laburnumroute/claim_replica.h
+++ b/src/include/laburnumroute/claim_replica.h
@@ -94,6 +94,9 @@
     void fetch(TimePoint now, Outbox& out);
     void sendFetch(const HostId& peer, const PeerFetch& state, Outbox& out);
 
+    /// Takes `record` into memory, or a record out of it, and keeps count of answers.
+    void insert(const ClaimKey& key, ClaimRecord record);
+    void erase(const ClaimKey& key);
     void put(const ClaimKey& key, ClaimRecord record, TimePoint now);
     void drop(const ClaimKey& key);
     void forgetExpired(TimePoint now);
--- a/src/include/laburnumroute/explanation.h
+++ b/src/include/laburnumroute/explanation.h
@@ -38,7 +38,7 @@
     std::vector<InstanceExplanation> instances;
 };
 
-/// Encodes for operators.
+/// Encodes with the member names of the operators' interface (docs/operators-api.md).
 Json::Value encodeExplanation(const Explanation& explanation);
 
 } // namespace laburnum
--- a/src/laburnumd/http_api.cpp
+++ b/src/laburnumd/http_api.cpp
@@ -210,31 +210,6 @@
         return jsonResponse(list);
     }
 
-    /// An explanation in the members of docs/operators-api.md.
-    Json::Value encodeForOperators(const Explanation& explanation)
-    {
-        Json::Value body(Json::objectValue);
-        body["service"] = explanation.service ? explanation.service->value() : "";
-        body["reason"] = explanation.outcome;
-        body["balancer"] = explanation.balancer;
-        body["waiting"] = Json::UInt64(explanation.waiting);
-        body["retry_tokens"] = explanation.retryTokens;
-        body["candidates"] = Json::Value(Json::arrayValue);
-        for (const auto& instance : explanation.instances) {
-            Json::Value row(Json::objectValue);
-            row["instance"] = instance.instance.value();
-            row["distance"] = Json::UInt64(instance.distance);
-            row["state"] = instance.verdict;
-            row["reason"] = instance.standing;
-            row["in_flight"] = instance.inFlight;
-            row["slots"] = instance.slots;
-            row["load"] = instance.load;
-            row["weight"] = instance.weight;
-            body["candidates"].append(row);
-        }
-        return body;
-    }
-
     AdminResponse explain(const ApiParts& parts, const AdminRequest& request)
     {
         RequestFacts facts { queryValue(request, "method"), queryValue(request, "host"),
@@ -244,7 +219,7 @@
         if (facts.target.empty())
             facts.target = "/";
         return jsonResponse(parts.table.with([&](Dispatcher& dispatcher, TimePoint now) {
-            return encodeForOperators(dispatcher.explain(facts, now));
+            return encodeExplanation(dispatcher.explain(facts, now));
         }));
     }
 
--- a/src/libclaim/claim_replica.cpp
+++ b/src/libclaim/claim_replica.cpp
@@ -142,22 +142,17 @@
         now);
 }
 
-void ClaimReplica::put(const ClaimKey& key, ClaimRecord record, TimePoint now)
+void ClaimReplica::insert(const ClaimKey& key, ClaimRecord record)
 {
-    const auto old = m_claims.find(key);
-    if (old != m_claims.end() && old->second.answer)
-        m_answerBytes -= old->second.answer->body.size();
+    erase(key);
     if (record.answer) {
         m_answerBytes += record.answer->body.size();
         m_answerOrder.push_back(key);
     }
-    Json::Value entry = encodeRecord(key, record, now);
     m_claims[key] = std::move(record);
-    journal(entry);
-    dropOldAnswers(now);
 }
 
-void ClaimReplica::drop(const ClaimKey& key)
+void ClaimReplica::erase(const ClaimKey& key)
 {
     const auto held = m_claims.find(key);
     if (held == m_claims.end())
@@ -165,6 +160,20 @@
     if (held->second.answer)
         m_answerBytes -= held->second.answer->body.size();
     m_claims.erase(held);
+}
+
+void ClaimReplica::put(const ClaimKey& key, ClaimRecord record, TimePoint now)
+{
+    journal(encodeRecord(key, record, now));
+    insert(key, std::move(record));
+    dropOldAnswers(now);
+}
+
+void ClaimReplica::drop(const ClaimKey& key)
+{
+    if (!m_claims.contains(key))
+        return;
+    erase(key);
     Json::Value entry = encodeKey(key);
     entry["drop"] = true;
     journal(entry);
--- a/src/libclaim/claim_replica_recovery.cpp
+++ b/src/libclaim/claim_replica_recovery.cpp
@@ -84,10 +84,7 @@
         const auto key = decodeKey(entry);
         if (!key)
             return tl::unexpected<Error>(key.error());
-        const auto held = m_claims.find(*key);
-        if (held != m_claims.end() && held->second.answer)
-            m_answerBytes -= held->second.answer->body.size();
-        m_claims.erase(*key);
+        erase(*key);
         return {};
     }
     auto record = decodeRecord(entry, now);
@@ -96,14 +93,7 @@
     // The time that the host was down is not known, so an ended claim starts its retention anew.
     if (record->second.end)
         record->second.expires = now + m_limits.retention;
-    const auto old = m_claims.find(record->first);
-    if (old != m_claims.end() && old->second.answer)
-        m_answerBytes -= old->second.answer->body.size();
-    if (record->second.answer) {
-        m_answerBytes += record->second.answer->body.size();
-        m_answerOrder.push_back(record->first);
-    }
-    m_claims[record->first] = std::move(record->second);
+    insert(record->first, std::move(record->second));
     return {};
 }
 
--- a/src/libroute/dispatcher_log.cpp
+++ b/src/libroute/dispatcher_log.cpp
@@ -79,22 +79,22 @@
 {
     Json::Value value(Json::objectValue);
     value["service"] = explanation.service ? explanation.service->value() : "";
-    value["outcome"] = explanation.outcome;
+    value["reason"] = explanation.outcome;
     value["balancer"] = explanation.balancer;
     value["waiting"] = Json::UInt64(explanation.waiting);
     value["retry_tokens"] = explanation.retryTokens;
-    Json::Value& instances = value["instances"] = Json::Value(Json::arrayValue);
+    Json::Value& candidates = value["candidates"] = Json::Value(Json::arrayValue);
     for (const auto& item : explanation.instances) {
         Json::Value entry(Json::objectValue);
         entry["instance"] = item.instance.value();
         entry["distance"] = Json::UInt64(item.distance);
-        entry["verdict"] = item.verdict;
-        entry["standing"] = item.standing;
+        entry["state"] = item.verdict;
+        entry["reason"] = item.standing;
         entry["in_flight"] = item.inFlight;
         entry["slots"] = item.slots;
         entry["load"] = item.load;
         entry["weight"] = item.weight;
-        instances.append(std::move(entry));
+        candidates.append(std::move(entry));
     }
     return value;
 }
