--- a/cmake/Laburnum.cmake
+++ b/cmake/Laburnum.cmake
@@ -11,8 +11,10 @@
 target_compile_definitions(laburnum_options INTERFACE ASIO_SEPARATE_COMPILATION ASIO_NO_DEPRECATED ASIO_HAS_CO_AWAIT)
 target_link_libraries(laburnum_options INTERFACE Threads::Threads)
 
-add_library(laburnum_testmain OBJECT ${CMAKE_SOURCE_DIR}/testsuite/catch_main.cpp)
-target_link_libraries(laburnum_testmain PUBLIC laburnum_options Catch2::Catch2)
+if(LABURNUM_TESTS)
+  add_library(laburnum_testmain OBJECT ${CMAKE_SOURCE_DIR}/testsuite/catch_main.cpp)
+  target_link_libraries(laburnum_testmain PUBLIC laburnum_options Catch2::Catch2)
+endif()
 
 # laburnum_library(NAME SOURCES a.cpp ... [LINK lib ...]): a static library; every
 # *_test.cpp in its folder goes into the test program NAME_test. An OBJECT-like
@@ -22,7 +24,7 @@
   add_library(${name} STATIC ${ARG_SOURCES})
   target_link_libraries(${name} PUBLIC laburnum_options ${ARG_LINK})
   file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*_test.cpp)
-  if(tests)
+  if(tests AND LABURNUM_TESTS)
     add_executable(${name}_test ${tests})
     target_link_libraries(${name}_test PRIVATE laburnum_testmain laburnum_fakes ${name} laburnum_plugins)
     add_test(NAME ${name} COMMAND ${name}_test)
--- a/src/include/laburnumroute/configuration.h
+++ b/src/include/laburnumroute/configuration.h
@@ -40,6 +40,27 @@
     friend bool operator==(const ServiceSpec&, const ServiceSpec&) = default;
 };
 
+/// What may be repeated of a route's requests.
+enum class RequestKind {
+    /// By the request's method, as RFC 9110 says.
+    ByMethod,
+    /// May run more than once.
+    Safe,
+    /// Runs at most once.
+    Unsafe,
+    /// Runs at most once and has a large body.
+    Upload,
+};
+
+/// One part of a route that divides its requests.
+struct RouteShare {
+    ServiceId service;
+    /// Relative to the sum of all parts' weights.
+    std::uint32_t weight = 1;
+
+    friend bool operator==(const RouteShare&, const RouteShare&) = default;
+};
+
 /// Sends requests that match to a service. The longest matching prefix wins.
 struct RouteSpec {
     /// Host name of the request, without port; empty matches every host.
@@ -48,15 +69,41 @@
     std::string prefix = "/";
     /// Methods; empty matches every method.
     std::vector<std::string> methods;
+    /// Empty when the route is split.
     ServiceId service;
+    /// The operators' name of the route, for logs; may be empty.
+    std::string name;
+    /// Parts among which requests are divided; empty when the route has one service.
+    std::vector<RouteShare> split;
+    RequestKind kind = RequestKind::ByMethod;
+    /// Longest time that a caller is kept waiting; zero takes the service's deadline.
+    Duration timeout {};
+    /// Time within which an answer has its full value; zero when not declared.
+    Duration objective {};
+    /// Rank when there is not room for all; 0 goes first.
+    std::uint32_t priority = 0;
+    /// Most instances that one request may run on.
+    std::uint32_t attempts = 2;
 
     friend bool operator==(const RouteSpec&, const RouteSpec&) = default;
 };
 
+/// What a caller may send, and how long it may take or stay idle.
+struct CallerLimits {
+    std::uint32_t headBytes = 32 * 1024;
+    /// Bytes of a request's body; 0 sets no limit.
+    std::uint64_t bodyBytes = 0;
+    Duration headTimeout = std::chrono::seconds(10);
+    Duration idleTimeout = std::chrono::seconds(75);
+
+    friend bool operator==(const CallerLimits&, const CallerLimits&) = default;
+};
+
 /// Everything that one revision declares.
 struct Configuration {
     std::vector<ServiceSpec> services;
     std::vector<RouteSpec> routes;
+    CallerLimits limits;
 
     friend bool operator==(const Configuration&, const Configuration&) = default;
 };
@@ -77,6 +124,8 @@
 /// Writes `configuration` as TOML that readConfiguration() reads back to the same value.
 std::string printConfiguration(const Configuration& configuration);
 
+/// The spelling of `kind` in TOML.
+const char* requestKindName(RequestKind kind) noexcept;
 /// The spelling of `weighting` in TOML.
 const char* weightingName(Weighting weighting) noexcept;
 
--- a/src/include/laburnumroute/entry_server.h
+++ b/src/include/laburnumroute/entry_server.h
@@ -9,6 +9,8 @@
 #include <laburnumroute/claim_gate.h>
 #include <laburnumroute/dispatch_table.h>
 #include <laburnumroute/endpoint.h>
+#include <laburnumroute/header_names.h>
+#include <laburnumroute/placement_desk.h>
 #include <laburnumroute/request_metrics.h>
 
 namespace laburnum {
@@ -29,12 +31,17 @@
     Duration lingerTimeout = std::chrono::seconds(2);
     /// Time that a connection to an instance is kept without a request.
     Duration upstreamIdleTimeout = std::chrono::seconds(4);
+    /// As above for requests that must not run twice: an idle connection may have died unnoticed,
+    /// and a request that is lost on it cannot be sent again. Zero never uses one again.
+    Duration unsafeReuseTimeout {};
     /// Time after which a drain cuts what is still in flight.
     Duration drainTimeout = std::chrono::minutes(30);
     /// Idle connections kept for each instance.
     std::size_t idlePerInstance = 8;
     /// Bytes of a request's body kept for a repeated attempt.
     std::size_t replayBytes = std::size_t { 64 } * 1024;
+    /// Names of the header fields.
+    HeaderNames names;
 };
 
 /// What a drain did.
@@ -50,12 +57,20 @@
     /// `claims` outlive the io_context's last handler.
     EntryServer(asio::io_context& context, DispatchTable& table, EntryOptions options = {},
         ClaimGate* claims = nullptr);
+    /// Serves by a desk that places attempts for the whole fleet. `desk` and `log` outlive the
+    /// io_context's last handler; the io_context runs on one thread.
+    EntryServer(asio::io_context& context, PlacementDesk& desk, DecisionLog& log,
+        EntryOptions options);
     ~EntryServer();
 
     /// Starts to accept. Io names the address when it cannot be bound. Port 0 takes a free port.
     Expected<void> listen(const Endpoint& endpoint);
     /// The endpoint listened on.
     Endpoint localEndpoint() const;
+    /// Goes on serving, and tells callers with each answer to close their connections.
+    void startLeaving();
+    /// Connections of callers that are open.
+    std::size_t openConnections() const;
     /// Stops accepting; requests in flight run to their end, idle connections are closed. `done` is
     /// called once none is left. The drain timeout or a second call cuts what is in flight.
     void drain(std::function<void(DrainReport)> done);
--- /dev/null
+++ b/src/include/laburnumroute/fleet_placer.h
@@ -0,0 +1,124 @@
+/// One view of all instances of the fleet: grants each attempt a place, lets attempts wait their
+/// turn, refuses what cannot be served in time. Lives at the leading control host; entry hosts ask
+/// it. A state machine without I/O.
+///
+/// Load patterns that it answers, each replayed by a test: hosts that choose alone collide on an
+/// instance (grants are counted in one place); a burst beyond all slots (the queue is bounded by
+/// what can still be in time, the rest is refused at once); a rank that must not starve a higher
+/// one; instances that fail, hang or slow down for seconds (evidence of all hosts in one judge);
+/// instances that start cold.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <laburnumroute/configuration.h>
+#include <laburnumroute/decision.h>
+#include <laburnumroute/instance.h>
+#include <laburnumroute/instance_judge.h>
+#include <laburnumroute/placement_types.h>
+#include <laburnumroute/repeat_window.h>
+
+namespace laburnum {
+
+/// Not thread-safe; `now` never goes back.
+class FleetPlacer {
+public:
+    explicit FleetPlacer(RepeatBudgetTerms terms)
+        : m_terms(terms)
+    {
+    }
+
+    /// Adds an instance or takes up its newer record.
+    void upsert(const InstanceRecord& record, TimePoint now);
+    /// Forgets an instance; attempts at it still end by end().
+    void remove(const InstanceId& id);
+    /// Forgets everything; for a host that stops leading.
+    void clear();
+    /// The instance announced itself; it stays cold for `coldFor` more.
+    void heard(const InstanceId& id, Duration coldFor, TimePoint now);
+
+    /// Asks for a place. Each ask is answered once by Granted or Refused, maybe after Waiting.
+    void ask(const PlaceDemand& demand, TimePoint now, std::vector<PlaceReply>& replies);
+    /// The asker no longer waits. A place that was granted meanwhile is ended as unused.
+    void leave(AskKey key, TimePoint now, std::vector<PlaceReply>& replies);
+    /// An attempt ended; its place is free.
+    void end(AskKey key, const PlacedReport& report, TimePoint now,
+        std::vector<PlaceReply>& replies);
+    /// An attempt that an entry host placed without this view, or under an earlier leader.
+    void adopt(const OpenPlace& place, TimePoint now);
+    /// An entry host's connection ended: its asks are void, and its attempts end soon.
+    void dropLink(LinkId link, TimePoint now);
+    /// Refuses what waited too long, and takes note of attempts that are overdue.
+    void tick(TimePoint now, std::vector<PlaceReply>& replies);
+
+    /// Instances that are likely to fail now, for hosts that must choose alone.
+    std::vector<InstanceId> doubtful(TimePoint now) const;
+    std::size_t waiting() const noexcept;
+    std::size_t granted() const noexcept { return m_places.size(); }
+
+private:
+    struct Instance {
+        InstanceRecord record;
+        InstanceJudge judge;
+        std::uint32_t busy = 0;
+        TimePoint heard;
+        TimePoint coldUntil;
+        TimePoint lastGranted;
+        TimePoint lastUnreachable;
+        /// Places that other askers hold besides `busy`, as the instance reported.
+        double foreign = 0.0;
+        TimePoint foreignAt;
+    };
+
+    struct Place {
+        InstanceId instance;
+        ServiceId service;
+        TimePoint since;
+        TimePoint until;
+        bool overdue = false;
+    };
+
+    struct Waiter {
+        PlaceDemand demand;
+        TimePoint since;
+        TimePoint until;
+    };
+
+    struct Service {
+        std::set<InstanceId> instances;
+        std::vector<Waiter> waiters;
+        RepeatWindow repeats;
+        /// Typical latency of a success, in seconds.
+        double typical = 0.0;
+        /// Running share of attempts that failed.
+        double failing = 0.0;
+    };
+
+    Service& serviceOf(const ServiceId& id);
+    Duration typicalOf(const Service& service) const;
+    std::optional<InstanceId> choose(const PlaceDemand& demand, TimePoint now) const;
+    double cost(const Instance& instance, const Service& service, const PlaceDemand& demand,
+        TimePoint now) const;
+    bool hasRoom(const Instance& instance, TimePoint now) const;
+    bool usable(const Instance& instance, TimePoint now) const;
+    void grant(const PlaceDemand& demand, const InstanceId& id, TimePoint now,
+        std::vector<PlaceReply>& replies);
+    void enqueue(const PlaceDemand& demand, TimePoint now, std::vector<PlaceReply>& replies);
+    void serveWaiters(const ServiceId& id, TimePoint now, std::vector<PlaceReply>& replies);
+    void judge(const Place& place, const PlacedReport& report, TimePoint now);
+    Duration expectedWait(const Service& service, std::size_t ahead, TimePoint now) const;
+    void release(const Place& place);
+
+    RepeatBudgetTerms m_terms;
+    std::map<InstanceId, Instance> m_instances;
+    std::map<ServiceId, Service> m_services;
+    std::map<AskKey, Place> m_places;
+};
+
+} // namespace laburnum
--- a/src/include/laburnumroute/http_decoder.h
+++ b/src/include/laburnumroute/http_decoder.h
@@ -16,7 +16,7 @@
 /// Turns bytes into heads and body parts, one message at a time. Not thread-safe.
 class HttpDecoder {
 public:
-    /// Heads larger than this many bytes are refused with TooLarge.
+    /// Heads larger than this many bytes are refused with TooLarge, unless another limit is set.
     static constexpr std::size_t maxHeadBytes = std::size_t { 32 } * 1024;
 
     explicit HttpDecoder(MessageKind kind);
@@ -30,6 +30,8 @@
     /// Tells that the peer closed its side. Closed when that cuts a message short.
     Expected<void> feedEnd();
 
+    /// Replaces the limit for heads.
+    void setHeadLimit(std::size_t bytes) noexcept;
     /// Whether the responses to come answer a HEAD request and so have no body.
     void setExpectNoBody(bool noBody) noexcept;
     bool started() const noexcept;
--- /dev/null
+++ b/src/include/laburnumroute/hub_client.h
@@ -0,0 +1,132 @@
+/// The entry host's part in a seeded fleet: finds the leading control host and keeps one
+/// subscription to it, holds the newest configuration and instances that it heard of, and gets each
+/// attempt a place: from the fleet's view, or by itself when that does not answer. A state machine
+/// without I/O.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <laburnumroute/decision.h>
+#include <laburnumroute/fleet_state.h>
+#include <laburnumroute/lone_placer.h>
+#include <laburnumroute/placement_types.h>
+
+namespace laburnum {
+
+/// What became of an ask.
+struct PlaceAnswer {
+    AskId ask;
+    /// Nothing when refused.
+    std::optional<InstanceRecord> instance;
+    PlaceRefusal refusal = PlaceRefusal::None;
+    /// When to come back.
+    Duration delay {};
+    /// This host chose alone.
+    bool alone = false;
+};
+
+/// What a HubClient wants done. Links are numbered by the client.
+struct HubClientActions {
+    std::vector<std::pair<LinkId, HostId>> opens;
+    std::vector<LinkId> closes;
+    std::vector<std::pair<LinkId, std::string>> frames;
+    std::vector<PlaceAnswer> answers;
+    std::vector<Decision> decisions;
+    /// A newer configuration came; take config().
+    bool configChanged = false;
+};
+
+/// Calls are serialized by the shell, `now` never goes back.
+class HubClient {
+public:
+    /// The interval between ticks while an ask is open, and otherwise.
+    static constexpr Duration busyTick = std::chrono::milliseconds(50);
+    static constexpr Duration idleTick = std::chrono::milliseconds(250);
+
+    HubClient(HostPlace place, std::vector<HostId> seeds, std::uint64_t seed);
+
+    void linkOpened(LinkId link, TimePoint now, HubClientActions& actions);
+    void linkClosed(LinkId link, TimePoint now, HubClientActions& actions);
+    void receive(LinkId link, std::string_view frame, TimePoint now, HubClientActions& actions);
+    void tick(TimePoint now, HubClientActions& actions);
+    Duration tickInterval() const noexcept;
+    void setSeeds(std::vector<HostId> seeds) { m_seeds = std::move(seeds); }
+
+    /// Asks for a place; `demand.key.ask` is drawn here and returned. Answered once, maybe at once.
+    AskId ask(PlaceDemand demand, TimePoint now, HubClientActions& actions);
+    /// The request no longer waits.
+    void leave(AskId ask, HubClientActions& actions);
+    /// An attempt whose ask was granted ended.
+    void end(AskId ask, const PlacedReport& report, TimePoint now, HubClientActions& actions);
+
+    const NumberedConfig& config() const noexcept { return m_config; }
+    /// When the leader was last heard; the epoch of the clock when never.
+    TimePoint leaderHeard() const noexcept { return m_pulseHeard; }
+    bool joined() const noexcept { return m_leader.has_value(); }
+    const LonePlacer& instances() const noexcept { return m_lone; }
+    std::size_t openAsks() const noexcept { return m_asks.size(); }
+    std::size_t openPlaces() const noexcept { return m_places.size(); }
+
+private:
+    struct Link {
+        HostId host;
+        TimePoint since;
+        bool open = false;
+    };
+    struct Ask {
+        PlaceDemand demand;
+        TimePoint since;
+        /// Without an answer by then this host chooses alone.
+        TimePoint answerBy;
+    };
+    struct Place {
+        InstanceId instance;
+        ServiceId service;
+        TimePoint since;
+        TimePoint until;
+    };
+
+    void search(TimePoint now, HubClientActions& actions);
+    void open(const HostId& host, TimePoint now, HubClientActions& actions);
+    void close(LinkId link, HubClientActions& actions);
+    bool isContacted(const HostId& host) const;
+    std::vector<HostId> contacts() const;
+    void loseLeader(const char* reason, TimePoint now, HubClientActions& actions);
+    void placeAlone(AskId ask, TimePoint now, HubClientActions& actions);
+    void granted(AskId ask, const InstanceId& instance, TimePoint now, HubClientActions& actions);
+    void answer(PlaceAnswer answer, HubClientActions& actions);
+
+    void onWelcome(LinkId link, const std::vector<std::string>& hosts, TimePoint now,
+        HubClientActions& actions);
+    void onRedirect(LinkId link, const std::string& leader, const std::vector<std::string>& hosts,
+        TimePoint now, HubClientActions& actions);
+    void onConfig(std::string_view frame, HubClientActions& actions);
+    void onInstances(std::string_view frame);
+    std::string hello(TimePoint now) const;
+
+    HostPlace m_place;
+    std::vector<HostId> m_seeds;
+    std::vector<HostId> m_learned;
+    LonePlacer m_lone;
+    Random m_random;
+    std::map<LinkId, Link> m_links;
+    LinkId m_lastLink;
+    std::optional<LinkId> m_leader;
+    TimePoint m_pulseHeard {};
+    TimePoint m_searchDue {};
+    std::size_t m_nextContact;
+    /// The leader left an ask unanswered and was not heard since.
+    bool m_leaderDoubted = false;
+    NumberedConfig m_config;
+    LogIndex m_instancesIndex;
+    bool m_holdsInstances = false;
+    AskId m_lastAsk;
+    std::map<AskId, Ask> m_asks;
+    std::map<AskId, Place> m_places;
+};
+
+} // namespace laburnum
--- /dev/null
+++ b/src/include/laburnumroute/placement_desk.h
@@ -0,0 +1,67 @@
+/// Where the request path asks for the place of each attempt when the whole fleet decides.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include <tl/expected.hpp>
+
+#include <laburnumroute/configuration.h>
+#include <laburnumroute/instance.h>
+#include <laburnumroute/placement_types.h>
+
+namespace laburnum {
+
+/// What the route of a request says.
+struct RequestPlan {
+    /// The route's name, for logs.
+    std::string route;
+    ServiceId service;
+    RequestKind kind = RequestKind::Unsafe;
+    Duration timeout {};
+    Duration objective {};
+    std::uint32_t priority = 0;
+    std::uint32_t attempts = 1;
+    /// Number of the configuration that said so.
+    std::uint64_t configNumber = 0;
+};
+
+/// Why there is no plan.
+enum class PlanRefusal {
+    /// No configuration is known yet.
+    NoConfiguration,
+    /// No route matches.
+    NoRoute,
+};
+
+/// The answer to one ask.
+struct PlacedAttempt {
+    AskId ask;
+    /// Nothing when refused.
+    std::optional<InstanceRecord> instance;
+    PlaceRefusal refusal = PlaceRefusal::None;
+    Duration delay {};
+    bool alone = false;
+};
+
+/// Used from the request path's thread only.
+class PlacementDesk {
+public:
+    using Done = std::function<void(const PlacedAttempt&)>;
+
+    virtual ~PlacementDesk() = default;
+    virtual tl::expected<RequestPlan, PlanRefusal> plan(
+        const std::string& method, const std::string& host, const std::string& target)
+        = 0;
+    /// Asks for a place; `done` is called once, maybe before this returns, unless leave() goes
+    /// first.
+    virtual AskId ask(PlaceDemand demand, Done done) = 0;
+    virtual void leave(AskId ask) = 0;
+    /// Ends an attempt that was placed.
+    virtual void end(AskId ask, const PlacedReport& report) = 0;
+    /// What callers may send now.
+    virtual CallerLimits limits() const = 0;
+};
+
+} // namespace laburnum
--- a/src/include/laburnumroute/replicated_log.h
+++ b/src/include/laburnumroute/replicated_log.h
@@ -40,12 +40,30 @@
     Duration electionMax = std::chrono::milliseconds(1000);
 };
 
+/// Who becomes a member.
+enum class Admission {
+    /// The hosts that the options list, and no others.
+    Listed,
+    /// Every host that asks: it learns, and votes while voters are wanted. The listed hosts found the
+    /// log and are asked first.
+    Open,
+};
+
 /// Everything that a ReplicatedLog is told at its start.
 struct ReplicatedLogOptions {
     HostId host;
-    /// All hosts that should hold a voting copy, this one included. Members of other hosts are not
-    /// admitted by themselves.
+    /// Listed: all hosts that should hold a voting copy, this one included. Open: the founders.
     std::vector<HostId> controlHosts;
+    Admission admission = Admission::Listed;
+    /// False keeps this member from founding a log, whatever it hears of the others.
+    bool mayFound = true;
+    /// Open: voters wanted. A caught-up learner takes the place of a voter that fell silent.
+    std::size_t voters = 5;
+    /// Open: a voter that was not heard for so long may lose its place to a learner. Longer than an
+    /// election, so that a voter is not replaced for a pause.
+    Duration replaceAfter = std::chrono::milliseconds(1500);
+    /// Open: a learner that was not heard for so long is no member any more.
+    Duration forgetLearnerAfter = std::chrono::seconds(10);
     /// Differs with every start of a process.
     std::uint64_t seed = 0;
     LogTiming timing;
@@ -96,6 +114,10 @@
     /// What became of the proposal with `index` in `term`.
     ProposalFate fate(LogIndex index, Term term) const;
 
+    /// Open: replaces the hosts that this member turns to while it is not admitted. Founding still
+    /// goes by the options.
+    void setContacts(std::vector<HostId> hosts);
+
     /// Starts a change to `membership`, which differs from the one in force by one member.
     /// Conflict while another change is under way. Unavailable when not leading.
     Expected<LogIndex> changeMembership(const Membership& membership, TimePoint now, Outbox& out);
--- a/src/include/laburnumroute/route_table.h
+++ b/src/include/laburnumroute/route_table.h
@@ -17,16 +17,21 @@
     RouteTable() = default;
     explicit RouteTable(const std::vector<RouteSpec>& routes);
 
-    /// The service for a request, or nothing when no route matches. `host` may carry a port and any
+    /// The route of a request, or null when none matches; lives as long as the table. `host` may carry a port and any
     /// case; `target` may carry a query. A named host goes before "every host", a longer prefix
     /// before a shorter one, named methods before "every method".
+    const RouteSpec* find(
+        std::string_view method, std::string_view host, std::string_view target) const;
+
+    /// The service of the route that find() gives; of a split one, the part that the target's hash
+    /// falls to.
     std::optional<ServiceId> match(
         std::string_view method, std::string_view host, std::string_view target) const;
 
 private:
     using Rules = std::vector<RouteSpec>;
 
-    static std::optional<ServiceId> matchIn(
+    static const RouteSpec* findIn(
         const Rules& rules, std::string_view method, std::string_view path);
 
     std::unordered_map<std::string, Rules> m_byHost;
--- /dev/null
+++ b/src/laburnumd/entry_node.cpp
@@ -0,0 +1,287 @@
+// An entry host of a seeded fleet.
+
+#include <csignal>
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <laburnumroute/entry_server.h>
+#include <laburnumroute/frame_link.h>
+#include <laburnumroute/log_sink.h>
+#include <laburnumroute/web_server.h>
+
+#include "fleet_desk.h"
+#include "seeded_node.h"
+#include "settings_watch.h"
+
+namespace laburnum {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    /// A balancer in front takes a host out within two questions, a second apart, and a little.
+    constexpr auto leaveAtLeast = milliseconds(3000);
+    /// Before the end of the grace: connections are closed, then what is left is cut.
+    constexpr auto closeBeforeEnd = milliseconds(700);
+    constexpr auto cutBeforeEnd = milliseconds(250);
+    constexpr auto stopLookInterval = milliseconds(100);
+    /// An instance that opens no connection within this time is taken to be out of reach; a round
+    /// trip between regions takes 40 ms.
+    constexpr auto connectLimit = milliseconds(400);
+    /// A connection that did work so lately is taken to be alive.
+    constexpr auto unsafeReuse = milliseconds(250);
+    /// Bodies up to this size can be sent again to another instance.
+    constexpr std::size_t replayBytes = std::size_t { 512 } * 1024;
+
+    EntryOptions entryOptions(const OuterInterface& outer)
+    {
+        EntryOptions options;
+        options.names = outer.headerNames();
+        options.connectTimeout = connectLimit;
+        options.unsafeReuseTimeout = unsafeReuse;
+        options.replayBytes = replayBytes;
+        return options;
+    }
+
+    class EntryNode final : public SeededNode {
+    public:
+        EntryNode(SeededSettings settings, std::string settingsPath)
+            : m_settings(std::move(settings))
+            , m_log(openDecisionLog(m_settings.place.host, m_settings.logFile))
+            , m_outer(std::move(*OuterInterfaceRegistry::instance().create(m_settings.interface)))
+            , m_client(m_settings.place, controlHostsAt(m_settings.seeds), drawSeed())
+            , m_desk(m_client, m_clock, *m_outer, *m_log, drawSeed(),
+                  [this](HubClientActions& actions) { carry(actions); })
+            , m_entry(m_context, m_desk, *m_log, entryOptions(*m_outer))
+            , m_ready(m_context,
+                  [this](const WebRequest& request, const WebServer::Reply& reply) {
+                      answerReadiness(request, reply);
+                  })
+            , m_metrics(m_context,
+                  [this](const WebRequest&, const WebServer::Reply& reply) {
+                      reply({ 200, "text/plain; version=0.0.4", renderMetrics(), {} });
+                  })
+            , m_watch(m_context, std::move(settingsPath), *m_log,
+                  [this](const SeededSettings& changed) {
+                      m_client.setSeeds(controlHostsAt(changed.seeds));
+                  })
+            , m_signals(m_context, SIGTERM, SIGINT)
+            , m_ticker(m_context)
+            , m_stopTimer(m_context)
+        {
+        }
+
+        Expected<void> start() override
+        {
+            recordStart(m_settings, *m_log);
+            if (auto bound = m_entry.listen(*m_settings.entry); !bound)
+                return bound;
+            if (m_settings.ready) {
+                if (auto bound = m_ready.listen(*m_settings.ready); !bound)
+                    return bound;
+            }
+            if (m_settings.metrics) {
+                if (auto bound = m_metrics.listen(*m_settings.metrics); !bound)
+                    return bound;
+            }
+            m_watch.start();
+            awaitSignal();
+            tick();
+            return {};
+        }
+
+        void run() override { m_context.run(); }
+
+    private:
+        void tick()
+        {
+            HubClientActions actions;
+            m_client.tick(m_clock.now(), actions);
+            m_desk.apply(actions);
+            armTicker();
+        }
+
+        void armTicker()
+        {
+            m_ticker.expires_after(m_client.tickInterval());
+            m_tickDue = m_ticker.expiry();
+            m_ticker.async_wait([this](std::error_code code) {
+                if (!code)
+                    tick();
+            });
+        }
+
+        void carry(HubClientActions& actions)
+        {
+            for (const auto& decision : actions.decisions)
+                m_log->record(decision);
+            for (const LinkId link : actions.closes)
+                closeLink(link);
+            for (const auto& [link, host] : actions.opens)
+                openLink(link, host);
+            for (const auto& [link, frame] : actions.frames) {
+                const auto found = m_links.find(link);
+                if (found != m_links.end())
+                    found->second->send(frame);
+            }
+            // An ask that was just made needs finer ticks than an idle host.
+            if (m_tickDue - std::chrono::steady_clock::now() > m_client.tickInterval())
+                armTicker();
+        }
+
+        void closeLink(LinkId link)
+        {
+            const auto found = m_links.find(link);
+            if (found == m_links.end())
+                return;
+            found->second->close();
+            m_links.erase(found);
+        }
+
+        void openLink(LinkId id, const HostId& host)
+        {
+            FrameLink::Handlers handlers;
+            handlers.onOpen = [this, id] {
+                withClient([&](TimePoint now, HubClientActions& actions) {
+                    m_client.linkOpened(id, now, actions);
+                });
+            };
+            handlers.onFrame = [this, id](std::string_view frame) {
+                withClient([&](TimePoint now, HubClientActions& actions) {
+                    m_client.receive(id, frame, now, actions);
+                });
+            };
+            handlers.onClosed = [this, id] {
+                m_links.erase(id);
+                withClient([&](TimePoint now, HubClientActions& actions) {
+                    m_client.linkClosed(id, now, actions);
+                });
+            };
+            auto link = std::make_shared<FrameLink>(
+                asio::ip::tcp::socket(m_context), std::move(handlers));
+            m_links[id] = link;
+            link->connect(parseEndpoint(host.value()).value_or(Endpoint {}));
+        }
+
+        template <class Function> void withClient(Function&& function)
+        {
+            HubClientActions actions;
+            function(m_clock.now(), actions);
+            m_desk.apply(actions);
+        }
+
+        void answerReadiness(const WebRequest& request, const WebServer::Reply& reply) const
+        {
+            WebResponse response { 404, "text/plain", {}, {} };
+            if (m_outer->asksReadiness(request))
+                response.status = m_desk.hasConfiguration() && !m_stopping ? 200 : 503;
+            reply(response);
+        }
+
+        void awaitSignal()
+        {
+            m_signals.async_wait([this](std::error_code code, int) {
+                if (code)
+                    return;
+                if (m_stopping)
+                    return cut();
+                startStopping();
+                awaitSignal();
+            });
+        }
+
+        void startStopping()
+        {
+            m_stopping = true;
+            m_stopSince = std::chrono::steady_clock::now();
+            m_entry.startLeaving();
+            Decision decision { "stop", "leaving" };
+            decision.facts["in_flight"] = Json::UInt64(m_entry.inFlight());
+            m_log->record(decision);
+            lookAtStop();
+        }
+
+        /// Serves on until nobody calls any more, or the grace nearly ends.
+        void lookAtStop()
+        {
+            const Duration gone = std::chrono::steady_clock::now() - m_stopSince;
+            const Duration grace = m_settings.stopGrace;
+            const bool quiet = gone >= leaveAtLeast && m_entry.inFlight() == 0
+                && m_entry.openConnections() == 0;
+            if (!m_draining && (quiet || gone >= grace - closeBeforeEnd)) {
+                m_draining = true;
+                m_entry.drain([this](DrainReport report) { finish(report); });
+            }
+            if (gone >= grace - cutBeforeEnd)
+                return cut();
+            m_stopTimer.expires_after(stopLookInterval);
+            m_stopTimer.async_wait([this](std::error_code code) {
+                if (!code)
+                    lookAtStop();
+            });
+        }
+
+        void cut()
+        {
+            if (!std::exchange(m_draining, true))
+                m_entry.drain([this](DrainReport report) { finish(report); });
+            m_entry.drain(std::function<void(DrainReport)>());
+        }
+
+        void finish(const DrainReport& report)
+        {
+            Decision decision { "stop", report.cut == 0 ? "drained" : "cut" };
+            decision.facts["cut"] = Json::UInt64(report.cut);
+            m_log->record(decision);
+            m_context.stop();
+        }
+
+        std::string renderMetrics()
+        {
+            std::string text = m_entry.metrics().render();
+            const auto add = [&](const char* name, double value) {
+                text += std::string("# TYPE ") + name + " gauge\n" + name + ' '
+                    + std::to_string(value) + '\n';
+            };
+            add("laburnum_config_number", static_cast<double>(m_client.config().number));
+            add("laburnum_instances_known", static_cast<double>(m_client.instances().instances().size()));
+            add("laburnum_leader_joined", m_client.joined() ? 1.0 : 0.0);
+            add("laburnum_leader_heard_seconds_ago",
+                std::chrono::duration<double>(m_clock.now() - m_client.leaderHeard()).count());
+            add("laburnum_asks_open", static_cast<double>(m_client.openAsks()));
+            add("laburnum_attempts_open", static_cast<double>(m_client.openPlaces()));
+            add("laburnum_requests_in_flight", static_cast<double>(m_entry.inFlight()));
+            return text;
+        }
+
+        SeededSettings m_settings;
+        SteadyClock m_clock;
+        std::unique_ptr<DecisionLog> m_log;
+        asio::io_context m_context { 1 };
+        std::unique_ptr<OuterInterface> m_outer;
+        HubClient m_client;
+        FleetDesk m_desk;
+        EntryServer m_entry;
+        WebServer m_ready;
+        WebServer m_metrics;
+        SettingsWatch m_watch;
+        asio::signal_set m_signals;
+        asio::steady_timer m_ticker;
+        asio::steady_timer m_stopTimer;
+        std::chrono::steady_clock::time_point m_tickDue;
+        std::chrono::steady_clock::time_point m_stopSince;
+        std::map<LinkId, std::shared_ptr<FrameLink>> m_links;
+        bool m_stopping = false;
+        bool m_draining = false;
+    };
+
+} // namespace
+
+std::unique_ptr<SeededNode> makeEntryNode(SeededSettings settings, std::string settingsPath)
+{
+    return std::make_unique<EntryNode>(std::move(settings), std::move(settingsPath));
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/src/laburnumd/fleet_desk.cpp
@@ -0,0 +1,96 @@
+#include "fleet_desk.h"
+
+namespace laburnum {
+
+FleetDesk::FleetDesk(HubClient& client, const Clock& clock, const OuterInterface& outer,
+    DecisionLog& log, std::uint64_t seed, Carry carry)
+    : m_client(client)
+    , m_clock(clock)
+    , m_outer(outer)
+    , m_log(log)
+    , m_random(seed)
+    , m_carry(std::move(carry))
+{
+}
+
+void FleetDesk::putInForce()
+{
+    const NumberedConfig& config = m_client.config();
+    Findings findings;
+    const Configuration configuration = m_outer.readContent(config.content, findings);
+    Decision decision { "config", findings.hasErrors() ? "unreadable" : "in-force" };
+    decision.facts["number"] = Json::UInt64(config.number);
+    decision.facts["before"] = Json::UInt64(m_number);
+    decision.facts["routes"] = Json::UInt64(configuration.routes.size());
+    m_log.record(decision);
+    if (findings.hasErrors())
+        return;
+    m_number = config.number;
+    m_routes = RouteTable(configuration.routes);
+    m_limits = configuration.limits;
+    m_serviceDeadlines.clear();
+    for (const auto& service : configuration.services)
+        m_serviceDeadlines[service.name] = service.deadline;
+}
+
+void FleetDesk::apply(HubClientActions& actions)
+{
+    if (std::exchange(actions.configChanged, false))
+        putInForce();
+    const auto answers = std::exchange(actions.answers, {});
+    m_carry(actions);
+    for (const PlaceAnswer& answer : answers) {
+        const auto found = m_waiting.find(answer.ask);
+        if (found == m_waiting.end())
+            continue;
+        const Done done = std::move(found->second);
+        m_waiting.erase(found);
+        done({ answer.ask, answer.instance, answer.refusal, answer.delay, answer.alone });
+    }
+}
+
+tl::expected<RequestPlan, PlanRefusal> FleetDesk::plan(
+    const std::string& method, const std::string& host, const std::string& target)
+{
+    if (m_number == 0)
+        return tl::unexpected<PlanRefusal>(PlanRefusal::NoConfiguration);
+    const RouteSpec* route = m_routes.find(method, host, target);
+    if (route == nullptr)
+        return tl::unexpected<PlanRefusal>(PlanRefusal::NoRoute);
+    RequestPlan plan { route->name, route->service, route->kind, route->timeout, route->objective,
+        route->priority, route->attempts, m_number };
+    if (!route->split.empty()) {
+        const auto [sequence, inserted] = m_shares.try_emplace(
+            route->host + route->prefix, ShareSequence(uniformReal(m_random)));
+        plan.service = sequence->second.next(route->split);
+    }
+    if (plan.timeout == Duration::zero())
+        plan.timeout = m_serviceDeadlines[plan.service];
+    return plan;
+}
+
+AskId FleetDesk::ask(PlaceDemand demand, Done done)
+{
+    HubClientActions actions;
+    const AskId id = m_client.ask(std::move(demand), m_clock.now(), actions);
+    m_waiting[id] = std::move(done);
+    apply(actions);
+    return id;
+}
+
+void FleetDesk::leave(AskId ask)
+{
+    m_waiting.erase(ask);
+    HubClientActions actions;
+    m_client.leave(ask, actions);
+    apply(actions);
+}
+
+void FleetDesk::end(AskId ask, const PlacedReport& report)
+{
+    HubClientActions actions;
+    m_client.end(ask, report, m_clock.now(), actions);
+    apply(actions);
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/src/laburnumd/fleet_desk.h
@@ -0,0 +1,54 @@
+/// The request path's desk on an entry host of a seeded fleet: routes by the configuration that was
+/// heard of, and hands asks to the HubClient.
+#pragma once
+
+#include <map>
+
+#include <laburnumroute/hub_client.h>
+#include <laburnumroute/outer_interface.h>
+#include <laburnumroute/placement_desk.h>
+#include <laburnumroute/route_table.h>
+#include <laburnumroute/share_sequence.h>
+
+namespace laburnum {
+
+/// Used from one thread.
+class FleetDesk final : public PlacementDesk {
+public:
+    /// Carries out what the client wants done, but for its answers.
+    using Carry = std::function<void(HubClientActions& actions)>;
+
+    FleetDesk(HubClient& client, const Clock& clock, const OuterInterface& outer, DecisionLog& log,
+        std::uint64_t seed, Carry carry);
+
+    /// Passes answers on and puts a new configuration in force; then carries the rest.
+    void apply(HubClientActions& actions);
+
+    tl::expected<RequestPlan, PlanRefusal> plan(
+        const std::string& method, const std::string& host, const std::string& target) override;
+    AskId ask(PlaceDemand demand, Done done) override;
+    void leave(AskId ask) override;
+    void end(AskId ask, const PlacedReport& report) override;
+    CallerLimits limits() const override { return m_limits; }
+
+    bool hasConfiguration() const noexcept { return m_number != 0; }
+
+private:
+    void putInForce();
+
+    HubClient& m_client;
+    const Clock& m_clock;
+    const OuterInterface& m_outer;
+    DecisionLog& m_log;
+    Random m_random;
+    Carry m_carry;
+    RouteTable m_routes;
+    CallerLimits m_limits;
+    /// Number of the configuration in force; 0 before the first.
+    std::uint64_t m_number = 0;
+    std::map<ServiceId, Duration> m_serviceDeadlines;
+    std::map<std::string, ShareSequence> m_shares;
+    std::map<AskId, Done> m_waiting;
+};
+
+} // namespace laburnum
--- a/src/laburnumd/main.cpp
+++ b/src/laburnumd/main.cpp
@@ -7,6 +7,7 @@
 #include <cxxopts.hpp>
 
 #include "node.h"
+#include "seeded_node.h"
 
 namespace {
 
@@ -14,8 +15,33 @@
 constexpr int exitUsage = 2;
 constexpr int exitStart = 3;
 
+int reportFindings(const laburnum::Findings& findings)
+{
+    for (const auto& finding : findings.sorted())
+        std::cerr << laburnum::formatFinding(finding) << '\n';
+    return findings.hasErrors() ? exitFindings : EXIT_SUCCESS;
+}
+
+int serveSeeded(laburnum::SeededSettings settings, const std::string& path)
+{
+    const bool control = settings.control;
+    const auto node = control ? laburnum::makeControlNode(std::move(settings), path)
+                              : laburnum::makeEntryNode(std::move(settings), path);
+    if (const auto started = node->start(); !started) {
+        std::cerr << "laburnumd: " << started.error().message << '\n';
+        return exitStart;
+    }
+    node->run();
+    return EXIT_SUCCESS;
+}
+
 int serve(const std::string& path)
 {
+    laburnum::Findings seededFindings;
+    if (auto seeded = laburnum::readSeededFile(path, seededFindings)) {
+        const int code = reportFindings(seededFindings);
+        return code != EXIT_SUCCESS ? code : serveSeeded(std::move(*seeded), path);
+    }
     std::ifstream file(path, std::ios::binary);
     if (!file) {
         std::cerr << "laburnumd: cannot read '" << path << "'\n";
@@ -25,10 +51,8 @@
     text << file.rdbuf();
     laburnum::Findings findings;
     laburnum::Settings settings = laburnum::readSettings(text.str(), path, findings);
-    for (const auto& finding : findings.sorted())
-        std::cerr << laburnum::formatFinding(finding) << '\n';
-    if (findings.hasErrors())
-        return exitFindings;
+    if (const int code = reportFindings(findings); code != EXIT_SUCCESS)
+        return code;
     auto node = laburnum::Node::create(std::move(settings));
     const auto started = node ? node->start() : tl::unexpected<laburnum::Error>(node.error());
     if (!started) {
--- /dev/null
+++ b/src/laburnumd/seeded_node.cpp
@@ -0,0 +1,35 @@
+#include "seeded_node.h"
+
+#include <random>
+
+namespace laburnum {
+
+HostId controlHostAt(const Endpoint& peer) { return HostId(formatEndpoint(peer)); }
+
+std::vector<HostId> controlHostsAt(const std::vector<Endpoint>& peers)
+{
+    std::vector<HostId> hosts;
+    hosts.reserve(peers.size());
+    for (const Endpoint& peer : peers)
+        hosts.push_back(controlHostAt(peer));
+    return hosts;
+}
+
+std::uint64_t drawSeed()
+{
+    std::random_device device;
+    return (std::uint64_t { device() } << 32U) | device();
+}
+
+void recordStart(const SeededSettings& settings, DecisionLog& log)
+{
+    Decision decision { "start", settings.control ? "control" : "entry" };
+    decision.facts["data_centre"] = settings.place.dataCentre.value();
+    decision.facts["first_start"] = settings.firstStart;
+    decision.facts["seeds"] = Json::Value(Json::arrayValue);
+    for (const Endpoint& seed : settings.seeds)
+        decision.facts["seeds"].append(formatEndpoint(seed));
+    log.record(decision);
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/src/laburnumd/settings_watch.cpp
@@ -0,0 +1,77 @@
+#include "settings_watch.h"
+
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+namespace laburnum {
+
+namespace {
+
+    /// A change without a signal is noticed within this time.
+    constexpr auto lookInterval = std::chrono::seconds(3);
+
+} // namespace
+
+SettingsWatch::SettingsWatch(
+    asio::io_context& context, std::string path, DecisionLog& log, OnChange onChange)
+    : m_path(std::move(path))
+    , m_log(log)
+    , m_onChange(std::move(onChange))
+    , m_signals(context, SIGHUP)
+    , m_timer(context)
+    , m_content(content())
+{
+}
+
+void SettingsWatch::start()
+{
+    awaitSignal();
+    awaitTimer();
+}
+
+std::string SettingsWatch::content() const
+{
+    std::ifstream file(m_path, std::ios::binary);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+void SettingsWatch::awaitSignal()
+{
+    m_signals.async_wait([this](std::error_code code, int) {
+        if (code)
+            return;
+        reload("signal");
+        awaitSignal();
+    });
+}
+
+void SettingsWatch::awaitTimer()
+{
+    m_timer.expires_after(lookInterval);
+    m_timer.async_wait([this](std::error_code code) {
+        if (code)
+            return;
+        if (content() != m_content)
+            reload("file");
+        awaitTimer();
+    });
+}
+
+void SettingsWatch::reload(const char* cause)
+{
+    m_content = content();
+    Findings findings;
+    const auto settings = readSeededFile(m_path, findings);
+    Decision decision { "reload", settings && !findings.hasErrors() ? "done" : "refused" };
+    decision.facts["cause"] = cause;
+    for (const auto& finding : findings.sorted())
+        decision.facts["findings"].append(formatFinding(finding));
+    m_log.record(decision);
+    if (settings && !findings.hasErrors())
+        m_onChange(*settings);
+}
+
+} // namespace laburnum
--- a/src/libdeclare/config_checks.cpp
+++ b/src/libdeclare/config_checks.cpp
@@ -88,8 +88,11 @@
 {
     checkUnique(services, findings);
     std::set<ServiceId> routed;
-    for (const auto& route : routes)
+    for (const auto& route : routes) {
         routed.insert(route.spec.service);
+        for (const auto& share : route.spec.split)
+            routed.insert(share.service);
+    }
     for (const auto& service : services) {
         checkFloor(service, context, findings);
         checkBalancer(service, context, findings);
@@ -113,6 +116,12 @@
             findings.error(route.service,
                 "route '" + route.spec.prefix + "' names unknown service '" + service.value()
                     + "'");
+        for (const auto& share : route.spec.split) {
+            if (!share.service.value().empty() && !known.contains(share.service))
+                findings.error(route.table,
+                    "route '" + route.spec.prefix + "' names unknown service '"
+                        + share.service.value() + "'");
+        }
         auto& sameRule = byRule[{ lowerCase(route.spec.host), route.spec.prefix }];
         for (const PlacedRoute* earlier : sameRule)
             checkOverlap(*earlier, route, findings);
--- a/src/libdeclare/config_printer.cpp
+++ b/src/libdeclare/config_printer.cpp
@@ -10,6 +10,21 @@
     return weighting == Weighting::QuickDetection ? "quick-detection" : "few-false-ejections";
 }
 
+const char* requestKindName(RequestKind kind) noexcept
+{
+    switch (kind) {
+    case RequestKind::ByMethod:
+        return "by-method";
+    case RequestKind::Safe:
+        return "safe";
+    case RequestKind::Unsafe:
+        return "unsafe";
+    case RequestKind::Upload:
+        return "upload";
+    }
+    return "unknown";
+}
+
 namespace {
 
     /// `text` as a basic string of TOML.
@@ -56,6 +71,45 @@
         out << "queue_limit = " << service.queueLimit << '\n';
     }
 
+    void printSplit(std::ostream& out, const std::vector<RouteShare>& split)
+    {
+        out << "split = [";
+        const char* separator = "";
+        for (const auto& share : split) {
+            out << separator << "{ service = " << quoted(share.service.value())
+                << ", weight = " << share.weight << " }";
+            separator = ", ";
+        }
+        out << "]\n";
+    }
+
+    /// The keys that differ from their defaults.
+    void printTerms(std::ostream& out, const RouteSpec& route)
+    {
+        const RouteSpec defaults;
+        if (!route.name.empty())
+            out << "name = " << quoted(route.name) << '\n';
+        if (route.kind != defaults.kind)
+            out << "kind = " << quoted(requestKindName(route.kind)) << '\n';
+        if (route.timeout != defaults.timeout)
+            out << "timeout_ms = " << toMillis(route.timeout) << '\n';
+        if (route.objective != defaults.objective)
+            out << "objective_ms = " << toMillis(route.objective) << '\n';
+        if (route.priority != defaults.priority)
+            out << "priority = " << route.priority << '\n';
+        if (route.attempts != defaults.attempts)
+            out << "attempts = " << route.attempts << '\n';
+    }
+
+    void printLimits(std::ostream& out, const CallerLimits& limits)
+    {
+        out << "[limits]\n";
+        out << "head_bytes = " << limits.headBytes << '\n';
+        out << "body_bytes = " << limits.bodyBytes << '\n';
+        out << "head_timeout_ms = " << toMillis(limits.headTimeout) << '\n';
+        out << "idle_timeout_ms = " << toMillis(limits.idleTimeout) << '\n';
+    }
+
     void printRoute(std::ostream& out, const RouteSpec& route)
     {
         out << "[[route]]\n";
@@ -64,7 +118,11 @@
         out << "prefix = " << quoted(route.prefix) << '\n';
         if (!route.methods.empty())
             printMethods(out, route.methods);
-        out << "service = " << quoted(route.service.value()) << '\n';
+        if (route.split.empty())
+            out << "service = " << quoted(route.service.value()) << '\n';
+        else
+            printSplit(out, route.split);
+        printTerms(out, route);
     }
 
 } // namespace
@@ -81,6 +139,10 @@
         out << std::exchange(separator, "\n");
         printRoute(out, route);
     }
+    if (!(configuration.limits == CallerLimits())) {
+        out << std::exchange(separator, "\n");
+        printLimits(out, configuration.limits);
+    }
     return out.str();
 }
 
--- a/src/libdeclare/config_reader.cpp
+++ b/src/libdeclare/config_reader.cpp
@@ -14,6 +14,7 @@
     TableReader reader(*root, fileName, findings);
     auto services = readTables<pvt::PlacedService>(reader, "service", pvt::readService);
     auto routes = readTables<pvt::PlacedRoute>(reader, "route", pvt::readRoute);
+    configuration.limits = pvt::readLimits(reader);
     reader.refuseUnknownKeys();
     pvt::checkServices(services, routes, context, findings);
     pvt::checkRoutes(routes, services, findings);
--- a/src/libdeclare/config_reader_pvt.h
+++ b/src/libdeclare/config_reader_pvt.h
@@ -24,6 +24,9 @@
     SourcePlace service;
 };
 
+/// Reads the table `[limits]` of `root`; the defaults when there is none.
+CallerLimits readLimits(TableReader& root);
+
 PlacedService readService(const toml::value& table, const std::string& file, Findings& findings);
 PlacedRoute readRoute(const toml::value& table, const std::string& file, Findings& findings);
 
--- a/src/libdeclare/route_reader.cpp
+++ b/src/libdeclare/route_reader.cpp
@@ -13,6 +13,60 @@
     constexpr std::array<std::string_view, 9> standardMethods { "GET", "HEAD", "POST", "PUT",
         "DELETE", "CONNECT", "OPTIONS", "TRACE", "PATCH" };
 
+    constexpr std::int64_t maxWeight = 1'000'000;
+    constexpr std::int64_t maxTimeoutMs = 3'600'000;
+    constexpr std::int64_t maxPriority = 1000;
+    constexpr std::int64_t maxAttempts = 100;
+
+    RequestKind readKind(TableReader& reader)
+    {
+        const std::string name = reader.text("kind", requestKindName(RequestKind::ByMethod), false);
+        for (const RequestKind kind : { RequestKind::ByMethod, RequestKind::Safe,
+                 RequestKind::Unsafe, RequestKind::Upload }) {
+            if (name == requestKindName(kind))
+                return kind;
+        }
+        reader.errorAt("kind", "unknown kind '" + name + "'; known: by-method, safe, unsafe, upload");
+        return RequestKind::ByMethod;
+    }
+
+    RouteShare readShare(const toml::value& table, const std::string& file, Findings& findings)
+    {
+        TableReader reader(table, file, findings);
+        RouteShare share;
+        share.service = ServiceId(reader.text("service", "", true));
+        share.weight = static_cast<std::uint32_t>(reader.integer("weight", 1, 0, maxWeight));
+        reader.refuseUnknownKeys();
+        return share;
+    }
+
+    std::vector<RouteShare> readSplit(TableReader& reader)
+    {
+        auto shares = readTables<RouteShare>(reader, "split", readShare);
+        std::uint64_t sum = 0;
+        for (const auto& share : shares)
+            sum += share.weight;
+        if (!shares.empty() && sum == 0)
+            reader.errorAt("split", "the weights of a split must not all be 0");
+        return shares;
+    }
+
+    /// What the route promises to callers.
+    void readTerms(TableReader& reader, RouteSpec& spec)
+    {
+        spec.name = reader.text("name", "", false);
+        spec.kind = readKind(reader);
+        spec.timeout = std::chrono::milliseconds(reader.integer("timeout_ms", 0, 0, maxTimeoutMs));
+        spec.objective
+            = std::chrono::milliseconds(reader.integer("objective_ms", 0, 0, maxTimeoutMs));
+        if (spec.timeout > Duration::zero() && spec.objective > spec.timeout)
+            reader.errorAt("objective_ms", "the objective lies beyond the timeout");
+        spec.priority
+            = static_cast<std::uint32_t>(reader.integer("priority", spec.priority, 0, maxPriority));
+        spec.attempts
+            = static_cast<std::uint32_t>(reader.integer("attempts", spec.attempts, 1, maxAttempts));
+    }
+
     bool isStandardMethod(std::string_view method)
     {
         return std::find(standardMethods.begin(), standardMethods.end(), method)
@@ -77,7 +131,11 @@
     spec.host = readHost(reader);
     spec.prefix = readPrefix(reader);
     spec.methods = readMethods(reader);
-    spec.service = ServiceId(reader.text("service", "", true));
+    spec.split = readSplit(reader);
+    if (!spec.split.empty() && reader.has("service"))
+        reader.errorAt("service", "a route has either a service or a split");
+    spec.service = ServiceId(reader.text("service", "", spec.split.empty()));
+    readTerms(reader, spec);
     reader.refuseUnknownKeys();
     return { std::move(spec), reader.placeOf(table), reader.placeOfValue("service") };
 }
--- /dev/null
+++ b/src/libhub/fleet_state.cpp
@@ -0,0 +1,214 @@
+#include <laburnumroute/fleet_state.h>
+
+#include <algorithm>
+
+#include "codec_pvt.h"
+
+namespace laburnum {
+
+namespace {
+
+    struct PutConfigCommand {
+        static constexpr std::uint8_t type = 1;
+        std::uint64_t number = 0;
+        std::string content;
+        MSGPACK_DEFINE(number, content)
+    };
+
+    struct PutInstanceCommand {
+        static constexpr std::uint8_t type = 2;
+        pvt::InstanceRow row;
+        MSGPACK_DEFINE(row)
+    };
+
+    struct RemoveInstanceCommand {
+        static constexpr std::uint8_t type = 3;
+        std::string id;
+        std::uint64_t incarnation = 0;
+        MSGPACK_DEFINE(id, incarnation)
+    };
+
+    struct StateImage {
+        static constexpr std::uint8_t type = 4;
+        std::uint64_t number = 0;
+        std::string content;
+        std::vector<pvt::InstanceRow> instances;
+        std::vector<std::pair<std::string, std::uint64_t>> departures;
+        std::uint64_t instancesIndex = 0;
+        MSGPACK_DEFINE(number, content, instances, departures, instancesIndex)
+    };
+
+} // namespace
+
+std::string FleetState::putConfig(const NumberedConfig& config)
+{
+    return pvt::pack(PutConfigCommand { config.number, config.content });
+}
+
+std::string FleetState::putInstance(const InstanceRecord& record)
+{
+    return pvt::pack(PutInstanceCommand { pvt::toRow(record) });
+}
+
+std::string FleetState::removeInstance(const Departure& departure)
+{
+    return pvt::pack(RemoveInstanceCommand { departure.id.value(), departure.incarnation });
+}
+
+void FleetState::apply(LogIndex index, std::string_view command)
+{
+    if (const auto put = pvt::unpack<PutConfigCommand>(command)) {
+        if (put->number <= m_config.number)
+            return;
+        m_earlier.push_back(std::move(m_config));
+        if (m_earlier.size() > keptConfigs)
+            m_earlier.pop_front();
+        m_config = { put->number, put->content };
+    } else if (const auto instance = pvt::unpack<PutInstanceCommand>(command)) {
+        const InstanceRecord record = pvt::fromRow(instance->row);
+        if (wouldChange(record))
+            putRecord(index, record);
+    } else if (const auto removal = pvt::unpack<RemoveInstanceCommand>(command)) {
+        const Departure departure { InstanceId(removal->id), removal->incarnation };
+        if (wouldChange(departure))
+            depart(index, departure);
+    }
+}
+
+const NumberedConfig* FleetState::configNumbered(std::uint64_t number) const
+{
+    const auto found = std::find_if(m_earlier.begin(), m_earlier.end(),
+        [&](const NumberedConfig& config) { return config.number == number; });
+    return found == m_earlier.end() || number == 0 ? nullptr : &*found;
+}
+
+std::optional<std::set<InstanceId>> FleetState::changedSince(LogIndex index) const
+{
+    if (index < m_changesFrom)
+        return std::nullopt;
+    std::set<InstanceId> ids;
+    for (const auto& [at, id] : m_changes) {
+        if (at > index)
+            ids.insert(id);
+    }
+    return ids;
+}
+
+bool FleetState::hasDeparted(const InstanceId& id, std::uint64_t incarnation) const
+{
+    const auto found = m_departed.find(id);
+    return found != m_departed.end() && incarnation <= found->second;
+}
+
+const InstanceRecord* FleetState::atEndpoint(const Endpoint& endpoint) const
+{
+    for (const auto& [id, record] : m_instances) {
+        if (record.endpoint == endpoint)
+            return &record;
+    }
+    return nullptr;
+}
+
+/// What was said by an incarnation that has ended, or before what is held.
+bool FleetState::isStale(const InstanceRecord& record) const
+{
+    if (hasDeparted(record.id, record.incarnation))
+        return true;
+    const auto known = m_instances.find(record.id);
+    if (known != m_instances.end() && !supersedes(record, known->second))
+        return true;
+    const InstanceRecord* holder = atEndpoint(record.endpoint);
+    return holder != nullptr && holder->id != record.id && holder->incarnation > record.incarnation;
+}
+
+bool FleetState::wouldChange(const InstanceRecord& record) const
+{
+    if (isStale(record))
+        return false;
+    const auto known = m_instances.find(record.id);
+    if (known == m_instances.end())
+        return true;
+    const InstanceRecord& held = known->second;
+    return held.incarnation != record.incarnation || held.phase != record.phase
+        || held.endpoint != record.endpoint || held.service != record.service
+        || held.slots != record.slots || held.dataCentre != record.dataCentre;
+}
+
+bool FleetState::wouldChange(const Departure& departure) const
+{
+    const auto known = m_instances.find(departure.id);
+    const bool holds
+        = known != m_instances.end() && known->second.incarnation <= departure.incarnation;
+    return holds || !hasDeparted(departure.id, departure.incarnation);
+}
+
+void FleetState::noteChange(LogIndex index, const InstanceId& id)
+{
+    m_instancesIndex = index;
+    m_changes.emplace_back(index, id);
+    while (m_changes.size() > keptChanges) {
+        m_changesFrom = m_changes.front().first;
+        m_changes.pop_front();
+    }
+}
+
+void FleetState::putRecord(LogIndex index, const InstanceRecord& record)
+{
+    const InstanceRecord* holder = atEndpoint(record.endpoint);
+    if (holder != nullptr && holder->id != record.id)
+        depart(index, { holder->id, holder->incarnation });
+    m_instances[record.id] = record;
+    noteChange(index, record.id);
+}
+
+void FleetState::depart(LogIndex index, const Departure& departure)
+{
+    const auto known = m_instances.find(departure.id);
+    if (known != m_instances.end() && known->second.incarnation <= departure.incarnation)
+        m_instances.erase(known);
+    auto& last = m_departed[departure.id];
+    last = std::max(last, departure.incarnation);
+    m_departureOrder.push_back(departure.id);
+    if (m_departureOrder.size() > rememberedDepartures) {
+        m_departed.erase(m_departureOrder.front());
+        m_departureOrder.pop_front();
+    }
+    noteChange(index, departure.id);
+}
+
+std::string FleetState::snapshot() const
+{
+    StateImage image { m_config.number, m_config.content, {}, {}, m_instancesIndex.value() };
+    for (const auto& [id, record] : m_instances)
+        image.instances.push_back(pvt::toRow(record));
+    for (const InstanceId& id : m_departureOrder) {
+        const auto found = m_departed.find(id);
+        if (found != m_departed.end())
+            image.departures.emplace_back(id.value(), found->second);
+    }
+    return pvt::pack(image);
+}
+
+Expected<void> FleetState::restore(std::string_view bytes)
+{
+    *this = FleetState();
+    if (bytes.empty())
+        return {};
+    const auto image = pvt::unpack<StateImage>(bytes);
+    if (!image)
+        return fail(ErrorCode::Corrupt, "the snapshot of the fleet's state cannot be read");
+    m_config = { image->number, image->content };
+    for (const auto& row : image->instances) {
+        const InstanceRecord record = pvt::fromRow(row);
+        m_instances[record.id] = record;
+    }
+    for (const auto& [id, incarnation] : image->departures) {
+        m_departed[InstanceId(id)] = incarnation;
+        m_departureOrder.emplace_back(id);
+    }
+    m_instancesIndex = LogIndex(image->instancesIndex);
+    m_changesFrom = m_instancesIndex;
+    return {};
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/src/libhub/hub.cpp
@@ -0,0 +1,634 @@
+#include <laburnumroute/hub.h>
+
+#include <algorithm>
+
+#include <laburnumroute/json.h>
+
+#include "hub_messages_pvt.h"
+
+namespace laburnum {
+
+using std::chrono::milliseconds;
+using namespace pvt;
+
+namespace {
+
+    /// Below the second after which callers turn to another host.
+    constexpr auto callLimit = milliseconds(850);
+    /// A call is passed to the leader again after this long.
+    constexpr auto callResend = milliseconds(300);
+    /// Entry hosts leave a leader that they have not heard for three of these.
+    constexpr auto pulseInterval = milliseconds(500);
+    constexpr auto placerTick = milliseconds(100);
+
+    constexpr LogTiming logTiming { .heartbeat = milliseconds(200),
+        .electionMin = milliseconds(700),
+        .electionMax = milliseconds(1300) };
+
+    enum class CallKind : std::uint8_t { Announce = 0, Depart = 1, PutConfig = 2, GetConfig = 3 };
+
+    CallFrame toFrame(const HostId& from, CallId id, const FleetCall& call)
+    {
+        CallFrame frame;
+        frame.from = from.value();
+        frame.call = id.value();
+        if (const auto* announce = std::get_if<AnnounceCall>(&call)) {
+            frame.kind = static_cast<std::uint8_t>(CallKind::Announce);
+            frame.instance = toRow(announce->record);
+            frame.coldMs = wireMs(announce->coldFor);
+        } else if (const auto* depart = std::get_if<DepartCall>(&call)) {
+            frame.kind = static_cast<std::uint8_t>(CallKind::Depart);
+            frame.instance.id = depart->departure.id.value();
+            frame.instance.incarnation = depart->departure.incarnation;
+        } else if (const auto* put = std::get_if<PutConfigCall>(&call)) {
+            frame.kind = static_cast<std::uint8_t>(CallKind::PutConfig);
+            frame.number = put->config.number;
+            frame.content = put->config.content;
+        } else {
+            frame.kind = static_cast<std::uint8_t>(CallKind::GetConfig);
+        }
+        return frame;
+    }
+
+    FleetCall fromFrame(const CallFrame& frame)
+    {
+        switch (static_cast<CallKind>(frame.kind)) {
+        case CallKind::Announce:
+            return AnnounceCall { fromRow(frame.instance), milliseconds(frame.coldMs) };
+        case CallKind::Depart:
+            return DepartCall { { InstanceId(frame.instance.id), frame.instance.incarnation } };
+        case CallKind::PutConfig:
+            return PutConfigCall { { frame.number, frame.content } };
+        case CallKind::GetConfig:
+            break;
+        }
+        return GetConfigCall {};
+    }
+
+    Json::Value idsOf(const std::vector<InstanceId>& ids)
+    {
+        Json::Value list(Json::arrayValue);
+        for (const auto& id : ids)
+            list.append(id.value());
+        return list;
+    }
+
+} // namespace
+
+class Hub::Impl {
+public:
+    Impl(HubOptions initial)
+        : options(std::move(initial))
+        , placer(options.repeats)
+    {
+    }
+
+    Expected<void> open(LogStore store, TimePoint now)
+    {
+        ReplicatedLogOptions logOptions;
+        logOptions.host = options.host;
+        logOptions.controlHosts = options.seeds;
+        logOptions.admission = Admission::Open;
+        logOptions.mayFound = options.mayFound;
+        logOptions.seed = options.seed;
+        logOptions.timing = logTiming;
+        logOptions.voters = 2 * std::size_t { options.bearLosses } + 1;
+        auto created
+            = ReplicatedLog::create(std::move(logOptions), std::move(store), state, now);
+        if (!created)
+            return tl::unexpected<Error>(created.error());
+        log = std::move(*created);
+        return {};
+    }
+
+    void receive(LinkId link, std::string_view frame, TimePoint now, HubActions& actions)
+    {
+        // A host that slept may have lost its place meanwhile.
+        if (now - m_lastTick > logTiming.electionMin)
+            tick(now, actions);
+        if (const auto peer = unpack<PeerFrame>(frame)) {
+            auto params = parseJson(peer->json);
+            if (params)
+                toLog({ HostId(peer->from), options.host, peer->method, std::move(*params) }, now,
+                    actions);
+        } else if (const auto ask = unpack<AskFrame>(frame)) {
+            onAsk(link, *ask, now, actions);
+        } else if (const auto end = unpack<EndFrame>(frame)) {
+            onEnd(link, *end, now, actions);
+        } else if (const auto leave = unpack<LeaveFrame>(frame)) {
+            m_replies.clear();
+            placer.leave({ link, AskId(leave->ask) }, now, m_replies);
+            sendReplies(now, actions);
+        } else if (const auto adopted = unpack<AdoptFrame>(frame)) {
+            onAdopt(link, *adopted, now, actions);
+        } else if (const auto hello = unpack<HelloFrame>(frame)) {
+            onHello(link, *hello, now, actions);
+        } else if (const auto call = unpack<CallFrame>(frame)) {
+            execute({ HostId(call->from), CallId(call->call) }, fromFrame(*call), now, actions);
+        } else if (const auto result = unpack<ResultFrame>(frame)) {
+            onResult(*result, actions);
+        }
+    }
+
+    void call(CallId id, FleetCall call, TimePoint now, HubActions& actions)
+    {
+        m_calls[id] = { std::move(call), now + callLimit, now };
+        pursue(id, now, actions);
+    }
+
+    void tick(TimePoint now, HubActions& actions)
+    {
+        m_lastTick = now;
+        withLog(now, actions, [&](Outbox& out) { log->tick(now, out); });
+        std::vector<CallId> due;
+        for (const auto& [id, pending] : m_calls) {
+            if (now >= pending.nextTry || now >= pending.deadline)
+                due.push_back(id);
+        }
+        for (const CallId id : due)
+            pursue(id, now, actions);
+        std::erase_if(m_commits, [&](const Commit& commit) { return now >= commit.deadline; });
+        if (!m_leads)
+            return;
+        if (now >= m_placerDue) {
+            m_placerDue = now + placerTick;
+            m_replies.clear();
+            placer.tick(now, m_replies);
+            sendReplies(now, actions);
+        }
+        if (now >= m_pulseDue && log->holdsLease(now))
+            sendPulse(now, actions);
+    }
+
+    void closeLink(LinkId link, TimePoint now)
+    {
+        m_sessions.erase(link);
+        placer.dropLink(link, now);
+    }
+
+    HubOptions options;
+    FleetState state;
+    FleetPlacer placer;
+    std::unique_ptr<ReplicatedLog> log;
+    bool m_leads = false;
+
+    struct Session {
+        HelloFrame hello;
+        std::uint64_t configNumber = 0;
+        LogIndex instancesIndex;
+        bool holdsInstances = false;
+        bool welcomed = false;
+        std::string toldLeader;
+    };
+    std::map<LinkId, Session> m_sessions;
+
+private:
+    struct Origin {
+        HostId host;
+        CallId call;
+    };
+
+    /// A call at this host until its result is known.
+    struct PendingCall {
+        FleetCall call;
+        TimePoint deadline;
+        TimePoint nextTry;
+    };
+
+    /// A change that this host proposed as the leader, until it is applied.
+    struct Commit {
+        Origin origin;
+        FleetCall call;
+        TimePoint deadline;
+    };
+
+    template <class Function> void withLog(TimePoint now, HubActions& actions, Function&& function)
+    {
+        Outbox out(options.host);
+        function(out);
+        flush(out, now, actions);
+        afterLog(now, actions);
+    }
+
+    void flush(Outbox& out, TimePoint now, HubActions& actions)
+    {
+        for (auto& message : out.takeMessages()) {
+            if (message.to == options.host) {
+                toLog(std::move(message), now, actions);
+                continue;
+            }
+            actions.peerFrames.emplace_back(message.to,
+                pack(PeerFrame { options.host.value(), message.method, toJsonText(message.params) }));
+        }
+        for (auto& decision : out.takeDecisions())
+            actions.decisions.push_back(std::move(decision));
+    }
+
+    void toLog(PeerMessage message, TimePoint now, HubActions& actions)
+    {
+        withLog(now, actions, [&](Outbox& out) { log->receive(message, now, out); });
+    }
+
+    /// Takes up what the log committed, and a change of leader.
+    void afterLog(TimePoint now, HubActions& actions)
+    {
+        const bool leads = log->role() == LogRole::Leader
+            && log->store().termAt(log->commitIndex()) == log->term();
+        if (leads && !m_leads)
+            startLeading(now, actions);
+        else if (!leads && m_leads)
+            stopLeading(actions);
+        if (log->appliedIndex() != m_seenApplied) {
+            m_seenApplied = log->appliedIndex();
+            if (m_leads) {
+                syncPlacer(now);
+                for (auto& [link, session] : m_sessions)
+                    update(link, session, actions);
+            }
+            settleCommits(actions);
+        }
+        if (!m_leads)
+            redirectSessions(actions);
+    }
+
+    void startLeading(TimePoint now, HubActions& actions)
+    {
+        m_leads = true;
+        m_placedIndex = LogIndex(0);
+        placer.clear();
+        syncPlacer(now);
+        decide("lead", "started", actions);
+        for (auto& [link, session] : m_sessions)
+            welcome(link, session, now, actions);
+        m_pulseDue = now;
+    }
+
+    void stopLeading(HubActions& actions)
+    {
+        m_leads = false;
+        placer.clear();
+        m_commits.clear();
+        decide("lead", "stopped", actions);
+        for (auto& [link, session] : m_sessions) {
+            session.welcomed = false;
+            session.toldLeader = "?";
+        }
+    }
+
+    void decide(const char* kind, const char* reason, HubActions& actions) const
+    {
+        Decision decision { kind, reason };
+        decision.facts["term"] = Json::UInt64(log->term().value());
+        decision.facts["commit"] = Json::UInt64(log->commitIndex().value());
+        decision.facts["config"] = Json::UInt64(state.config().number);
+        decision.facts["voters"] = Json::UInt64(log->membership().voters());
+        actions.decisions.push_back(std::move(decision));
+    }
+
+    /// Brings the placer to the instances of the state.
+    void syncPlacer(TimePoint now)
+    {
+        const auto changed = m_placedIndex == LogIndex(0)
+            ? std::nullopt
+            : state.changedSince(m_placedIndex);
+        if (!changed) {
+            for (const auto& [id, record] : state.instances())
+                placer.upsert(record, now);
+        } else {
+            for (const InstanceId& id : *changed) {
+                const auto found = state.instances().find(id);
+                if (found == state.instances().end())
+                    placer.remove(id);
+                else
+                    placer.upsert(found->second, now);
+            }
+        }
+        m_placedIndex = state.instancesIndex();
+    }
+
+    std::vector<std::string> controlHosts() const
+    {
+        std::vector<std::string> hosts;
+        for (const Member& member : log->membership().members())
+            hosts.push_back(member.host.value());
+        return hosts;
+    }
+
+    void onHello(LinkId link, const HelloFrame& hello, TimePoint now, HubActions& actions)
+    {
+        Session& session = m_sessions[link];
+        session = { hello, hello.configNumber, LogIndex(hello.instancesIndex),
+            hello.holdsInstances };
+        session.toldLeader = "?";
+        if (m_leads)
+            welcome(link, session, now, actions);
+        else
+            redirectSessions(actions);
+    }
+
+    void welcome(LinkId link, Session& session, TimePoint now, HubActions& actions)
+    {
+        session.welcomed = true;
+        actions.frames.emplace_back(link, pack(WelcomeFrame { controlHosts() }));
+        for (const auto& open : session.hello.open)
+            adopt(link, open, now);
+        session.hello.open.clear();
+        update(link, session, actions);
+        actions.frames.emplace_back(link, pulse(now));
+    }
+
+    void adopt(LinkId link, const OpenPlaceRow& row, TimePoint now)
+    {
+        placer.adopt({ { link, AskId(row.ask) }, InstanceId(row.instance), ServiceId(row.service),
+                         milliseconds(row.ageMs), milliseconds(row.remainingMs) },
+            now);
+    }
+
+    void redirectSessions(HubActions& actions)
+    {
+        const auto leader = log->leader();
+        const std::string name = leader && *leader != options.host ? leader->value() : "";
+        for (auto& [link, session] : m_sessions) {
+            if (session.toldLeader == name)
+                continue;
+            session.toldLeader = name;
+            actions.frames.emplace_back(link, pack(RedirectFrame { name, controlHosts() }));
+        }
+    }
+
+    /// Tells an entry host what it does not hold yet.
+    void update(LinkId link, Session& session, HubActions& actions) const
+    {
+        const NumberedConfig& config = state.config();
+        if (config.number > session.configNumber) {
+            const NumberedConfig* base = state.configNumbered(session.configNumber);
+            actions.frames.emplace_back(link,
+                pack(ConfigFrame { config.number, base != nullptr ? base->number : 0,
+                    deflateText(config.content, base != nullptr ? base->content : "") }));
+            session.configNumber = config.number;
+        }
+        if (session.holdsInstances && session.instancesIndex == state.instancesIndex())
+            return;
+        InstancesFrame frame;
+        frame.index = state.instancesIndex().value();
+        const auto changed = session.holdsInstances ? state.changedSince(session.instancesIndex)
+                                                    : std::nullopt;
+        frame.whole = !changed;
+        for (const auto& [id, record] : state.instances()) {
+            if (!changed || changed->contains(id))
+                frame.held.push_back(toRow(record));
+        }
+        if (changed) {
+            for (const InstanceId& id : *changed) {
+                if (!state.instances().contains(id))
+                    frame.gone.push_back(id.value());
+            }
+        }
+        actions.frames.emplace_back(link, pack(frame));
+        session.instancesIndex = state.instancesIndex();
+        session.holdsInstances = true;
+    }
+
+    std::string pulse(TimePoint now) const
+    {
+        PulseFrame frame;
+        for (const InstanceId& id : placer.doubtful(now))
+            frame.doubtful.push_back(id.value());
+        return pack(frame);
+    }
+
+    void sendPulse(TimePoint now, HubActions& actions)
+    {
+        m_pulseDue = now + pulseInterval;
+        const std::string frame = pulse(now);
+        for (const auto& [link, session] : m_sessions) {
+            if (session.welcomed)
+                actions.frames.emplace_back(link, frame);
+        }
+        const auto doubtful = placer.doubtful(now);
+        if (doubtful == m_loggedDoubtful)
+            return;
+        m_loggedDoubtful = doubtful;
+        Decision decision { "judge", "doubtful" };
+        decision.facts["instances"] = idsOf(doubtful);
+        decision.facts["waiting"] = Json::UInt64(placer.waiting());
+        decision.facts["granted"] = Json::UInt64(placer.granted());
+        actions.decisions.push_back(std::move(decision));
+    }
+
+    void onAsk(LinkId link, const AskFrame& frame, TimePoint now, HubActions& actions)
+    {
+        const auto session = m_sessions.find(link);
+        if (!m_leads || session == m_sessions.end())
+            return;
+        PlaceDemand demand;
+        demand.key = { link, AskId(frame.ask) };
+        demand.service = ServiceId(frame.service);
+        demand.kind = static_cast<RequestKind>(frame.kind);
+        demand.priority = frame.priority;
+        demand.kibibytes = frame.kibibytes;
+        demand.remaining = milliseconds(frame.remainingMs);
+        demand.objective = milliseconds(frame.objectiveMs);
+        demand.repeat = frame.repeat;
+        demand.again = frame.again;
+        demand.dataCentre = DataCentreId(session->second.hello.dataCentre);
+        demand.region = RegionId(session->second.hello.region);
+        for (const auto& id : frame.avoid)
+            demand.avoid.emplace_back(id);
+        m_replies.clear();
+        placer.ask(demand, now, m_replies);
+        sendReplies(now, actions);
+    }
+
+    void onEnd(LinkId link, const EndFrame& frame, TimePoint now, HubActions& actions)
+    {
+        m_replies.clear();
+        placer.end({ link, AskId(frame.ask) },
+            { static_cast<PlacedEnd>(frame.end), milliseconds(frame.latencyMs),
+                frame.reportedLoad },
+            now, m_replies);
+        sendReplies(now, actions);
+    }
+
+    void onAdopt(LinkId link, const AdoptFrame& frame, TimePoint now, HubActions& actions)
+    {
+        m_replies.clear();
+        placer.leave({ link, AskId(frame.place.ask) }, now, m_replies);
+        sendReplies(now, actions);
+        if (m_leads)
+            adopt(link, frame.place, now);
+    }
+
+    void sendReplies(TimePoint /*now*/, HubActions& actions)
+    {
+        for (const PlaceReply& reply : m_replies) {
+            const std::uint32_t ask = reply.key.ask.value();
+            std::string frame;
+            if (reply.kind == PlaceReplyKind::Granted)
+                frame = pack(GrantedFrame { ask, reply.instance.value() });
+            else if (reply.kind == PlaceReplyKind::Waiting)
+                frame = pack(WaitingFrame { ask, wireMs(reply.delay) });
+            else
+                frame = pack(RefusedFrame {
+                    ask, static_cast<std::uint8_t>(reply.refusal), wireMs(reply.delay) });
+            actions.frames.emplace_back(reply.key.link, std::move(frame));
+        }
+        m_replies.clear();
+    }
+
+    /// Brings a call of this host further: executes it, passes it to the leader, or gives up.
+    void pursue(CallId id, TimePoint now, HubActions& actions)
+    {
+        const auto found = m_calls.find(id);
+        if (found == m_calls.end())
+            return;
+        if (now >= found->second.deadline) {
+            m_calls.erase(found);
+            actions.results.emplace_back(id, CallResult {});
+            return;
+        }
+        const auto leader = log->leader();
+        found->second.nextTry = now + (leader ? callResend : Hub::tickInterval);
+        if (m_leads)
+            execute({ options.host, id }, found->second.call, now, actions);
+        else if (leader && *leader != options.host)
+            actions.peerFrames.emplace_back(*leader, pack(toFrame(options.host, id, found->second.call)));
+    }
+
+    /// Carries a call out as the leader.
+    void execute(const Origin& origin, FleetCall call, TimePoint now, HubActions& actions)
+    {
+        if (!m_leads)
+            return;
+        if (std::holds_alternative<GetConfigCall>(call)) {
+            if (log->holdsLease(now))
+                finish(origin, { true, state.config() }, actions);
+            return;
+        }
+        if (const auto* announce = std::get_if<AnnounceCall>(&call))
+            placer.heard(announce->record.id, announce->coldFor, now);
+        if (isInForce(call)) {
+            finish(origin, { true, {} }, actions);
+            return;
+        }
+        const bool underWay = std::any_of(m_commits.begin(), m_commits.end(),
+            [&](const Commit& c) {
+                return c.origin.host == origin.host && c.origin.call == origin.call;
+            });
+        if (underWay)
+            return;
+        const std::string command = commandOf(call);
+        m_commits.push_back({ origin, std::move(call), now + callLimit });
+        withLog(now, actions, [&](Outbox& out) {
+            if (const auto proposed = log->propose(command, now, out); !proposed)
+                out.log({ "call", "not-proposed" });
+        });
+    }
+
+    static std::string commandOf(const FleetCall& call)
+    {
+        if (const auto* announce = std::get_if<AnnounceCall>(&call))
+            return FleetState::putInstance(announce->record);
+        if (const auto* depart = std::get_if<DepartCall>(&call))
+            return FleetState::removeInstance(depart->departure);
+        return FleetState::putConfig(std::get<PutConfigCall>(call).config);
+    }
+
+    /// True when the committed state already holds what `call` asks for.
+    bool isInForce(const FleetCall& call) const
+    {
+        if (const auto* announce = std::get_if<AnnounceCall>(&call))
+            return !state.wouldChange(announce->record);
+        if (const auto* depart = std::get_if<DepartCall>(&call))
+            return !state.wouldChange(depart->departure);
+        if (const auto* put = std::get_if<PutConfigCall>(&call))
+            return state.config().number >= put->config.number;
+        return false;
+    }
+
+    void settleCommits(HubActions& actions)
+    {
+        for (auto commit = m_commits.begin(); commit != m_commits.end();) {
+            if (!isInForce(commit->call)) {
+                ++commit;
+                continue;
+            }
+            const Origin origin = commit->origin;
+            commit = m_commits.erase(commit);
+            finish(origin, { true, {} }, actions);
+        }
+    }
+
+    void finish(const Origin& origin, const CallResult& result, HubActions& actions)
+    {
+        if (origin.host != options.host) {
+            actions.peerFrames.emplace_back(origin.host,
+                pack(ResultFrame { origin.call.value(), result.done, result.config.number,
+                    result.config.content }));
+            return;
+        }
+        if (m_calls.erase(origin.call) != 0)
+            actions.results.emplace_back(origin.call, result);
+    }
+
+    void onResult(const ResultFrame& frame, HubActions& actions)
+    {
+        if (m_calls.erase(CallId(frame.call)) != 0)
+            actions.results.emplace_back(
+                CallId(frame.call), CallResult { frame.done, { frame.number, frame.content } });
+    }
+
+    LogIndex m_seenApplied;
+    LogIndex m_placedIndex;
+    TimePoint m_lastTick {};
+    TimePoint m_placerDue {};
+    TimePoint m_pulseDue {};
+    std::map<CallId, PendingCall> m_calls;
+    std::vector<Commit> m_commits;
+    std::vector<PlaceReply> m_replies;
+    std::vector<InstanceId> m_loggedDoubtful;
+};
+
+Hub::Hub(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl))
+{
+}
+
+Hub::~Hub() = default;
+
+Expected<std::unique_ptr<Hub>> Hub::create(HubOptions options, LogStore store, TimePoint now)
+{
+    auto impl = std::make_unique<Impl>(std::move(options));
+    if (auto opened = impl->open(std::move(store), now); !opened)
+        return tl::unexpected<Error>(opened.error());
+    return std::unique_ptr<Hub>(new Hub(std::move(impl)));
+}
+
+void Hub::closeLink(LinkId link, TimePoint now) { m_impl->closeLink(link, now); }
+
+void Hub::receive(LinkId link, std::string_view frame, TimePoint now, HubActions& actions)
+{
+    m_impl->receive(link, frame, now, actions);
+}
+
+void Hub::call(CallId id, FleetCall call, TimePoint now, HubActions& actions)
+{
+    m_impl->call(id, std::move(call), now, actions);
+}
+
+void Hub::tick(TimePoint now, HubActions& actions) { m_impl->tick(now, actions); }
+
+void Hub::setSeeds(std::vector<HostId> seeds) { m_impl->log->setContacts(std::move(seeds)); }
+
+const FleetState& Hub::state() const noexcept { return m_impl->state; }
+const ReplicatedLog& Hub::log() const noexcept { return *m_impl->log; }
+const FleetPlacer& Hub::placer() const noexcept { return m_impl->placer; }
+bool Hub::leads() const noexcept { return m_impl->m_leads; }
+
+std::size_t Hub::subscribers() const noexcept
+{
+    return static_cast<std::size_t>(std::count_if(m_impl->m_sessions.begin(),
+        m_impl->m_sessions.end(), [](const auto& item) { return item.second.welcomed; }));
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/src/libhub/hub_client.cpp
@@ -0,0 +1,368 @@
+#include <laburnumroute/hub_client.h>
+
+#include <algorithm>
+
+#include "hub_messages_pvt.h"
+
+namespace laburnum {
+
+using std::chrono::milliseconds;
+using namespace pvt;
+
+namespace {
+
+    /// A leader answers within a round trip of 40 ms; one that takes longer than this is doubted.
+    constexpr auto answerLimit = milliseconds(250);
+    /// Grace behind the end of a wait that the leader named.
+    constexpr auto waitGrace = milliseconds(300);
+    /// Pulses come every half second; without one for this long the leader is left.
+    constexpr auto pulseLimit = milliseconds(1400);
+    /// A connection that is not open after this long is given up.
+    constexpr auto connectLimit = milliseconds(700);
+    /// A control host that names no leader for so long is asked anew.
+    constexpr auto idleLinkLimit = milliseconds(3000);
+    constexpr auto searchInterval = milliseconds(150);
+    constexpr std::size_t searchLinks = 3;
+    constexpr std::size_t configLimit = std::size_t { 16 } << 20U;
+    constexpr auto defaultRetryAfter = milliseconds(500);
+
+} // namespace
+
+HubClient::HubClient(HostPlace place, std::vector<HostId> seeds, std::uint64_t seed)
+    : m_place(place)
+    , m_seeds(std::move(seeds))
+    , m_lone(std::move(place), seed)
+    , m_random(seed)
+    , m_nextContact(m_random() % 1000)
+    , m_lastAsk(static_cast<std::uint32_t>(m_random()))
+{
+}
+
+Duration HubClient::tickInterval() const noexcept
+{
+    return m_asks.empty() && m_leader ? idleTick : busyTick;
+}
+
+std::vector<HostId> HubClient::contacts() const
+{
+    std::vector<HostId> hosts = m_seeds;
+    for (const HostId& host : m_learned) {
+        if (std::find(hosts.begin(), hosts.end(), host) == hosts.end())
+            hosts.push_back(host);
+    }
+    return hosts;
+}
+
+bool HubClient::isContacted(const HostId& host) const
+{
+    return std::any_of(m_links.begin(), m_links.end(),
+        [&](const auto& item) { return item.second.host == host; });
+}
+
+void HubClient::open(const HostId& host, TimePoint now, HubClientActions& actions)
+{
+    m_lastLink = next(m_lastLink);
+    m_links[m_lastLink] = { host, now, false };
+    actions.opens.emplace_back(m_lastLink, host);
+}
+
+void HubClient::close(LinkId link, HubClientActions& actions)
+{
+    if (m_links.erase(link) != 0)
+        actions.closes.push_back(link);
+}
+
+/// Keeps a few connections to control hosts open until one of them says that it leads.
+void HubClient::search(TimePoint now, HubClientActions& actions)
+{
+    if (m_leader || now < m_searchDue)
+        return;
+    m_searchDue = now + searchInterval;
+    std::vector<LinkId> stale;
+    for (const auto& [id, link] : m_links) {
+        if (now - link.since > (link.open ? idleLinkLimit : connectLimit))
+            stale.push_back(id);
+    }
+    for (const LinkId id : stale)
+        close(id, actions);
+    const auto hosts = contacts();
+    for (std::size_t i = 0; i < hosts.size() && m_links.size() < searchLinks; ++i) {
+        const HostId& host = hosts[m_nextContact++ % hosts.size()];
+        if (!isContacted(host)) {
+            open(host, now, actions);
+            return;
+        }
+    }
+}
+
+std::string HubClient::hello(TimePoint now) const
+{
+    HelloFrame frame { m_place.host.value(), m_place.dataCentre.value(), m_place.region.value(),
+        m_config.number, m_instancesIndex.value(), m_holdsInstances, {} };
+    for (const auto& [ask, place] : m_places)
+        frame.open.push_back({ ask.value(), place.instance.value(), place.service.value(),
+            wireMs(now - place.since), wireMs(place.until - now) });
+    return pack(frame);
+}
+
+void HubClient::linkOpened(LinkId link, TimePoint now, HubClientActions& actions)
+{
+    const auto found = m_links.find(link);
+    if (found == m_links.end())
+        return;
+    found->second.open = true;
+    found->second.since = now;
+    actions.frames.emplace_back(link, hello(now));
+}
+
+void HubClient::linkClosed(LinkId link, TimePoint now, HubClientActions& actions)
+{
+    if (m_links.erase(link) == 0)
+        return;
+    if (m_leader == link)
+        loseLeader("closed", now, actions);
+}
+
+void HubClient::loseLeader(const char* reason, TimePoint now, HubClientActions& actions)
+{
+    Decision decision { "leader", "lost" };
+    decision.facts["cause"] = reason;
+    decision.facts["heard_ms_ago"] = Json::Int64(toMillis(now - m_pulseHeard));
+    decision.facts["asks"] = Json::UInt64(m_asks.size());
+    actions.decisions.push_back(std::move(decision));
+    if (m_leader)
+        close(*m_leader, actions);
+    m_leader.reset();
+    m_searchDue = now;
+    std::vector<AskId> open;
+    for (const auto& [id, ask] : m_asks)
+        open.push_back(id);
+    for (const AskId id : open)
+        placeAlone(id, now, actions);
+    search(now, actions);
+}
+
+void HubClient::onWelcome(LinkId link, const std::vector<std::string>& hosts, TimePoint now,
+    HubClientActions& actions)
+{
+    if (m_leader == link)
+        return;
+    if (m_leader)
+        close(*m_leader, actions);
+    m_leader = link;
+    m_leaderDoubted = false;
+    m_pulseHeard = now;
+    m_learned.clear();
+    for (const auto& host : hosts)
+        m_learned.emplace_back(host);
+    Decision decision { "leader", "joined" };
+    decision.facts["leader"] = m_links.at(link).host.value();
+    actions.decisions.push_back(std::move(decision));
+    std::vector<LinkId> others;
+    for (const auto& [id, other] : m_links) {
+        if (id != link)
+            others.push_back(id);
+    }
+    for (const LinkId id : others)
+        close(id, actions);
+}
+
+void HubClient::onRedirect(LinkId link, const std::string& leader,
+    const std::vector<std::string>& hosts, TimePoint now, HubClientActions& actions)
+{
+    for (const auto& host : hosts) {
+        const HostId id(host);
+        if (std::find(m_learned.begin(), m_learned.end(), id) == m_learned.end())
+            m_learned.push_back(id);
+    }
+    if (m_leader == link) {
+        m_links[link].since = now;
+        m_leader.reset();
+        loseLeader("redirected", now, actions);
+    }
+    if (!leader.empty() && !m_leader && !isContacted(HostId(leader)))
+        open(HostId(leader), now, actions);
+}
+
+void HubClient::onConfig(std::string_view bytes, HubClientActions& actions)
+{
+    const auto frame = unpack<ConfigFrame>(bytes);
+    if (!frame || frame->number <= m_config.number)
+        return;
+    const bool hasBase = frame->base != 0 && frame->base == m_config.number;
+    auto content = inflateText(frame->deflated, hasBase ? m_config.content : "", configLimit);
+    if (!content) {
+        actions.decisions.push_back({ "config", "unreadable" });
+        return;
+    }
+    m_config = { frame->number, std::move(*content) };
+    actions.configChanged = true;
+}
+
+void HubClient::onInstances(std::string_view bytes)
+{
+    const auto frame = unpack<InstancesFrame>(bytes);
+    if (!frame)
+        return;
+    std::set<InstanceId> held;
+    for (const auto& row : frame->held) {
+        held.insert(InstanceId(row.id));
+        m_lone.upsert(fromRow(row));
+    }
+    std::vector<InstanceId> gone;
+    for (const auto& id : frame->gone)
+        gone.emplace_back(id);
+    if (frame->whole) {
+        for (const auto& [id, record] : m_lone.instances()) {
+            if (!held.contains(id))
+                gone.push_back(id);
+        }
+    }
+    for (const InstanceId& id : gone)
+        m_lone.remove(id);
+    m_instancesIndex = LogIndex(frame->index);
+    m_holdsInstances = true;
+}
+
+void HubClient::receive(
+    LinkId link, std::string_view bytes, TimePoint now, HubClientActions& actions)
+{
+    if (!m_links.contains(link))
+        return;
+    if (const auto granting = unpack<GrantedFrame>(bytes)) {
+        granted(AskId(granting->ask), InstanceId(granting->instance), now, actions);
+    } else if (const auto refused = unpack<RefusedFrame>(bytes)) {
+        if (m_asks.contains(AskId(refused->ask)))
+            answer({ AskId(refused->ask), std::nullopt,
+                       static_cast<PlaceRefusal>(refused->refusal), milliseconds(refused->delayMs) },
+                actions);
+    } else if (const auto waiting = unpack<WaitingFrame>(bytes)) {
+        const auto found = m_asks.find(AskId(waiting->ask));
+        if (found != m_asks.end())
+            found->second.answerBy = now + milliseconds(waiting->limitMs) + waitGrace;
+    } else if (const auto pulse = unpack<PulseFrame>(bytes)) {
+        m_pulseHeard = now;
+        std::vector<InstanceId> ids;
+        for (const auto& id : pulse->doubtful)
+            ids.emplace_back(id);
+        m_lone.setDoubtful(ids);
+    } else if (const auto welcome = unpack<WelcomeFrame>(bytes)) {
+        onWelcome(link, welcome->controlHosts, now, actions);
+    } else if (const auto redirect = unpack<RedirectFrame>(bytes)) {
+        onRedirect(link, redirect->leader, redirect->controlHosts, now, actions);
+    } else {
+        onConfig(bytes, actions);
+        onInstances(bytes);
+    }
+    if (m_leader == link)
+        m_leaderDoubted = false;
+}
+
+void HubClient::tick(TimePoint now, HubClientActions& actions)
+{
+    if (m_leader && now - m_pulseHeard > pulseLimit)
+        loseLeader("silent", now, actions);
+    search(now, actions);
+    std::vector<AskId> late;
+    for (const auto& [id, ask] : m_asks) {
+        if (now >= ask.answerBy)
+            late.push_back(id);
+    }
+    for (const AskId id : late) {
+        m_leaderDoubted = true;
+        placeAlone(id, now, actions);
+    }
+}
+
+AskId HubClient::ask(PlaceDemand demand, TimePoint now, HubClientActions& actions)
+{
+    m_lastAsk = AskId(m_lastAsk.value() + 1);
+    const AskId id = m_lastAsk;
+    if (!demand.again)
+        m_lone.onRequest(demand.service, now);
+    for (const InstanceId& broken : m_lone.brokenPaths(now))
+        demand.avoid.push_back(broken);
+    AskFrame frame { id.value(), demand.service.value(), static_cast<std::uint8_t>(demand.kind),
+        demand.priority, demand.kibibytes, wireMs(demand.remaining), wireMs(demand.objective),
+        demand.repeat, demand.again, {} };
+    for (const InstanceId& avoided : demand.avoid)
+        frame.avoid.push_back(avoided.value());
+    m_asks[id] = { std::move(demand), now, now + answerLimit };
+    if (m_leader && !m_leaderDoubted)
+        actions.frames.emplace_back(*m_leader, pack(frame));
+    else
+        placeAlone(id, now, actions);
+    return id;
+}
+
+void HubClient::answer(PlaceAnswer answer, HubClientActions& actions)
+{
+    m_asks.erase(answer.ask);
+    actions.answers.push_back(std::move(answer));
+}
+
+void HubClient::granted(
+    AskId ask, const InstanceId& instance, TimePoint now, HubClientActions& actions)
+{
+    const auto found = m_asks.find(ask);
+    const InstanceRecord* record = m_lone.find(instance);
+    if (found == m_asks.end())
+        return; // placed alone meanwhile; the leader was told
+    if (record == nullptr)
+        return placeAlone(ask, now, actions);
+    const Ask& open = found->second;
+    m_places[ask]
+        = { instance, open.demand.service, now, open.since + open.demand.remaining };
+    m_lone.begin(instance);
+    answer({ ask, *record }, actions);
+}
+
+void HubClient::placeAlone(AskId ask, TimePoint now, HubClientActions& actions)
+{
+    const auto found = m_asks.find(ask);
+    if (found == m_asks.end())
+        return;
+    const Ask open = found->second;
+    const PlaceDemand& demand = open.demand;
+    const bool allowed = !demand.repeat || m_lone.takeRepeat(demand.service, now);
+    const auto instance
+        = allowed ? m_lone.choose(demand.service, demand.avoid, now) : std::nullopt;
+    if (!instance) {
+        if (m_leader)
+            actions.frames.emplace_back(*m_leader, pack(LeaveFrame { ask.value() }));
+        return answer({ ask, std::nullopt,
+                          allowed ? PlaceRefusal::NoInstance : PlaceRefusal::NoBudget,
+                          defaultRetryAfter, true },
+            actions);
+    }
+    const TimePoint until = open.since + demand.remaining;
+    m_places[ask] = { *instance, demand.service, now, until };
+    m_lone.begin(*instance);
+    if (m_leader)
+        actions.frames.emplace_back(*m_leader,
+            pack(AdoptFrame { { ask.value(), instance->value(), demand.service.value(), 0,
+                wireMs(until - now) } }));
+    answer({ ask, *m_lone.find(*instance), PlaceRefusal::None, {}, true }, actions);
+}
+
+void HubClient::leave(AskId ask, HubClientActions& actions)
+{
+    if (m_asks.erase(ask) != 0 && m_leader)
+        actions.frames.emplace_back(*m_leader, pack(LeaveFrame { ask.value() }));
+}
+
+void HubClient::end(
+    AskId ask, const PlacedReport& report, TimePoint now, HubClientActions& actions)
+{
+    const auto found = m_places.find(ask);
+    if (found == m_places.end())
+        return;
+    m_lone.end(found->second.instance, report.end, now);
+    m_places.erase(found);
+    if (m_leader)
+        actions.frames.emplace_back(*m_leader,
+            pack(EndFrame { ask.value(), static_cast<std::uint8_t>(report.end),
+                wireMs(report.latency), report.reportedLoad }));
+}
+
+} // namespace laburnum
--- a/src/libkernel/clock.cpp
+++ b/src/libkernel/clock.cpp
@@ -1,10 +1,14 @@
 #include <laburnumroute/clock.h>
 
+#include <ctime>
+
 namespace laburnum {
 
 TimePoint SteadyClock::now() const noexcept
 {
-    return TimePoint(std::chrono::steady_clock::now().time_since_epoch());
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
 }
 
 TimePoint ManualClock::now() const noexcept { return TimePoint(Duration(m_now.load())); }
--- a/src/libnet/answers_pvt.h
+++ b/src/libnet/answers_pvt.h
@@ -15,8 +15,6 @@
 inline constexpr const char* outcomeHeader = "Laburnum-Outcome";
 /// A stable word that says why.
 inline constexpr const char* reasonHeader = "Laburnum-Reason";
-/// Time that remains for the request, in milliseconds.
-inline constexpr const char* deadlineHeader = "Laburnum-Deadline-Ms";
 
 /// Words of the reason header; docs/outcomes.md lists them.
 namespace reasons {
@@ -27,6 +25,9 @@
     inline constexpr const char* slowBody = "slow-body";
     inline constexpr const char* notConnected = "not-connected";
     inline constexpr const char* shed = "shed";
+    inline constexpr const char* noConfiguration = "no-configuration";
+    inline constexpr const char* noRoute = "no-route";
+    inline constexpr const char* bodyTooLarge = "body-too-large";
     inline constexpr const char* noAnswer = "no-answer";
     inline constexpr const char* badAnswer = "bad-answer";
     inline constexpr const char* deadline = "deadline";
--- a/src/libnet/entry_context_pvt.h
+++ b/src/libnet/entry_context_pvt.h
@@ -14,9 +14,12 @@
 
 /// Safe from any thread.
 struct EntryContext {
-    EntryContext(asio::io_context& c, DispatchTable& t, const EntryOptions& o, ClaimGate* g)
+    EntryContext(asio::io_context& c, DispatchTable* t, PlacementDesk* d, DecisionLog* l,
+        const EntryOptions& o, ClaimGate* g)
         : io(c)
         , table(t)
+        , desk(d)
+        , log(l)
         , options(o)
         , claims(g)
         , pool(o.idlePerInstance, o.upstreamIdleTimeout)
@@ -24,7 +27,11 @@
     }
 
     asio::io_context& io;
-    DispatchTable& table;
+    /// One of these two decides where requests go; the other is null.
+    DispatchTable* table;
+    PlacementDesk* desk;
+    /// Set with the desk.
+    DecisionLog* log;
     const EntryOptions options;
     /// May be null.
     ClaimGate* claims;
@@ -32,6 +39,10 @@
     SlotWaiters waiters;
     RequestMetrics metrics;
     std::atomic<bool> draining { false };
+    /// Callers are asked to go elsewhere; all is served still.
+    std::atomic<bool> leaving { false };
+    /// True when connections are to end after the answers under way.
+    bool closing() const { return draining || leaving; }
     std::atomic<std::size_t> inFlight { 0 };
 };
 
--- a/src/libnet/entry_server.cpp
+++ b/src/libnet/entry_server.cpp
@@ -16,8 +16,8 @@
 
 /// Accepts on its own strand. The registry of sessions has a lock of its own, a leaf.
 struct EntryServer::Impl : std::enable_shared_from_this<EntryServer::Impl> {
-    Impl(asio::io_context& c, DispatchTable& table, const EntryOptions& options, ClaimGate* claims)
-        : entry(std::make_shared<pvt::EntryContext>(c, table, options, claims))
+    Impl(asio::io_context& c, std::shared_ptr<pvt::EntryContext> context)
+        : entry(std::move(context))
         , strand(asio::make_strand(c))
         , acceptor(strand)
         , drainLimit(strand)
@@ -152,7 +152,17 @@
 
 EntryServer::EntryServer(
     asio::io_context& context, DispatchTable& table, EntryOptions options, ClaimGate* claims)
-    : m_impl(std::make_shared<Impl>(context, table, options, claims))
+    : m_impl(std::make_shared<Impl>(context,
+          std::make_shared<pvt::EntryContext>(
+              context, &table, nullptr, nullptr, options, claims)))
+{
+}
+
+EntryServer::EntryServer(
+    asio::io_context& context, PlacementDesk& desk, DecisionLog& log, EntryOptions options)
+    : m_impl(std::make_shared<Impl>(context,
+          std::make_shared<pvt::EntryContext>(
+              context, nullptr, &desk, &log, options, nullptr)))
 {
 }
 
@@ -185,6 +195,14 @@
     return { local.address().to_string(), local.port() };
 }
 
+void EntryServer::startLeaving() { m_impl->entry->leaving = true; }
+
+std::size_t EntryServer::openConnections() const
+{
+    const std::lock_guard lock(m_impl->mutex);
+    return m_impl->sessions.size();
+}
+
 void EntryServer::drain(std::function<void(DrainReport)> done)
 {
     asio::post(m_impl->strand,
--- a/src/libnet/exchange.cpp
+++ b/src/libnet/exchange.cpp
@@ -1,6 +1,7 @@
 #include "exchange_pvt.h"
 
 #include <algorithm>
+#include <charconv>
 
 #include "request_vetting_pvt.h"
 
@@ -60,8 +61,7 @@
 
 asio::awaitable<AttemptOutcome> Exchange::run()
 {
-    const bool idempotent = isIdempotentMethod(m_caller.request.method);
-    bool mayReuse = idempotent;
+    bool mayReuse = true;
     while (true) {
         if (!co_await connect(mayReuse)) {
             m_outcome.end = AttemptEnd::NotConnected;
@@ -71,7 +71,7 @@
         co_await passAnswer();
         co_await settle();
         // An instance may close an idle connection at the moment it is used again.
-        const bool stale = m_reused && m_outcome.end == AttemptEnd::NoAnswer
+        const bool stale = m_reused && m_caller.repeatable && m_outcome.end == AttemptEnd::NoAnswer
             && !m_upstream->messageStarted() && m_caller.body.replayable();
         if (!stale)
             break;
@@ -87,7 +87,9 @@
     m_uploader = nullptr;
     m_reused = false;
     if (mayReuse) {
-        m_upstream = m_caller.entry.pool.take(m_assigned.instance);
+        const auto& options = m_caller.entry.options;
+        m_upstream = m_caller.entry.pool.take(m_assigned.instance,
+            m_caller.repeatable ? options.upstreamIdleTimeout : options.unsafeReuseTimeout);
         m_reused = m_upstream != nullptr;
         if (m_reused)
             co_return true;
@@ -96,13 +98,15 @@
     if (!endpoint)
         co_return false;
     auto socket = std::make_shared<tcp::socket>(m_caller.entry.io);
-    const auto limit = std::min(m_caller.deadline, after(m_caller.entry.options.connectTimeout));
+    const auto limit = std::min({ m_caller.deadline, m_caller.attemptLimit,
+        after(m_caller.entry.options.connectTimeout) });
     m_caller.watchdog.watch(limit, [socket] {
         std::error_code ignored;
         socket->close(ignored);
     });
     const auto [code] = co_await socket->async_connect(*endpoint, useTuple);
     m_caller.watchdog.clear();
+    m_outcome.refused = code == asio::error::connection_refused;
     if (code || !socket->is_open())
         co_return false;
     m_upstream = std::make_shared<HttpStream>(std::move(*socket), MessageKind::Response);
@@ -123,8 +127,15 @@
     }
     if (request.chunked)
         fields.push_back({ "Transfer-Encoding", "chunked" });
-    const auto remaining = std::max(m_caller.deadline - steadyNow(), SteadyTime::duration::zero());
-    fields.push_back({ deadlineHeader, std::to_string(toMillis(remaining)) });
+    const HeaderNames& names = m_caller.entry.options.names;
+    const auto limit = std::min(m_caller.deadline, m_caller.attemptLimit);
+    const auto remaining = std::max(limit - steadyNow(), SteadyTime::duration::zero());
+    eraseFields(fields, names.deadline);
+    fields.push_back({ names.deadline, std::to_string(toMillis(remaining)) });
+    if (!names.expectedInstance.empty()) {
+        eraseFields(fields, names.expectedInstance);
+        fields.push_back({ names.expectedInstance, m_assigned.instance.value() });
+    }
     return renderRequestHead(request, fields);
 }
 
@@ -170,7 +181,7 @@
 
 void Exchange::watchDeadline()
 {
-    m_caller.watchdog.watch(m_caller.deadline, [this] {
+    m_caller.watchdog.watch(std::min(m_caller.deadline, m_caller.attemptLimit), [this] {
         m_timedOut = true;
         m_upstream->close();
     });
@@ -211,8 +222,16 @@
 {
     while (true) {
         auto head = co_await m_upstream->readHead();
-        if (!head || head->status >= statusOk)
+        if (!head)
+            co_return head;
+        if (head->status >= statusOk && !isForeign(*head))
             co_return head;
+        if (head->status >= statusOk) {
+            const auto skipped = co_await skipAnswer();
+            if (!skipped)
+                co_return tl::unexpected<Error>(skipped.error());
+            continue;
+        }
         if (head->status == statusSwitchingProtocols)
             co_return fail(ErrorCode::InvalidArgument, "the instance switches protocols unasked");
         if (head->status == statusContinue || m_caller.request.versionMinor == 0)
@@ -221,6 +240,66 @@
     }
 }
 
+/// An answer that names another request is a late one of an earlier request.
+bool Exchange::isForeign(const HttpHead& head) const
+{
+    const std::string& name = m_caller.entry.options.names.requestId;
+    return !name.empty() && !head.field(name).empty()
+        && head.field(name) != m_caller.request.field(name);
+}
+
+asio::awaitable<Expected<void>> Exchange::skipAnswer()
+{
+    while (!m_upstream->messageComplete()) {
+        const auto part = co_await m_upstream->readBodyPart();
+        if (!part)
+            co_return tl::unexpected<Error>(part.error());
+    }
+    m_upstream->takeBufferedBody();
+    co_return Expected<void> {};
+}
+
+bool Exchange::saysNotRun(const HttpHead& head) const
+{
+    const HeaderNames& names = m_caller.entry.options.names;
+    return head.field(outcomeHeader) == outcomeName(RequestOutcome::NotRun)
+        || (!names.notRun.empty() && !head.field(names.notRun).empty());
+}
+
+void Exchange::noteAnswer(const HttpHead& head)
+{
+    m_outcome.status = head.status;
+    m_outcome.latency = steadyNow() - m_start;
+    m_upstreamKeepAlive = head.keepAlive;
+    // "RUNNING,WAITING,SLOTS"
+    const std::string_view load = head.field(m_caller.entry.options.names.load);
+    unsigned running = 0;
+    unsigned waiting = 0;
+    const auto first = std::from_chars(load.data(), load.data() + load.size(), running);
+    if (load.empty() || first.ec != std::errc())
+        return;
+    if (first.ptr != load.data() + load.size())
+        std::from_chars(first.ptr + 1, load.data() + load.size(), waiting);
+    m_outcome.reportedLoad = static_cast<std::int32_t>(running + waiting);
+}
+
+/// Reads a short answer to its end before any of it is passed on.
+asio::awaitable<void> Exchange::holdAnswer(HttpHead head)
+{
+    HeldAnswer held { std::move(head), m_upstream->takeBufferedBody() };
+    while (!m_upstream->messageComplete()) {
+        const auto part = co_await m_upstream->readBodyPart();
+        if (!part) {
+            m_outcome.end = endFor(part.error());
+            co_return;
+        }
+        held.body += *part;
+    }
+    m_outcome.answerBytes += held.body.size();
+    m_outcome.held = std::move(held);
+    m_outcome.end = AttemptEnd::Held;
+}
+
 asio::awaitable<void> Exchange::passAnswer()
 {
     const SteadyTime sent = steadyNow();
@@ -230,15 +309,26 @@
         m_outcome.end = endFor(head.error());
         co_return;
     }
-    m_outcome.status = head->status;
-    m_outcome.latency = steadyNow() - m_start;
-    m_upstreamKeepAlive = head->keepAlive;
-    if (head->field(outcomeHeader) == outcomeName(RequestOutcome::NotRun)) {
+    noteAnswer(*head);
+    if (saysNotRun(*head)) {
         m_outcome.end = AttemptEnd::Shed;
         m_outcome.mayHaveRun = false;
         m_outcome.retryAfter = head->field("retry-after");
         co_return;
     }
+    const std::string& stamp = m_caller.entry.options.names.stamp;
+    constexpr unsigned statusRedirect = 300;
+    if (!stamp.empty() && head->status < statusRedirect && head->field(stamp).empty()) {
+        m_outcome.end = AttemptEnd::BadAnswer;
+        m_upstreamKeepAlive = false;
+        co_return;
+    }
+    if (m_upstream->messageComplete() || head->contentLength.value_or(SIZE_MAX) <= m_caller.holdBytes) {
+        if (m_caller.holdBytes > 0) {
+            co_await holdAnswer(std::move(*head));
+            co_return;
+        }
+    }
     if (isServerFailure(head->status) && m_caller.replacesError && m_caller.replacesError()) {
         m_outcome.end = AttemptEnd::ServerError;
         m_upstreamKeepAlive = false;
@@ -276,7 +366,7 @@
     const bool untilClose = framing == BodyFraming::Identity && !head.contentLength;
     const bool uploaded = m_caller.body.complete();
     m_outcome.keepAlive
-        = m_caller.request.keepAlive && !untilClose && uploaded && !m_caller.entry.draining;
+        = m_caller.request.keepAlive && !untilClose && uploaded && !m_caller.entry.closing();
     auto fields = answerFields(head, framing);
     if (m_caller.capture) {
         m_outcome.captured = StoredAnswer { head.status, endToEndFields(head), {} };
@@ -302,8 +392,10 @@
             bytes += frameBodyEnd(framing, m_upstream->trailers());
         if (m_outcome.end == AttemptEnd::Passed && !bytes.empty()) {
             const auto sent = co_await m_caller.stream.write(std::move(bytes));
-            if (!sent)
+            if (!sent) {
                 m_outcome.end = AttemptEnd::Cut;
+                m_outcome.callerBroke = true;
+            }
         }
         // An answer that is stored is read to its end even when its caller went away.
         if (last || (m_outcome.end == AttemptEnd::Cut && !m_outcome.captured))
@@ -336,12 +428,15 @@
 asio::awaitable<void> Exchange::settle()
 {
     m_caller.stream.unwatchPeer();
-    const bool passed = m_outcome.end == AttemptEnd::Passed;
+    const bool passed
+        = m_outcome.end == AttemptEnd::Passed || m_outcome.end == AttemptEnd::Held;
     if (m_uploader) {
         m_caller.watchdog.clear();
         if (!passed)
             m_upstream->close();
-        const Duration patience = passed ? m_caller.entry.options.lingerTimeout : Duration::zero();
+        // A held answer must not wait for the rest of an upload that its instance did not want.
+        const bool lingers = m_outcome.end == AttemptEnd::Passed;
+        const Duration patience = lingers ? m_caller.entry.options.lingerTimeout : Duration::zero();
         co_await m_uploader->join(patience);
     }
     m_caller.watchdog.clear();
--- a/src/libnet/exchange_pvt.h
+++ b/src/libnet/exchange_pvt.h
@@ -37,6 +37,14 @@
     Cut,
     /// The answer was a server error; another instance is to answer in its place.
     ServerError,
+    /// The whole answer is held in the outcome; nothing of it went to the caller.
+    Held,
+};
+
+/// An answer that came whole and was not passed on yet.
+struct HeldAnswer {
+    HttpHead head;
+    std::string body;
 };
 
 /// What the caller's side of a request gives to each of its attempts.
@@ -55,6 +63,13 @@
     /// Asked when an instance answers with a server error: true when another instance is held ready
     /// for the request, so that the error is dropped.
     std::function<bool()> replacesError;
+    /// The request may run more than once.
+    bool repeatable = false;
+    /// The attempt is given up then; never later than the deadline.
+    SteadyTime attemptLimit = SteadyTime::max();
+    /// Answers up to this many bytes are read whole before any of it is passed on, so that one that
+    /// breaks off can be replaced.
+    std::size_t holdBytes = 0;
 };
 
 /// What became of an attempt.
@@ -73,6 +88,13 @@
     std::optional<StoredAnswer> captured;
     /// The instance's Retry-After, when it shed the request.
     std::string retryAfter;
+    /// The caller stopped taking the answer.
+    bool callerBroke = false;
+    /// The instance's machine refused the connection.
+    bool refused = false;
+    /// Requests at the instance as its answer reported; negative when it said nothing.
+    std::int32_t reportedLoad = -1;
+    std::optional<HeldAnswer> held;
 };
 
 /// Runs one attempt. Use from the session's strand.
@@ -88,6 +110,9 @@
     asio::awaitable<void> sendRequest();
     asio::awaitable<void> passAnswer();
     asio::awaitable<Expected<HttpHead>> readFinalHead();
+    /// Reads past an answer that belongs to another request.
+    asio::awaitable<Expected<void>> skipAnswer();
+    asio::awaitable<void> holdAnswer(HttpHead head);
     asio::awaitable<void> relayAnswer(HttpHead head);
     asio::awaitable<void> relayBody(std::string bytes, BodyFraming framing);
     asio::awaitable<void> settle();
@@ -100,6 +125,9 @@
     void watchProgress();
     void watchCaller();
     AttemptEnd endFor(const Error& error) const;
+    bool isForeign(const HttpHead& head) const;
+    bool saysNotRun(const HttpHead& head) const;
+    void noteAnswer(const HttpHead& head);
     void capturePart(const std::string& part);
 
     CallerSide& m_caller;
--- /dev/null
+++ b/src/libnet/fleet_request.cpp
@@ -0,0 +1,393 @@
+#include "fleet_request_pvt.h"
+
+#include <cstdio>
+
+#include "request_vetting_pvt.h"
+
+namespace laburnum::pvt {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+    constexpr unsigned statusBadRequest = 400;
+    constexpr unsigned statusNotFound = 404;
+    constexpr unsigned statusRequestTimeout = 408;
+    constexpr unsigned statusTooLarge = 413;
+    constexpr unsigned statusMisdirected = 421;
+    constexpr unsigned statusServerError = 500;
+    constexpr unsigned statusBadGateway = 502;
+    constexpr unsigned statusUnavailable = 503;
+    constexpr unsigned statusGatewayTimeout = 504;
+
+    /// Answers up to this size are read whole before any of it is passed on.
+    constexpr std::size_t holdBytes = std::size_t { 64 } * 1024;
+    /// Places that one request asks for at the most, reached or not.
+    constexpr unsigned askLimit = 6;
+    /// With less time left a further attempt cannot be answered.
+    constexpr auto shortestAttempt = milliseconds(100);
+    /// A repeatable request leaves a silent instance after this part of its objective, and not
+    /// before the floor: few answers take longer, and another instance can still be in time.
+    constexpr double attemptShare = 0.65;
+    constexpr auto attemptFloor = milliseconds(1000);
+    constexpr auto retryAfterStart = milliseconds(500);
+    constexpr std::uint64_t bytesPerKibibyte = 1024;
+
+    /// Wakes the coroutine that waits for a place.
+    struct PlaceWait {
+        explicit PlaceWait(const asio::any_io_executor& executor)
+            : event(executor, std::chrono::steady_clock::time_point::max())
+        {
+        }
+        asio::steady_timer event;
+        std::optional<PlacedAttempt> placed;
+        bool callerGone = false;
+    };
+
+    /// Seconds with three decimals.
+    std::string retryAfterText(Duration delay)
+    {
+        std::array<char, 32> text {};
+        std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(delay).count());
+        return text.data();
+    }
+
+    const char* endName(AttemptEnd end)
+    {
+        switch (end) {
+        case AttemptEnd::NotConnected:
+            return reasons::notConnected;
+        case AttemptEnd::Shed:
+            return reasons::shed;
+        case AttemptEnd::NoAnswer:
+            return reasons::noAnswer;
+        case AttemptEnd::BadAnswer:
+            return reasons::badAnswer;
+        case AttemptEnd::TimedOut:
+            return reasons::deadline;
+        case AttemptEnd::CallerSlow:
+            return reasons::slowBody;
+        case AttemptEnd::CallerMalformed:
+            return reasons::malformedBody;
+        case AttemptEnd::CallerGone:
+            return "caller-gone";
+        case AttemptEnd::Cut:
+            return "cut";
+        case AttemptEnd::ServerError:
+            return "server-error";
+        case AttemptEnd::Passed:
+        case AttemptEnd::Held:
+            return "answered";
+        }
+        return "unknown";
+    }
+
+} // namespace
+
+FleetRequest::FleetRequest(
+    EntryContext& entry, HttpStream& caller, Watchdog& watchdog, HttpHead request)
+    : m_entry(entry)
+    , m_stream(caller)
+    , m_request(std::move(request))
+    , m_body(caller, entry.options.replayBytes)
+    , m_side { entry, caller, m_body, watchdog, m_request, std::chrono::steady_clock::now(), {} }
+{
+    m_side.holdBytes = holdBytes;
+}
+
+asio::awaitable<bool> FleetRequest::run()
+{
+    if (const auto vetted = vetRequest(m_request); !vetted) {
+        OwnAnswer refusal { statusBadRequest, RequestOutcome::NotRun, reasons::malformed };
+        refusal.detail = vetted.error().message;
+        m_request.keepAlive = false;
+        co_return co_await answer(std::move(refusal));
+    }
+    auto plan = m_entry.desk->plan(
+        m_request.method, std::string(m_request.field("host")), m_request.target);
+    if (!plan && plan.error() == PlanRefusal::NoRoute) {
+        OwnAnswer refusal { statusNotFound, RequestOutcome::NotRun, reasons::noRoute };
+        co_return co_await answer(std::move(refusal));
+    }
+    if (!plan) {
+        OwnAnswer refusal { statusUnavailable, RequestOutcome::NotRun, reasons::noConfiguration };
+        refusal.retryAfter = retryAfterText(retryAfterStart);
+        co_return co_await answer(std::move(refusal));
+    }
+    m_plan = std::move(*plan);
+    const std::uint64_t bodyLimit = m_entry.desk->limits().bodyBytes;
+    if (bodyLimit != 0 && m_request.contentLength.value_or(0) > bodyLimit) {
+        OwnAnswer refusal { statusTooLarge, RequestOutcome::NotRun, reasons::bodyTooLarge };
+        co_return co_await answer(std::move(refusal));
+    }
+    const Duration limit = std::min(
+        m_plan.timeout, callerDeadline(m_request, m_entry.options.names).value_or(m_plan.timeout));
+    m_side.deadline
+        = m_side.arrival + std::chrono::duration_cast<SteadyTime::duration>(limit);
+    m_side.repeatable = repeatable();
+    co_return co_await serve();
+}
+
+asio::awaitable<bool> FleetRequest::serve()
+{
+    bool repeat = false;
+    while (true) {
+        auto placed = co_await place(repeat);
+        if (!placed) {
+            recordEnd("caller-gone", 0, RequestOutcome::NotRun);
+            m_stream.close();
+            co_return false;
+        }
+        if (!placed->instance)
+            co_return co_await concludeRefused(*placed);
+        AttemptOutcome outcome = co_await attempt(*placed);
+        const PlacedReport report = reportOf(outcome);
+        m_entry.desk->end(placed->ask, report);
+        if (report.end != PlacedEnd::Success)
+            recordAttempt(outcome);
+        if (!goesOn(outcome))
+            co_return co_await conclude(std::move(outcome));
+        m_tried.push_back(m_instance);
+        if (outcome.held)
+            m_held = std::move(outcome.held);
+        repeat = outcome.end != AttemptEnd::NotConnected;
+        m_body.rewind();
+    }
+}
+
+bool FleetRequest::repeatable() const
+{
+    return m_plan.kind == RequestKind::Safe
+        || (m_plan.kind == RequestKind::ByMethod && isIdempotentMethod(m_request.method));
+}
+
+PlaceDemand FleetRequest::demandFor(bool repeat) const
+{
+    PlaceDemand demand;
+    demand.service = m_plan.service;
+    demand.kind = repeatable() ? RequestKind::Safe : m_plan.kind;
+    demand.priority = m_plan.priority;
+    demand.kibibytes
+        = static_cast<std::uint32_t>(m_request.contentLength.value_or(0) / bytesPerKibibyte);
+    demand.remaining = m_side.deadline - std::chrono::steady_clock::now();
+    demand.objective = m_plan.objective;
+    demand.repeat = repeat;
+    demand.again = m_asks > 0;
+    demand.avoid = m_tried;
+    return demand;
+}
+
+asio::awaitable<std::optional<PlacedAttempt>> FleetRequest::place(bool repeat)
+{
+    const SteadyTime before = std::chrono::steady_clock::now();
+    auto wait = std::make_shared<PlaceWait>(m_stream.socket().get_executor());
+    const AskId ask = m_entry.desk->ask(demandFor(repeat), [wait](const PlacedAttempt& placed) {
+        wait->placed = placed;
+        wait->event.cancel();
+    });
+    ++m_asks;
+    if (!wait->placed) {
+        m_stream.watchPeer([wait] {
+            wait->callerGone = true;
+            wait->event.cancel();
+        });
+        co_await wait->event.async_wait(useTuple);
+        m_stream.unwatchPeer();
+    }
+    m_placing += std::chrono::steady_clock::now() - before;
+    if (wait->placed && !wait->callerGone)
+        co_return std::move(wait->placed);
+    if (wait->placed && wait->placed->instance)
+        m_entry.desk->end(ask, {});
+    else
+        m_entry.desk->leave(ask);
+    co_return std::nullopt;
+}
+
+SteadyTime FleetRequest::attemptLimit() const
+{
+    if (!m_side.repeatable || m_runs + 1 >= m_plan.attempts || !m_body.replayable())
+        return SteadyTime::max();
+    const double objective = std::chrono::duration<double>(m_plan.objective).count();
+    const auto share = std::chrono::duration_cast<SteadyTime::duration>(
+        std::chrono::duration<double>(objective * attemptShare));
+    return std::chrono::steady_clock::now()
+        + std::max<SteadyTime::duration>(share, attemptFloor);
+}
+
+asio::awaitable<AttemptOutcome> FleetRequest::attempt(const PlacedAttempt& placed)
+{
+    const InstanceRecord& record = *placed.instance;
+    m_instance = record.id;
+    m_alone = m_alone || placed.alone;
+    ++m_sends;
+    m_side.attemptLimit = attemptLimit();
+    const Assignment assigned { AttemptId(placed.ask.value()), m_plan.service, record.id,
+        record.endpoint, m_plan.timeout };
+    Exchange exchange(m_side, assigned);
+    AttemptOutcome outcome = co_await exchange.run();
+    m_waited += outcome.waited;
+    m_runs += outcome.mayHaveRun ? 1 : 0;
+    co_return outcome;
+}
+
+PlacedReport FleetRequest::reportOf(const AttemptOutcome& outcome) const
+{
+    PlacedReport report { PlacedEnd::Failure, outcome.latency, outcome.reportedLoad };
+    switch (outcome.end) {
+    case AttemptEnd::Passed:
+    case AttemptEnd::Held:
+    case AttemptEnd::ServerError:
+        report.end
+            = outcome.status < statusServerError ? PlacedEnd::Success : PlacedEnd::Failure;
+        break;
+    case AttemptEnd::Shed:
+        report.end
+            = outcome.status == statusMisdirected ? PlacedEnd::Refused : PlacedEnd::Shed;
+        break;
+    case AttemptEnd::NotConnected:
+        report.end = outcome.refused ? PlacedEnd::Refused : PlacedEnd::Unreachable;
+        break;
+    case AttemptEnd::TimedOut:
+        report.end = PlacedEnd::Silence;
+        break;
+    case AttemptEnd::Cut:
+        report.end = outcome.callerBroke ? PlacedEnd::Unused : PlacedEnd::Failure;
+        break;
+    case AttemptEnd::CallerSlow:
+    case AttemptEnd::CallerMalformed:
+    case AttemptEnd::CallerGone:
+        report.end = PlacedEnd::Unused;
+        break;
+    case AttemptEnd::NoAnswer:
+    case AttemptEnd::BadAnswer:
+        break;
+    }
+    return report;
+}
+
+bool FleetRequest::goesOn(const AttemptOutcome& outcome) const
+{
+    const auto left = m_side.deadline - std::chrono::steady_clock::now();
+    if (m_asks >= askLimit || left < shortestAttempt || !m_body.replayable())
+        return false;
+    switch (outcome.end) {
+    case AttemptEnd::NotConnected:
+    case AttemptEnd::Shed:
+        return true;
+    case AttemptEnd::NoAnswer:
+    case AttemptEnd::BadAnswer:
+    case AttemptEnd::TimedOut:
+        return m_side.repeatable && m_runs < m_plan.attempts;
+    case AttemptEnd::Held:
+        return outcome.status >= statusServerError && m_side.repeatable
+            && m_runs < m_plan.attempts;
+    default:
+        return false;
+    }
+}
+
+asio::awaitable<bool> FleetRequest::conclude(AttemptOutcome outcome)
+{
+    const char* reason = endName(outcome.end);
+    if (outcome.end == AttemptEnd::Passed) {
+        recordEnd(reason, outcome.status, RequestOutcome::Answered);
+        co_return outcome.keepAlive;
+    }
+    if (outcome.end == AttemptEnd::Held)
+        co_return co_await passHeld(*outcome.held);
+    if (outcome.end == AttemptEnd::Cut || outcome.end == AttemptEnd::CallerGone) {
+        recordEnd(reason, 0, RequestOutcome::Unknown);
+        m_stream.close();
+        co_return false;
+    }
+    if (m_held)
+        co_return co_await passHeld(*m_held);
+    const bool ran = m_runs > 0;
+    OwnAnswer own { ran ? statusBadGateway : statusUnavailable,
+        ran ? RequestOutcome::Unknown : RequestOutcome::NotRun, reason };
+    own.retryAfter = outcome.retryAfter.empty() ? retryAfterText(retryAfterStart)
+                                                : std::move(outcome.retryAfter);
+    if (outcome.end == AttemptEnd::TimedOut && ran)
+        own.status = statusGatewayTimeout;
+    else if (outcome.end == AttemptEnd::CallerSlow && !ran)
+        own.status = statusRequestTimeout;
+    else if (outcome.end == AttemptEnd::CallerMalformed)
+        own.status = statusBadRequest;
+    co_return co_await answer(std::move(own));
+}
+
+asio::awaitable<bool> FleetRequest::concludeRefused(const PlacedAttempt& refused)
+{
+    if (m_held)
+        co_return co_await passHeld(*m_held);
+    const char* reason = placeRefusalName(refused.refusal);
+    OwnAnswer own { statusUnavailable, RequestOutcome::NotRun, reason };
+    if (m_runs > 0)
+        own = { statusBadGateway, RequestOutcome::Unknown, reason };
+    own.retryAfter = retryAfterText(std::max<Duration>(refused.delay, milliseconds(1)));
+    co_return co_await answer(std::move(own));
+}
+
+asio::awaitable<bool> FleetRequest::passHeld(const HeldAnswer& held)
+{
+    m_keepAlive = m_request.keepAlive && m_body.complete() && !m_entry.closing();
+    auto fields = endToEndFields(held.head);
+    const bool bodyless = m_request.method == "HEAD" || held.head.status == 204U
+        || held.head.status == 304U;
+    if (!held.head.contentLength && !bodyless)
+        fields.push_back({ "Content-Length", std::to_string(held.body.size()) });
+    addConnection(fields, answerContext());
+    std::string bytes = renderResponseHead(held.head, fields);
+    if (!bodyless)
+        bytes += held.body;
+    const auto sent = co_await m_stream.write(std::move(bytes));
+    recordEnd(sent ? "answered" : "caller-gone", held.head.status, RequestOutcome::Answered);
+    co_return sent && m_keepAlive;
+}
+
+AnswerContext FleetRequest::answerContext() const
+{
+    return { m_request.method == "HEAD", m_request.versionMinor, m_keepAlive };
+}
+
+asio::awaitable<bool> FleetRequest::answer(OwnAnswer answer)
+{
+    m_keepAlive = m_request.keepAlive && m_body.complete() && !m_entry.closing();
+    const auto sent = co_await m_stream.write(renderAnswer(answer, answerContext()));
+    recordEnd(answer.reason, answer.status, answer.outcome);
+    co_return sent && m_keepAlive;
+}
+
+void FleetRequest::recordAttempt(const AttemptOutcome& outcome) const
+{
+    Decision decision { "attempt", endName(outcome.end) };
+    decision.facts["id"] = std::string(m_request.field(m_entry.options.names.requestId));
+    decision.facts["instance"] = m_instance.value();
+    decision.facts["status"] = outcome.status;
+    decision.facts["ms"] = Json::Int64(toMillis(outcome.latency));
+    decision.facts["may_have_run"] = outcome.mayHaveRun;
+    m_entry.log->record(decision);
+}
+
+void FleetRequest::recordEnd(const char* reason, unsigned status, RequestOutcome outcome)
+{
+    const Duration whole = std::chrono::steady_clock::now() - m_side.arrival;
+    m_entry.metrics.record({ m_plan.service, outcome, status, m_sends > 0 ? m_sends - 1 : 0, whole,
+        std::max(whole - m_waited, Duration::zero()), m_body.bytes() });
+    Decision decision { "request", reason };
+    decision.facts["id"] = std::string(m_request.field(m_entry.options.names.requestId));
+    decision.facts["route"] = m_plan.route;
+    decision.facts["service"] = m_plan.service.value();
+    decision.facts["config"] = Json::UInt64(m_plan.configNumber);
+    decision.facts["instance"] = m_instance.value();
+    decision.facts["outcome"] = outcomeName(outcome);
+    decision.facts["status"] = status;
+    decision.facts["sends"] = m_sends;
+    decision.facts["alone"] = m_alone;
+    decision.facts["placing_ms"] = Json::Int64(toMillis(m_placing));
+    decision.facts["ms"] = Json::Int64(toMillis(whole));
+    m_entry.log->record(decision);
+}
+
+} // namespace laburnum::pvt
--- /dev/null
+++ b/src/libnet/frame_link.cpp
@@ -0,0 +1,202 @@
+#include <laburnumroute/frame_link.h>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+
+#include "entry_context_pvt.h"
+
+namespace laburnum {
+
+using asio::ip::tcp;
+
+namespace {
+
+    constexpr std::size_t lengthBytes = 4;
+    constexpr std::size_t readBytes = std::size_t { 16 } * 1024;
+    constexpr unsigned bitsPerByte = 8;
+
+    std::size_t readLength(std::string_view bytes)
+    {
+        std::size_t length = 0;
+        for (std::size_t i = 0; i < lengthBytes; ++i)
+            length |= std::size_t { static_cast<unsigned char>(bytes[i]) } << (bitsPerByte * i);
+        return length;
+    }
+
+    void appendLength(std::string& bytes, std::size_t length)
+    {
+        for (std::size_t i = 0; i < lengthBytes; ++i)
+            bytes += static_cast<char>(length >> (bitsPerByte * i));
+    }
+
+    void tune(tcp::socket& socket)
+    {
+        std::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        const int limit = FrameLink::silenceLimitMs;
+        ::setsockopt(
+            socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
+    }
+
+} // namespace
+
+FrameLink::FrameLink(tcp::socket socket, Handlers handlers)
+    : m_socket(std::move(socket))
+    , m_handlers(std::move(handlers))
+{
+}
+
+void FrameLink::connect(const Endpoint& endpoint)
+{
+    const auto address = pvt::toAsio(endpoint);
+    if (!address) {
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->fail(); });
+        return;
+    }
+    m_socket.async_connect(*address, [self = shared_from_this()](std::error_code code) {
+        if (self->m_closed)
+            return;
+        if (code)
+            return self->fail();
+        self->start();
+        self->m_handlers.onOpen();
+    });
+}
+
+void FrameLink::start()
+{
+    m_open = true;
+    tune(m_socket);
+    readMore();
+    flush();
+}
+
+void FrameLink::readMore()
+{
+    const std::size_t before = m_incoming.size();
+    m_incoming.resize(before + readBytes);
+    m_socket.async_read_some(asio::buffer(m_incoming.data() + before, readBytes),
+        [self = shared_from_this(), before](std::error_code code, std::size_t count) {
+            self->m_incoming.resize(before + count);
+            if (self->m_closed)
+                return;
+            if (code)
+                return self->fail();
+            self->takeFrames();
+            if (!self->m_closed)
+                self->readMore();
+        });
+}
+
+void FrameLink::takeFrames()
+{
+    std::size_t position = 0;
+    while (!m_closed && m_incoming.size() - position >= lengthBytes) {
+        const std::string_view rest = std::string_view(m_incoming).substr(position);
+        const std::size_t length = readLength(rest);
+        if (length > maxFrameBytes)
+            return fail();
+        if (rest.size() < lengthBytes + length)
+            break;
+        position += lengthBytes + length;
+        m_handlers.onFrame(rest.substr(lengthBytes, length));
+    }
+    m_incoming.erase(0, position);
+}
+
+void FrameLink::send(std::string_view frame)
+{
+    if (m_closed)
+        return;
+    if (m_queued.size() + frame.size() > maxQueuedBytes) {
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->fail(); });
+        return;
+    }
+    appendLength(m_queued, frame.size());
+    m_queued += frame;
+    if (m_flushPosted || !m_open)
+        return;
+    m_flushPosted = true;
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        self->m_flushPosted = false;
+        self->flush();
+    });
+}
+
+void FrameLink::flush()
+{
+    if (m_closed || m_writing || m_queued.empty())
+        return;
+    m_writing = true;
+    m_leaving = std::exchange(m_queued, {});
+    asio::async_write(m_socket, asio::buffer(m_leaving),
+        [self = shared_from_this()](std::error_code code, std::size_t) {
+            self->m_writing = false;
+            if (self->m_closed)
+                return;
+            if (code)
+                return self->fail();
+            self->flush();
+        });
+}
+
+void FrameLink::fail()
+{
+    if (m_closed)
+        return;
+    const auto onClosed = std::move(m_handlers.onClosed);
+    close();
+    if (onClosed)
+        onClosed();
+}
+
+void FrameLink::close()
+{
+    m_closed = true;
+    std::error_code ignored;
+    m_socket.close(ignored);
+    // A handler may be running: it must not be destroyed under itself.
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->m_handlers = {}; });
+}
+
+Expected<void> FrameListener::listen(
+    const Endpoint& endpoint, std::function<void(tcp::socket)> onAccept)
+{
+    const auto address = pvt::toAsio(endpoint);
+    if (!address)
+        return tl::unexpected<Error>(address.error());
+    m_onAccept = std::move(onAccept);
+    std::error_code code;
+    m_acceptor.open(address->protocol(), code);
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true), code);
+    m_acceptor.bind(*address, code);
+    if (!code)
+        m_acceptor.listen(tcp::acceptor::max_listen_connections, code);
+    if (code)
+        return laburnum::fail(
+            ErrorCode::Io, "listen on " + formatEndpoint(endpoint) + ": " + code.message());
+    accept();
+    return {};
+}
+
+void FrameListener::accept()
+{
+    m_acceptor.async_accept([this](std::error_code code, tcp::socket socket) {
+        if (code == asio::error::operation_aborted || !m_acceptor.is_open())
+            return;
+        if (!code)
+            m_onAccept(std::move(socket));
+        accept();
+    });
+}
+
+void FrameListener::close()
+{
+    std::error_code ignored;
+    m_acceptor.close(ignored);
+}
+
+} // namespace laburnum
--- a/src/libnet/http_decoder.cpp
+++ b/src/libnet/http_decoder.cpp
@@ -97,6 +97,7 @@
     /// What the callbacks found wrong.
     const char* problem = nullptr;
     std::size_t headBytes = 0;
+    std::size_t headLimit = maxHeadBytes;
     bool started = false;
     bool headDone = false;
     bool messageDone = false;
@@ -285,12 +286,12 @@
                 + (state.problem != nullptr ? state.problem : http_errno_description(code)));
     if (headWasDone && state.body.size() == bodyBefore && !state.trailers.empty()) {
         state.headBytes += taken;
-        if (state.headBytes > maxHeadBytes)
+        if (state.headBytes > state.headLimit)
             return fail(ErrorCode::TooLarge, "HTTP trailers are larger than allowed");
     }
     if (!headWasDone) {
         state.headBytes += taken;
-        if (state.headBytes > maxHeadBytes)
+        if (state.headBytes > state.headLimit)
             return fail(ErrorCode::TooLarge, "HTTP head is larger than allowed");
     }
     return taken;
@@ -309,6 +310,7 @@
     return {};
 }
 
+void HttpDecoder::setHeadLimit(std::size_t bytes) noexcept { m_state->headLimit = bytes; }
 void HttpDecoder::setExpectNoBody(bool noBody) noexcept { m_state->noBody = noBody; }
 bool HttpDecoder::started() const noexcept { return m_state->started; }
 bool HttpDecoder::headComplete() const noexcept { return m_state->headDone; }
--- a/src/libnet/http_stream_pvt.h
+++ b/src/libnet/http_stream_pvt.h
@@ -41,6 +41,8 @@
 
     /// Whether the messages read have no body, whatever their heads say.
     void setExpectNoBody(bool noBody) { m_decoder.setExpectNoBody(noBody); }
+    /// Heads larger than this are refused.
+    void setHeadLimit(std::size_t bytes) { m_decoder.setHeadLimit(bytes); }
     /// True once the message being read is complete.
     bool messageComplete() const { return m_decoder.messageComplete(); }
     /// True once a byte of the message being read has come.
--- a/src/libnet/request_handler.cpp
+++ b/src/libnet/request_handler.cpp
@@ -40,6 +40,7 @@
         case AttemptEnd::BadAnswer:
         case AttemptEnd::Cut:
         case AttemptEnd::ServerError:
+        case AttemptEnd::Held:
             return AttemptResult::Failed;
         }
         return AttemptResult::Failed;
@@ -86,6 +87,7 @@
     , m_body(caller, entry.options.replayBytes)
     , m_side { entry, caller, m_body, watchdog, m_request, std::chrono::steady_clock::now(), {} }
 {
+    m_side.repeatable = isIdempotentMethod(m_request.method);
 }
 
 asio::awaitable<bool> RequestHandler::run()
@@ -104,7 +106,7 @@
     }
     m_service = assigned->service;
     const Duration limit
-        = std::min(assigned->deadline, callerDeadline(m_request).value_or(assigned->deadline));
+        = std::min(assigned->deadline, callerDeadline(m_request, m_entry.options.names).value_or(assigned->deadline));
     m_side.deadline = m_side.arrival + steady(limit);
     if (needsClaim()) {
         const auto verdict = co_await claim(assigned->service);
@@ -148,7 +150,7 @@
 RequestHandler::Assigned RequestHandler::assign()
 {
     const RequestFacts facts = factsOf(m_request);
-    return m_entry.table.with([&](Dispatcher& dispatcher, TimePoint now) {
+    return m_entry.table->with([&](Dispatcher& dispatcher, TimePoint now) {
         return dispatcher.begin(facts, m_tried, now);
     });
 }
@@ -156,7 +158,7 @@
 tl::expected<WaiterId, RefusalReason> RequestHandler::enqueue(Duration limit)
 {
     const RequestFacts facts = factsOf(m_request);
-    return m_entry.table.with([&](Dispatcher& dispatcher, TimePoint now) {
+    return m_entry.table->with([&](Dispatcher& dispatcher, TimePoint now) {
         return dispatcher.enqueue(facts, now + limit, now);
     });
 }
@@ -164,7 +166,7 @@
 asio::awaitable<RequestHandler::Assigned> RequestHandler::assignFirst()
 {
     const Duration limit = std::min(
-        m_entry.options.slotWaitTimeout, callerDeadline(m_request).value_or(Duration::max()));
+        m_entry.options.slotWaitTimeout, callerDeadline(m_request, m_entry.options.names).value_or(Duration::max()));
     const SteadyTime until = m_side.arrival + steady(limit);
     auto assigned = assign();
     while (!assigned && assigned.error() == RefusalReason::NoSlot) {
@@ -178,7 +180,7 @@
         m_stream.unwatchPeer();
         m_waited += std::chrono::steady_clock::now() - before;
         if (!woken) {
-            m_entry.table.with(
+            m_entry.table->with(
                 [&](Dispatcher& dispatcher, TimePoint) { dispatcher.abandon(*waiter); });
             break;
         }
@@ -199,7 +201,7 @@
 
 void RequestHandler::endAttempt(const Assignment& assigned, const AttemptReport& report)
 {
-    const auto waiters = m_entry.table.with([&](Dispatcher& dispatcher, TimePoint now) {
+    const auto waiters = m_entry.table->with([&](Dispatcher& dispatcher, TimePoint now) {
         return dispatcher.finish(assigned.attempt, report, now);
     });
     m_entry.waiters.wake(waiters);
@@ -215,7 +217,7 @@
 bool RequestHandler::takeRetry()
 {
     return m_body.replayable() && std::chrono::steady_clock::now() < m_side.deadline
-        && m_entry.table.with([&](Dispatcher& dispatcher, TimePoint now) {
+        && m_entry.table->with([&](Dispatcher& dispatcher, TimePoint now) {
                return dispatcher.takeRetry(m_service, now);
            });
 }
@@ -256,7 +258,7 @@
 
 asio::awaitable<void> RequestHandler::answer(OwnAnswer answer)
 {
-    m_keepAlive = m_request.keepAlive && m_body.complete() && !m_entry.draining;
+    m_keepAlive = m_request.keepAlive && m_body.complete() && !m_entry.closing();
     co_await m_stream.write(renderAnswer(answer, answerContext()));
     count(answer.outcome, answer.status);
 }
@@ -342,7 +344,7 @@
 asio::awaitable<void> RequestHandler::answerClaim(const ClaimDecision& decision)
 {
     if (decision.verdict == ClaimVerdict::Replay) {
-        m_keepAlive = m_request.keepAlive && m_body.complete() && !m_entry.draining;
+        m_keepAlive = m_request.keepAlive && m_body.complete() && !m_entry.closing();
         co_await m_stream.write(renderReplay(decision.answer, answerContext()));
         count(RequestOutcome::Answered, decision.answer.status);
         co_return;
--- a/src/libnet/request_vetting.cpp
+++ b/src/libnet/request_vetting.cpp
@@ -75,9 +75,9 @@
     return request.versionMinor > 0 && equalNames(request.field("expect"), "100-continue");
 }
 
-std::optional<Duration> callerDeadline(const HttpHead& request)
+std::optional<Duration> callerDeadline(const HttpHead& request, const HeaderNames& names)
 {
-    const std::string_view text = request.field(deadlineHeader);
+    const std::string_view text = request.field(names.deadline);
     std::uint32_t millis = 0;
     const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), millis);
     if (text.empty() || code != std::errc() || end != text.data() + text.size())
--- a/src/libnet/request_vetting_pvt.h
+++ b/src/libnet/request_vetting_pvt.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <laburnumroute/dispatcher.h>
+#include <laburnumroute/header_names.h>
 #include <laburnumroute/http_message.h>
 
 namespace laburnum::pvt {
@@ -14,7 +15,7 @@
 RequestFacts factsOf(const HttpHead& request);
 /// True when the caller may wait for `100 Continue` before it sends the body.
 bool expectsContinue(const HttpHead& request);
-/// The caller's own time limit (`Laburnum-Deadline-Ms`), if it states a valid one.
-std::optional<Duration> callerDeadline(const HttpHead& request);
+/// The caller's own time limit, if it states a valid one.
+std::optional<Duration> callerDeadline(const HttpHead& request, const HeaderNames& names);
 
 } // namespace laburnum::pvt
--- a/src/libnet/session.cpp
+++ b/src/libnet/session.cpp
@@ -2,6 +2,7 @@
 
 #include <asio/post.hpp>
 
+#include "fleet_request_pvt.h"
 #include "request_handler_pvt.h"
 
 namespace laburnum::pvt {
@@ -54,14 +55,16 @@
 {
     m_idle = true;
     closeIfIdle();
-    m_watchdog.watch(m_entry->options.callerIdleTimeout, [this] { m_caller.close(); });
+    const CallerLimits limits = callerLimits();
+    m_caller.setHeadLimit(limits.headBytes);
+    m_watchdog.watch(limits.idleTimeout, [this] { m_caller.close(); });
     const auto started = co_await m_caller.awaitMessage();
     m_idle = false;
     if (!started) {
         co_await refuse(started.error());
         co_return false;
     }
-    m_watchdog.watch(m_entry->options.callerHeadTimeout, [this] {
+    m_watchdog.watch(limits.headTimeout, [this] {
         m_slowHead = true;
         m_caller.cancel();
     });
@@ -72,10 +75,24 @@
         co_return false;
     }
     const InFlight inFlight(*m_entry);
+    if (m_entry->desk != nullptr) {
+        FleetRequest fleetRequest(*m_entry, m_caller, m_watchdog, std::move(*head));
+        co_return co_await fleetRequest.run();
+    }
     RequestHandler handler(*m_entry, m_caller, m_watchdog, std::move(*head));
     co_return co_await handler.run();
 }
 
+CallerLimits Session::callerLimits() const
+{
+    if (m_entry->desk != nullptr)
+        return m_entry->desk->limits();
+    CallerLimits limits;
+    limits.headTimeout = m_entry->options.callerHeadTimeout;
+    limits.idleTimeout = m_entry->options.callerIdleTimeout;
+    return limits;
+}
+
 asio::awaitable<void> Session::refuse(const Error& error)
 {
     m_watchdog.clear();
--- a/src/libnet/session_pvt.h
+++ b/src/libnet/session_pvt.h
@@ -25,6 +25,7 @@
     asio::awaitable<bool> serveNext();
     asio::awaitable<void> refuse(const Error& error);
     void closeIfIdle();
+    CallerLimits callerLimits() const;
 
     std::shared_ptr<EntryContext> m_entry;
     HttpStream m_caller;
--- a/src/libnet/upstream_pool.cpp
+++ b/src/libnet/upstream_pool.cpp
@@ -2,7 +2,8 @@
 
 namespace laburnum::pvt {
 
-std::shared_ptr<HttpStream> UpstreamPool::take(const InstanceId& instance)
+std::shared_ptr<HttpStream> UpstreamPool::take(
+    const InstanceId& instance, Duration idleAtMost)
 {
     const std::lock_guard lock(m_mutex);
     const auto found = m_idle.find(instance);
@@ -10,7 +11,7 @@
         return nullptr;
     const auto now = std::chrono::steady_clock::now();
     std::shared_ptr<HttpStream> result;
-    while (!found->second.empty() && !result) {
+    while (!found->second.empty() && !result && now - found->second.back().since <= idleAtMost) {
         Idle idle = std::move(found->second.back());
         found->second.pop_back();
         if (now < idle.until && idle.stream->isQuiet())
@@ -23,11 +24,12 @@
 
 void UpstreamPool::put(const InstanceId& instance, std::shared_ptr<HttpStream> stream)
 {
-    const auto until = std::chrono::steady_clock::now()
+    const auto now = std::chrono::steady_clock::now();
+    const auto until = now
         + std::chrono::duration_cast<std::chrono::steady_clock::duration>(m_idleTimeout);
     const std::lock_guard lock(m_mutex);
     auto& idle = m_idle[instance];
-    idle.push_back({ std::move(stream), until });
+    idle.push_back({ std::move(stream), now, until });
     if (idle.size() > m_idlePerInstance)
         idle.pop_front();
 }
--- a/src/libnet/upstream_pool_pvt.h
+++ b/src/libnet/upstream_pool_pvt.h
@@ -23,9 +23,10 @@
     {
     }
 
-    /// The connection to `instance` that became idle last, or null. Connections that the instance
+    /// The connection to `instance` that became idle last, no longer than `idleAtMost` ago, or null.
+    /// Connections that the instance
     /// closed meanwhile, or on which it sent anything, are dropped.
-    std::shared_ptr<HttpStream> take(const InstanceId& instance);
+    std::shared_ptr<HttpStream> take(const InstanceId& instance, Duration idleAtMost);
     /// Keeps `stream` for the next exchange.
     void put(const InstanceId& instance, std::shared_ptr<HttpStream> stream);
     /// Closes what was idle too long.
@@ -36,6 +37,7 @@
 private:
     struct Idle {
         std::shared_ptr<HttpStream> stream;
+        SteadyTime since;
         SteadyTime until;
     };
 
--- /dev/null
+++ b/src/libplace/fleet_placer.cpp
@@ -0,0 +1,419 @@
+#include <laburnumroute/fleet_placer.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace laburnum {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+    // Costs are in milliseconds of expected delay; the constants weigh what a place may cost the
+    // caller against the others.
+
+    /// What a failed attempt costs a caller whose request cannot be repeated: all of its time.
+    constexpr double lostRequestMs = 8000.0;
+    /// What a failed attempt costs a request that is sent to another instance.
+    constexpr double repeatedRequestMs = 1500.0;
+    /// Another data centre: a millisecond or two each way, and links that all share.
+    constexpr double otherDataCentreMs = 15.0;
+    constexpr double otherDataCentreMsPerKib = 1.0;
+    /// Another region: 40 ms there and back, and narrow links.
+    constexpr double otherRegionMs = 250.0;
+    constexpr double otherRegionMsPerKib = 10.0;
+    /// A busy instance is slower by up to this factor when all slots are taken.
+    constexpr double crowdFactor = 0.6;
+    /// A cold instance is slower, but must get work to warm up.
+    constexpr double coldFactor = 1.4;
+    constexpr std::uint32_t coldSlots = 2;
+    /// An instance that announced nothing for so long and did no work is doubted.
+    constexpr auto unheardAfter = milliseconds(4500);
+    constexpr auto workCountsFor = milliseconds(3000);
+    constexpr double unheardFailureChance = 0.5;
+    /// While a service fails, an instance without work for this long gets some, so that its sound
+    /// instances all share the load.
+    constexpr auto idleWhileFailing = milliseconds(1000);
+    constexpr double failingShare = 0.07;
+    constexpr double idleBonusMs = 3000.0;
+    constexpr double failingGain = 0.05;
+
+    /// Before the first success a service is taken to need this long.
+    constexpr double initialTypicalSeconds = 0.4;
+    constexpr double typicalGain = 0.05;
+    /// An attempt is overdue after this many typical latencies, and not before the floor.
+    constexpr double overdueFactor = 3.0;
+    constexpr auto overdueFloor = milliseconds(1000);
+
+    /// Part of the remaining time that may be spent waiting for a place.
+    constexpr int patienceDivisor = 4;
+    constexpr auto minRetryAfter = milliseconds(250);
+    constexpr auto maxRetryAfter = milliseconds(1500);
+    /// Reports of load by the instance count for this long.
+    constexpr double foreignSeconds = 1.0;
+    /// After a link ended, its attempts are taken to run on for this long at most.
+    constexpr auto orphanTime = milliseconds(1000);
+    constexpr double doubtfulChance = 0.25;
+
+    double toMs(Duration d) { return std::chrono::duration<double, std::milli>(d).count(); }
+    Duration fromSeconds(double s)
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(s));
+    }
+
+} // namespace
+
+const char* placeRefusalName(PlaceRefusal refusal) noexcept
+{
+    switch (refusal) {
+    case PlaceRefusal::None:
+        return "none";
+    case PlaceRefusal::NoInstance:
+        return "no-instance";
+    case PlaceRefusal::Busy:
+        return "busy";
+    case PlaceRefusal::NoBudget:
+        return "no-budget";
+    }
+    return "unknown";
+}
+
+FleetPlacer::Service& FleetPlacer::serviceOf(const ServiceId& id)
+{
+    const auto [found, inserted] = m_services.try_emplace(id);
+    if (inserted)
+        found->second.repeats.setTerms(m_terms);
+    return found->second;
+}
+
+Duration FleetPlacer::typicalOf(const Service& service) const
+{
+    return fromSeconds(service.typical > 0 ? service.typical : initialTypicalSeconds);
+}
+
+void FleetPlacer::upsert(const InstanceRecord& record, TimePoint now)
+{
+    const auto [found, inserted] = m_instances.try_emplace(record.id);
+    Instance& instance = found->second;
+    if (!inserted && instance.record.incarnation != record.incarnation)
+        instance.judge.reset();
+    if (!inserted && instance.record.service != record.service)
+        serviceOf(instance.record.service).instances.erase(record.id);
+    instance.record = record;
+    instance.heard = now;
+    serviceOf(record.service).instances.insert(record.id);
+}
+
+void FleetPlacer::remove(const InstanceId& id)
+{
+    const auto found = m_instances.find(id);
+    if (found == m_instances.end())
+        return;
+    serviceOf(found->second.record.service).instances.erase(id);
+    m_instances.erase(found);
+}
+
+void FleetPlacer::clear()
+{
+    m_instances.clear();
+    m_services.clear();
+    m_places.clear();
+}
+
+void FleetPlacer::heard(const InstanceId& id, Duration coldFor, TimePoint now)
+{
+    const auto found = m_instances.find(id);
+    if (found == m_instances.end())
+        return;
+    found->second.heard = now;
+    found->second.coldUntil = now + coldFor;
+}
+
+bool FleetPlacer::usable(const Instance& instance, TimePoint now) const
+{
+    if (instance.record.phase != InstancePhase::Serving)
+        return false;
+    // Silent, and the last try found nobody there: gone, until it is heard again.
+    const bool silent = now - instance.heard > unheardAfter;
+    return !silent || instance.lastUnreachable <= instance.judge.lastSuccess();
+}
+
+bool FleetPlacer::hasRoom(const Instance& instance, TimePoint now) const
+{
+    const double age = std::chrono::duration<double>(now - instance.foreignAt).count();
+    const double foreign = age < foreignSeconds ? instance.foreign : 0.0;
+    const std::uint32_t slots = instance.coldUntil > now
+        ? std::min(coldSlots, instance.record.slots)
+        : instance.record.slots;
+    return instance.busy + foreign < slots;
+}
+
+double FleetPlacer::cost(const Instance& instance, const Service& service,
+    const PlaceDemand& demand, TimePoint now) const
+{
+    const double used = static_cast<double>(instance.busy) / std::max(instance.record.slots, 1U);
+    double work = toMs(typicalOf(service)) * instance.judge.slowness(now);
+    work *= 1.0 + crowdFactor * used;
+    if (instance.coldUntil > now)
+        work *= coldFactor;
+    double chance = instance.judge.failureChance(now);
+    if (now - instance.heard > unheardAfter && now - instance.judge.lastSuccess() > workCountsFor)
+        chance = std::max(chance, unheardFailureChance);
+    const bool repeatable = demand.kind == RequestKind::Safe;
+    double total = work + chance * (repeatable ? repeatedRequestMs : lostRequestMs);
+    if (instance.record.dataCentre != demand.dataCentre)
+        total += otherDataCentreMs + otherDataCentreMsPerKib * demand.kibibytes;
+    if (instance.record.region != demand.region)
+        total += otherRegionMs + otherRegionMsPerKib * demand.kibibytes;
+    if (service.failing > failingShare && now - instance.lastGranted > idleWhileFailing)
+        total -= idleBonusMs;
+    return total;
+}
+
+std::optional<InstanceId> FleetPlacer::choose(const PlaceDemand& demand, TimePoint now) const
+{
+    const auto service = m_services.find(demand.service);
+    if (service == m_services.end())
+        return std::nullopt;
+    std::optional<InstanceId> best;
+    double bestCost = 0.0;
+    for (const InstanceId& id : service->second.instances) {
+        const Instance& instance = m_instances.at(id);
+        const bool avoided
+            = std::find(demand.avoid.begin(), demand.avoid.end(), id) != demand.avoid.end();
+        if (avoided || !usable(instance, now) || !hasRoom(instance, now))
+            continue;
+        const double candidate = cost(instance, service->second, demand, now);
+        if (!best || candidate < bestCost) {
+            best = id;
+            bestCost = candidate;
+        }
+    }
+    return best;
+}
+
+void FleetPlacer::grant(const PlaceDemand& demand, const InstanceId& id, TimePoint now,
+    std::vector<PlaceReply>& replies)
+{
+    Instance& instance = m_instances.at(id);
+    ++instance.busy;
+    instance.lastGranted = now;
+    m_places[demand.key] = { id, demand.service, now, now + demand.remaining, false };
+    replies.push_back({ PlaceReplyKind::Granted, demand.key, id });
+}
+
+void FleetPlacer::ask(const PlaceDemand& demand, TimePoint now, std::vector<PlaceReply>& replies)
+{
+    Service& service = serviceOf(demand.service);
+    if (!demand.again)
+        service.repeats.onRequest(now);
+    if (demand.repeat && !service.repeats.take(now)) {
+        replies.push_back({ PlaceReplyKind::Refused, demand.key, {}, PlaceRefusal::NoBudget });
+        return;
+    }
+    // Those that wait already go first unless this one outranks them.
+    const bool mayPass = std::none_of(service.waiters.begin(), service.waiters.end(),
+        [&](const Waiter& w) { return w.demand.priority <= demand.priority; });
+    if (mayPass) {
+        if (const auto id = choose(demand, now))
+            return grant(demand, *id, now, replies);
+    }
+    enqueue(demand, now, replies);
+}
+
+Duration FleetPlacer::expectedWait(
+    const Service& service, std::size_t ahead, TimePoint now) const
+{
+    std::uint32_t slots = 0;
+    for (const InstanceId& id : service.instances) {
+        const Instance& instance = m_instances.at(id);
+        if (usable(instance, now))
+            slots += instance.record.slots;
+    }
+    const double typical = std::chrono::duration<double>(typicalOf(service)).count();
+    return fromSeconds(typical * static_cast<double>(ahead + 1) / std::max(slots, 1U));
+}
+
+void FleetPlacer::enqueue(
+    const PlaceDemand& demand, TimePoint now, std::vector<PlaceReply>& replies)
+{
+    Service& service = serviceOf(demand.service);
+    const bool anyUsable
+        = std::any_of(service.instances.begin(), service.instances.end(), [&](const auto& id) {
+              const auto& avoid = demand.avoid;
+              return usable(m_instances.at(id), now)
+                  && std::find(avoid.begin(), avoid.end(), id) == avoid.end();
+          });
+    const auto ahead = static_cast<std::size_t>(
+        std::count_if(service.waiters.begin(), service.waiters.end(),
+            [&](const Waiter& w) { return w.demand.priority <= demand.priority; }));
+    const Duration wait = expectedWait(service, ahead, now);
+    const Duration patience = demand.remaining / patienceDivisor;
+    if (!anyUsable || wait > patience) {
+        const Duration delay = std::clamp<Duration>(wait, minRetryAfter, maxRetryAfter);
+        replies.push_back({ PlaceReplyKind::Refused, demand.key, {},
+            anyUsable ? PlaceRefusal::Busy : PlaceRefusal::NoInstance, delay });
+        return;
+    }
+    service.waiters.push_back({ demand, now, now + patience });
+    replies.push_back({ PlaceReplyKind::Waiting, demand.key, {}, PlaceRefusal::None, patience });
+}
+
+void FleetPlacer::serveWaiters(
+    const ServiceId& id, TimePoint now, std::vector<PlaceReply>& replies)
+{
+    auto& waiters = serviceOf(id).waiters;
+    std::stable_sort(waiters.begin(), waiters.end(), [](const Waiter& a, const Waiter& b) {
+        return a.demand.priority < b.demand.priority;
+    });
+    std::erase_if(waiters, [&](const Waiter& waiter) {
+        PlaceDemand demand = waiter.demand;
+        demand.remaining -= now - waiter.since;
+        const auto instance = choose(demand, now);
+        if (instance)
+            grant(demand, *instance, now, replies);
+        return instance.has_value();
+    });
+}
+
+void FleetPlacer::release(const Place& place)
+{
+    const auto instance = m_instances.find(place.instance);
+    if (instance != m_instances.end() && instance->second.busy > 0)
+        --instance->second.busy;
+}
+
+void FleetPlacer::leave(AskKey key, TimePoint now, std::vector<PlaceReply>& replies)
+{
+    for (auto& [id, service] : m_services)
+        std::erase_if(service.waiters, [&](const Waiter& w) { return w.demand.key == key; });
+    end(key, {}, now, replies);
+}
+
+void FleetPlacer::end(
+    AskKey key, const PlacedReport& report, TimePoint now, std::vector<PlaceReply>& replies)
+{
+    const auto found = m_places.find(key);
+    if (found == m_places.end())
+        return;
+    const Place place = found->second;
+    m_places.erase(found);
+    release(place);
+    judge(place, report, now);
+    serveWaiters(place.service, now, replies);
+}
+
+void FleetPlacer::judge(const Place& place, const PlacedReport& report, TimePoint now)
+{
+    Service& service = serviceOf(place.service);
+    const auto found = m_instances.find(place.instance);
+    if (report.end != PlacedEnd::Unused) {
+        const double failed = report.end == PlacedEnd::Success ? 0.0 : 1.0;
+        service.failing += failingGain * (failed - service.failing);
+    }
+    if (report.end == PlacedEnd::Success) {
+        const double seconds = std::chrono::duration<double>(report.latency).count();
+        if (service.typical <= 0)
+            service.typical = initialTypicalSeconds;
+        service.typical += typicalGain * (std::min(seconds, 4 * service.typical) - service.typical);
+    }
+    if (found == m_instances.end())
+        return;
+    Instance& instance = found->second;
+    if (report.reportedLoad >= 0) {
+        instance.foreign = std::max(0.0, static_cast<double>(report.reportedLoad) - instance.busy - 1);
+        instance.foreignAt = now;
+    }
+    switch (report.end) {
+    case PlacedEnd::Success:
+        return instance.judge.onSuccess(report.latency, typicalOf(service), now);
+    case PlacedEnd::Failure:
+        return instance.judge.onFailure(now);
+    case PlacedEnd::Shed:
+        return instance.judge.onShed(now);
+    case PlacedEnd::Silence:
+        return instance.judge.onSilence(now);
+    case PlacedEnd::Refused:
+        instance.lastUnreachable = now;
+        return instance.judge.onRefused(now);
+    case PlacedEnd::Unreachable:
+        instance.lastUnreachable = now;
+        return instance.judge.onUnreachable(now);
+    case PlacedEnd::Unused:
+        return;
+    }
+}
+
+void FleetPlacer::adopt(const OpenPlace& place, TimePoint now)
+{
+    const auto found = m_instances.find(place.instance);
+    if (found != m_instances.end())
+        ++found->second.busy;
+    m_places[place.key]
+        = { place.instance, place.service, now - place.age, now + place.remaining, false };
+}
+
+void FleetPlacer::dropLink(LinkId link, TimePoint now)
+{
+    for (auto& [id, service] : m_services)
+        std::erase_if(service.waiters, [&](const Waiter& w) { return w.demand.key.link == link; });
+    const auto first = m_places.lower_bound({ link, AskId(0) });
+    for (auto place = first; place != m_places.end() && place->first.link == link; ++place)
+        place->second.until = std::min(place->second.until, now + orphanTime);
+}
+
+void FleetPlacer::tick(TimePoint now, std::vector<PlaceReply>& replies)
+{
+    std::set<ServiceId> freed;
+    for (auto place = m_places.begin(); place != m_places.end();) {
+        Place& open = place->second;
+        const Service& service = serviceOf(open.service);
+        const Duration limit = std::max<Duration>(
+            overdueFloor, fromSeconds(overdueFactor * std::chrono::duration<double>(typicalOf(service)).count()));
+        const auto instance = m_instances.find(open.instance);
+        if (!open.overdue && now - open.since > limit && instance != m_instances.end()) {
+            open.overdue = true;
+            instance->second.judge.onSilence(now);
+        }
+        if (now <= open.until + orphanTime) {
+            ++place;
+            continue;
+        }
+        release(open);
+        freed.insert(open.service);
+        place = m_places.erase(place);
+    }
+    for (auto& [id, service] : m_services) {
+        std::erase_if(service.waiters, [&](const Waiter& waiter) {
+            if (now < waiter.until)
+                return false;
+            replies.push_back({ PlaceReplyKind::Refused, waiter.demand.key, {}, PlaceRefusal::Busy,
+                minRetryAfter });
+            return true;
+        });
+        if (!service.waiters.empty())
+            freed.insert(id);
+    }
+    for (const ServiceId& id : freed)
+        serveWaiters(id, now, replies);
+}
+
+std::vector<InstanceId> FleetPlacer::doubtful(TimePoint now) const
+{
+    std::vector<InstanceId> ids;
+    for (const auto& [id, instance] : m_instances) {
+        if (!usable(instance, now) || instance.judge.failureChance(now) > doubtfulChance)
+            ids.push_back(id);
+    }
+    return ids;
+}
+
+std::size_t FleetPlacer::waiting() const noexcept
+{
+    std::size_t count = 0;
+    for (const auto& [id, service] : m_services)
+        count += service.waiters.size();
+    return count;
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/src/libplace/repeat_window.cpp
@@ -0,0 +1,45 @@
+#include <laburnumroute/repeat_window.h>
+
+namespace laburnum {
+
+std::int64_t RepeatWindow::numberAt(TimePoint now) const
+{
+    const auto length = std::max<Duration::rep>(m_terms.window.count() / std::int64_t { slices }, 1);
+    return now.time_since_epoch().count() / length;
+}
+
+RepeatWindow::Slice& RepeatWindow::slice(TimePoint now)
+{
+    const std::int64_t number = numberAt(now);
+    Slice& current = m_slices[static_cast<std::size_t>(number) % slices];
+    if (current.number != number)
+        current = { number };
+    return current;
+}
+
+void RepeatWindow::onRequest(TimePoint now) { ++slice(now).requests; }
+void RepeatWindow::onRepeat(TimePoint now) { ++slice(now).repeats; }
+
+double RepeatWindow::left(TimePoint now)
+{
+    const std::int64_t number = numberAt(now);
+    double requests = 0;
+    double repeats = 0;
+    for (const Slice& each : m_slices) {
+        if (each.number <= number - std::int64_t { slices } || each.number > number)
+            continue;
+        requests += each.requests;
+        repeats += each.repeats;
+    }
+    return m_terms.ratio * requests + m_terms.slack - repeats;
+}
+
+bool RepeatWindow::take(TimePoint now)
+{
+    if (left(now) < 1.0)
+        return false;
+    onRepeat(now);
+    return true;
+}
+
+} // namespace laburnum
--- a/src/libroute/route_table.cpp
+++ b/src/libroute/route_table.cpp
@@ -43,7 +43,7 @@
         std::stable_sort(rules.begin(), rules.end(), goesBefore);
 }
 
-std::optional<ServiceId> RouteTable::match(
+const RouteSpec* RouteTable::find(
     std::string_view method, std::string_view host, std::string_view target) const
 {
     const std::string_view path = target.substr(0, target.find('?'));
@@ -51,22 +51,42 @@
         const auto found = m_byHost.find(key);
         if (found == m_byHost.end())
             continue;
-        if (auto service = matchIn(found->second, method, path))
-            return service;
+        if (const RouteSpec* route = findIn(found->second, method, path))
+            return route;
+    }
+    return nullptr;
+}
+
+std::optional<ServiceId> RouteTable::match(
+    std::string_view method, std::string_view host, std::string_view target) const
+{
+    const RouteSpec* route = find(method, host, target);
+    if (route == nullptr)
+        return std::nullopt;
+    std::uint64_t sum = 0;
+    for (const auto& share : route->split)
+        sum += share.weight;
+    if (sum == 0)
+        return route->service;
+    std::uint64_t position = std::hash<std::string_view> {}(target) % sum;
+    for (const auto& share : route->split) {
+        if (position < share.weight)
+            return share.service;
+        position -= share.weight;
     }
-    return std::nullopt;
+    return route->split.back().service;
 }
 
-std::optional<ServiceId> RouteTable::matchIn(
+const RouteSpec* RouteTable::findIn(
     const Rules& rules, std::string_view method, std::string_view path)
 {
     for (const auto& rule : rules) {
         const bool methodMatches = rule.methods.empty()
             || std::find(rule.methods.begin(), rule.methods.end(), method) != rule.methods.end();
         if (methodMatches && isPathPrefix(rule.prefix, path))
-            return rule.service;
+            return &rule;
     }
-    return std::nullopt;
+    return nullptr;
 }
 
 } // namespace laburnum
--- a/src/libstate/log_membership.cpp
+++ b/src/libstate/log_membership.cpp
@@ -98,7 +98,8 @@
     const JoinRequest& request, const HostId& from, TimePoint now, Outbox& /*out*/)
 {
     const auto& hosts = options.controlHosts;
-    if (from == options.host || std::find(hosts.begin(), hosts.end(), from) == hosts.end())
+    const bool isListed = std::find(hosts.begin(), hosts.end(), from) != hosts.end();
+    if (from == options.host || (options.admission == Admission::Listed && !isListed))
         return;
     m_joining[from]
         = { request.sender, request.blank, request.nonce, request.echo == m_nonce, now };
@@ -113,6 +114,18 @@
         && (role == LogRole::Leader || now - contact < options.timing.electionMax * forgottenAfter);
 }
 
+std::set<HostId> ReplicatedLog::Impl::joinTargets() const
+{
+    std::set<HostId> targets(contacts.begin(), contacts.end());
+    if (options.admission == Admission::Open) {
+        targets.insert(options.controlHosts.begin(), options.controlHosts.end());
+        for (const Member& member : memberships.current().members())
+            targets.insert(member.host);
+    }
+    targets.erase(options.host);
+    return targets;
+}
+
 /// A member that does not seem admitted tells the control hosts. It founds the log when all of
 /// them hold nothing.
 void ReplicatedLog::Impl::tickJoin(TimePoint now, Outbox& out)
@@ -120,16 +133,14 @@
     if (now < m_joinDue || seemsAdmitted(now))
         return;
     m_joinDue = now + joinInterval;
-    for (const HostId& host : options.controlHosts) {
-        if (host == options.host)
-            continue;
+    for (const HostId& host : joinTargets()) {
         const auto heard = m_joining.find(host);
         const JoinRequest request { self(), store.lastIndex() == LogIndex(0), m_nonce,
             heard == m_joining.end() ? 0 : heard->second.nonce };
         out.send(host, methodJoin, encode(request));
     }
     const auto founder = std::min_element(options.controlHosts.begin(), options.controlHosts.end());
-    if (founder != options.controlHosts.end() && *founder == options.host && everyoneIsBlank(now))
+    if (options.mayFound && founder != options.controlHosts.end() && *founder == options.host && everyoneIsBlank(now))
         found(now, out);
 }
 
@@ -150,8 +161,10 @@
 void ReplicatedLog::Impl::found(TimePoint now, Outbox& out)
 {
     std::vector<Member> members { { options.host, self(), true } };
-    for (const auto& [host, joining] : m_joining)
-        members.push_back({ host, joining.id, true });
+    for (const HostId& host : options.controlHosts) {
+        if (host != options.host)
+            members.push_back({ host, m_joining.at(host).id, true });
+    }
     if (!enterTerm(next(term()), self(), out))
         return;
     const LogEntry first { term(), EntryKind::Membership,
@@ -184,16 +197,45 @@
         if (now - joining.heard <= joinAge && current.find(joining.id) == nullptr)
             return membershipWith(host, joining);
     for (const Member& learner : current.members()) {
-        const auto progress = m_followers.find(learner.id);
-        if (learner.voter || progress == m_followers.end()
-            || progress->second.match.value() + promotionLag < store.lastIndex().value()
-            || now - progress->second.lastHeard > options.timing.electionMin)
+        if (learner.voter)
             continue;
-        for (const Member& former : current.members())
-            if (former.host == learner.host && former.id != learner.id)
-                return current.without(former.id);
-        return current.with({ learner.host, learner.id, true });
+        if (auto changed = membershipForLearner(learner, now))
+            return changed;
+    }
+    return std::nullopt;
+}
+
+bool ReplicatedLog::Impl::isCaughtUp(const Member& learner, TimePoint now) const
+{
+    const auto progress = m_followers.find(learner.id);
+    return progress != m_followers.end()
+        && progress->second.match.value() + promotionLag >= store.lastIndex().value()
+        && now - progress->second.lastHeard <= options.timing.electionMin;
+}
+
+/// What `learner` makes of the membership: it takes the place of its host's former member, becomes
+/// a voter, or a silent voter makes room for it. Nothing while it has to wait.
+std::optional<Membership> ReplicatedLog::Impl::membershipForLearner(
+    const Member& learner, TimePoint now) const
+{
+    const Membership& current = memberships.current();
+    const auto silentFor = [&](const Member& member) {
+        const auto progress = m_followers.find(member.id);
+        return progress == m_followers.end() ? Duration::zero() : now - progress->second.lastHeard;
+    };
+    if (!isCaughtUp(learner, now)) {
+        const bool isForgotten = options.admission == Admission::Open
+            && silentFor(learner) > options.forgetLearnerAfter;
+        return isForgotten ? std::optional(current.without(learner.id)) : std::nullopt;
     }
+    for (const Member& former : current.members())
+        if (former.host == learner.host && former.id != learner.id)
+            return current.without(former.id);
+    if (options.admission == Admission::Listed || current.voters() < options.voters)
+        return current.with({ learner.host, learner.id, true });
+    for (const Member& voter : current.members())
+        if (voter.voter && voter.id != self() && silentFor(voter) > options.replaceAfter)
+            return current.without(voter.id);
     return std::nullopt;
 }
 
--- a/src/libstate/replicated_log.cpp
+++ b/src/libstate/replicated_log.cpp
@@ -35,6 +35,7 @@
 ReplicatedLog::Impl::Impl(
     ReplicatedLogOptions initial, LogStore opened, AppliedState& state, TimePoint now)
     : options(std::move(initial))
+    , contacts(options.controlHosts)
     , store(std::move(opened))
     , commit(store.snapshot().index)
     , applied(store.snapshot().index)
@@ -215,6 +216,8 @@
     return m_impl->changeMembership(membership, now, out);
 }
 
+void ReplicatedLog::setContacts(std::vector<HostId> hosts) { m_impl->contacts = std::move(hosts); }
+
 LogRole ReplicatedLog::role() const noexcept { return m_impl->role; }
 Term ReplicatedLog::term() const noexcept { return m_impl->store.vote().term; }
 std::optional<HostId> ReplicatedLog::leader() const { return m_impl->leaderHost(); }
--- a/src/libstate/replicated_log_pvt.h
+++ b/src/libstate/replicated_log_pvt.h
@@ -80,6 +80,8 @@
     std::optional<HostId> leaderHost() const;
 
     const ReplicatedLogOptions options;
+    /// Whom to ask for admission besides the members known.
+    std::vector<HostId> contacts;
     LogStore store;
     LogRole role = LogRole::Follower;
     LogIndex commit;
@@ -152,6 +154,9 @@
     void admitJoining(TimePoint now, Outbox& out);
     std::optional<Membership> nextMembership(TimePoint now) const;
     std::optional<Membership> membershipWith(const HostId& host, const JoiningMember& join) const;
+    std::optional<Membership> membershipForLearner(const Member& learner, TimePoint now) const;
+    bool isCaughtUp(const Member& learner, TimePoint now) const;
+    std::set<HostId> joinTargets() const;
     void trackFollowers(TimePoint now);
 
     AppliedState& m_state;
