Judge instances by a hidden state that drifts to a long-run record

Change: two states per instance, outcomes weigh by likelihood, belief drifts to a record that fades over 20 s. Ruled out: a longer half-life alone, which would doubt a third of the sound instances.

--- a/src/include/laburnumroute/instance_judge.h
+++ b/src/include/laburnumroute/instance_judge.h
@@ -1,5 +1,10 @@
 /// What ended attempts say of one instance: the chance that it fails the next request, and how long
-/// it will take. Evidence fades, so that an instance that is avoided is tried again. No I/O.
+/// it will take. No I/O.
+///
+/// Load pattern: instances that fail most of their requests for some seconds, again and again, while
+/// others never do. Each instance is taken to be sound or gray at a time; outcomes shift the belief
+/// by their likelihood, and without outcomes it drifts to what the instance has shown over a longer
+/// time, so that one that was avoided is tried again, and one that turned gray before is tried last.
 #pragma once
 
 #include <laburnumroute/clock.h>
@@ -33,11 +38,23 @@
     TimePoint lastSuccess() const noexcept { return m_lastSuccess; }
 
 private:
-    void shift(double evidence, TimePoint now);
-    double logOdds(TimePoint now) const;
+    /// Outcomes over a longer time, fading.
+    struct Record {
+        double failures = 0.0;
+        double trials = 0.0;
+        TimePoint at {};
+    };
 
-    double m_logOdds = 0.0;
-    TimePoint m_oddsAt {};
+    void weigh(double likelihoodRatio, TimePoint now);
+    void count(double failures, TimePoint now);
+    Record recordAt(TimePoint now) const;
+    /// Share of requests that the instance fails over a longer time.
+    double longRun(TimePoint now) const;
+    double grayChance(TimePoint now) const;
+
+    double m_gray = 0.0;
+    TimePoint m_grayAt {};
+    Record m_record;
     double m_logSlowness = 0.0;
     TimePoint m_slownessAt {};
     TimePoint m_lastSuccess {};
--- a/src/libhub/hub.cpp
+++ b/src/libhub/hub.cpp
@@ -25,6 +25,18 @@
         .electionMin = milliseconds(700),
         .electionMax = milliseconds(1300) };
 
+    /// Parts of the budget of repeats that the view hands out. The rest is for hosts that are alone,
+    /// for what was sent before this host led, and for the width of the window's slices.
+    constexpr double viewShareOfRatio = 0.85;
+    constexpr double viewShareOfSlack = 0.5;
+
+    RepeatBudgetTerms viewShare(RepeatBudgetTerms terms)
+    {
+        terms.ratio *= viewShareOfRatio;
+        terms.slack *= viewShareOfSlack;
+        return terms;
+    }
+
     enum class CallKind : std::uint8_t { Announce = 0, Depart = 1, PutConfig = 2, GetConfig = 3 };
 
     CallFrame toFrame(const HostId& from, CallId id, const FleetCall& call)
@@ -79,7 +91,7 @@
 public:
     Impl(HubOptions initial)
         : options(std::move(initial))
-        , placer(options.repeats)
+        , placer(viewShare(options.repeats))
     {
     }
 
--- a/src/libnet/exchange.cpp
+++ b/src/libnet/exchange.cpp
@@ -71,7 +71,8 @@
         co_await passAnswer();
         co_await settle();
         // An instance may close an idle connection at the moment it is used again.
-        const bool stale = m_reused && m_caller.repeatable && m_outcome.end == AttemptEnd::NoAnswer
+        // Where the fleet counts repeats, whoever placed the attempt decides on another one.
+        const bool stale = m_reused && m_caller.entry.desk == nullptr && m_caller.repeatable && m_outcome.end == AttemptEnd::NoAnswer
             && !m_upstream->messageStarted() && m_caller.body.replayable();
         if (!stale)
             break;
--- a/src/libplace/instance_judge.cpp
+++ b/src/libplace/instance_judge.cpp
@@ -7,53 +7,90 @@
 
 namespace {
 
-    // A gray instance fails about two of three requests, a sound one about one of a hundred: the
-    // logarithms of the ratios of these chances weigh each outcome.
-    constexpr double failsWhenGray = 0.65;
+    // How often an instance fails: chosen from what the users say of theirs, about two of three
+    // requests while gray and about one of a hundred while sound. Only their ratios matter much.
+    constexpr double failsWhenGray = 0.7;
     constexpr double failsWhenSound = 0.012;
-    constexpr double failureEvidence = 4.0; // ln(0.65 / 0.012)
-    constexpr double successEvidence = -1.04; // ln(0.35 / 0.988)
-    /// Full instances shed without being sick, so a shed says less than a failure.
-    constexpr double shedEvidence = 1.5;
-    constexpr double silenceEvidence = 2.5;
-    constexpr double refusedEvidence = 6.0;
+    constexpr double failureRatio = failsWhenGray / failsWhenSound;
+    constexpr double successRatio = (1.0 - failsWhenGray) / (1.0 - failsWhenSound);
+    /// A full instance sheds without being gray, so a shed says less than a failure.
+    constexpr double shedRatio = 5.0;
+    constexpr double silenceRatio = 15.0;
+    constexpr double refusedRatio = 400.0;
     /// One host's path may be cut while the instance is well.
-    constexpr double unreachableEvidence = 2.0;
-    /// Log-odds of being gray without evidence: one in fifty.
-    constexpr double priorLogOdds = -3.9;
-    constexpr double maxShift = 8.0;
-    constexpr double minShift = -1.5;
-    /// Gray spells last several seconds; half of the evidence is gone after this.
-    constexpr double halfLifeSeconds = 2.5;
+    constexpr double unreachableRatio = 8.0;
+    /// How much of a failure each of these counts for in the long run.
+    constexpr double shedCounts = 0.3;
+    constexpr double silenceCounts = 0.6;
+    constexpr double unreachableCounts = 0.2;
+
+    /// A gray spell lasts several seconds; belief drifts to its long-run value with this constant.
+    constexpr double driftSeconds = 4.0;
+    /// The long run: half of an outcome's weight is gone after this.
+    constexpr double recordHalfLifeSeconds = 20.0;
+    // An instance without a record is taken for one that failed little in many requests.
+    constexpr double priorFailures = 0.4;
+    constexpr double priorTrials = 25.0;
+    /// A share of gray time is the share of failures over the failures of a gray instance.
+    constexpr double minGray = 0.02;
+    constexpr double maxGray = 0.5;
+    constexpr double certain = 0.999;
 
     /// Part of a new latency in the running mean.
     constexpr double slownessGain = 0.3;
     constexpr double slownessHalfLifeSeconds = 4.0;
     constexpr double maxLogSlowness = 3.0;
+    constexpr double silenceStep = 0.5;
+
+    double secondsBetween(TimePoint since, TimePoint now)
+    {
+        return std::max(std::chrono::duration<double>(now - since).count(), 0.0);
+    }
 
     double faded(double value, TimePoint since, TimePoint now, double halfLife)
     {
-        const double seconds = std::chrono::duration<double>(now - since).count();
-        return value * std::exp2(-std::max(seconds, 0.0) / halfLife);
+        return value * std::exp2(-secondsBetween(since, now) / halfLife);
     }
 
 } // namespace
 
-double InstanceJudge::logOdds(TimePoint now) const
+InstanceJudge::Record InstanceJudge::recordAt(TimePoint now) const
+{
+    return { faded(m_record.failures, m_record.at, now, recordHalfLifeSeconds),
+        faded(m_record.trials, m_record.at, now, recordHalfLifeSeconds), now };
+}
+
+void InstanceJudge::count(double failures, TimePoint now)
+{
+    m_record = recordAt(now);
+    m_record.failures += failures;
+    m_record.trials += 1.0;
+}
+
+double InstanceJudge::longRun(TimePoint now) const
+{
+    const Record record = recordAt(now);
+    return (record.failures + priorFailures) / (record.trials + priorTrials);
+}
+
+double InstanceJudge::grayChance(TimePoint now) const
 {
-    return priorLogOdds + faded(m_logOdds, m_oddsAt, now, halfLifeSeconds);
+    const double rest = std::clamp(longRun(now) / failsWhenGray, minGray, maxGray);
+    return rest + (m_gray - rest) * std::exp(-secondsBetween(m_grayAt, now) / driftSeconds);
 }
 
-void InstanceJudge::shift(double evidence, TimePoint now)
+void InstanceJudge::weigh(double likelihoodRatio, TimePoint now)
 {
-    const double before = faded(m_logOdds, m_oddsAt, now, halfLifeSeconds);
-    m_logOdds = std::clamp(before + evidence, minShift, maxShift);
-    m_oddsAt = now;
+    const double gray = grayChance(now) * likelihoodRatio;
+    const double sound = 1.0 - grayChance(now);
+    m_gray = std::min(gray / (gray + sound), certain);
+    m_grayAt = now;
 }
 
 void InstanceJudge::onSuccess(Duration latency, Duration typical, TimePoint now)
 {
-    shift(successEvidence, now);
+    weigh(successRatio, now);
+    count(0.0, now);
     m_lastSuccess = now;
     const double ratio = std::chrono::duration<double>(latency).count()
         / std::max(std::chrono::duration<double>(typical).count(), 1e-3);
@@ -63,23 +100,38 @@
     m_slownessAt = now;
 }
 
-void InstanceJudge::onFailure(TimePoint now) { shift(failureEvidence, now); }
-void InstanceJudge::onShed(TimePoint now) { shift(shedEvidence, now); }
+void InstanceJudge::onFailure(TimePoint now)
+{
+    weigh(failureRatio, now);
+    count(1.0, now);
+}
+
+void InstanceJudge::onShed(TimePoint now)
+{
+    weigh(shedRatio, now);
+    count(shedCounts, now);
+}
 
 void InstanceJudge::onSilence(TimePoint now)
 {
-    shift(silenceEvidence, now);
+    weigh(silenceRatio, now);
+    count(silenceCounts, now);
     const double before = faded(m_logSlowness, m_slownessAt, now, slownessHalfLifeSeconds);
-    m_logSlowness = std::min(std::max(before, 0.0) + 0.5, maxLogSlowness);
+    m_logSlowness = std::min(std::max(before, 0.0) + silenceStep, maxLogSlowness);
     m_slownessAt = now;
 }
 
-void InstanceJudge::onRefused(TimePoint now) { shift(refusedEvidence, now); }
-void InstanceJudge::onUnreachable(TimePoint now) { shift(unreachableEvidence, now); }
+void InstanceJudge::onRefused(TimePoint now) { weigh(refusedRatio, now); }
+
+void InstanceJudge::onUnreachable(TimePoint now)
+{
+    weigh(unreachableRatio, now);
+    count(unreachableCounts, now);
+}
 
 double InstanceJudge::failureChance(TimePoint now) const
 {
-    const double gray = 1.0 / (1.0 + std::exp(-logOdds(now)));
+    const double gray = grayChance(now);
     return gray * failsWhenGray + (1.0 - gray) * failsWhenSound;
 }
 
