No bonus for idle instances that likely fail; bytes weigh in placement; shorter pulses

Change: the bonus needs a failing share of 0.1, 1.4 s of idleness and a chance below 0.3; bytes weigh 8 and 40 ms a KiB; pulses tell the list when it changed, at most every 2 s.

--- a/src/libhub/hub.cpp
+++ b/src/libhub/hub.cpp
@@ -20,6 +20,8 @@
     /// Entry hosts leave a leader that they have not heard for three of these.
     constexpr auto pulseInterval = milliseconds(500);
     constexpr auto placerTick = milliseconds(100);
+    /// The list of doubtful instances is told at most this often: hosts need it only when alone.
+    constexpr auto doubtfulInterval = milliseconds(2000);
 
     constexpr LogTiming logTiming { .heartbeat = milliseconds(200),
         .electionMin = milliseconds(700),
@@ -346,7 +348,7 @@
             adopt(link, open, now);
         session.hello.open.clear();
         update(link, session, actions);
-        actions.frames.emplace_back(link, pulse(now));
+        actions.frames.emplace_back(link, fullPulse(now));
     }
 
     void adopt(LinkId link, const OpenPlaceRow& row, TimePoint now)
@@ -401,9 +403,9 @@
         session.holdsInstances = true;
     }
 
-    std::string pulse(TimePoint now) const
+    std::string fullPulse(TimePoint now) const
     {
-        PulseFrame frame;
+        PulseFrame frame { true, {} };
         for (const InstanceId& id : placer.doubtful(now))
             frame.doubtful.push_back(id.value());
         return pack(frame);
@@ -412,17 +414,19 @@
     void sendPulse(TimePoint now, HubActions& actions)
     {
         m_pulseDue = now + pulseInterval;
-        const std::string frame = pulse(now);
+        auto doubtful = placer.doubtful(now);
+        const bool tells = now >= m_doubtfulDue && doubtful != m_toldDoubtful;
+        const std::string frame = tells ? fullPulse(now) : pack(PulseFrame {});
         for (const auto& [link, session] : m_sessions) {
             if (session.welcomed)
                 actions.frames.emplace_back(link, frame);
         }
-        const auto doubtful = placer.doubtful(now);
-        if (doubtful == m_loggedDoubtful)
+        if (!tells)
             return;
-        m_loggedDoubtful = doubtful;
+        m_doubtfulDue = now + doubtfulInterval;
+        m_toldDoubtful = std::move(doubtful);
         Decision decision { "judge", "doubtful" };
-        decision.facts["instances"] = idsOf(doubtful);
+        decision.facts["instances"] = idsOf(m_toldDoubtful);
         decision.facts["waiting"] = Json::UInt64(placer.waiting());
         decision.facts["granted"] = Json::UInt64(placer.granted());
         actions.decisions.push_back(std::move(decision));
@@ -598,7 +602,8 @@
     std::map<CallId, PendingCall> m_calls;
     std::vector<Commit> m_commits;
     std::vector<PlaceReply> m_replies;
-    std::vector<InstanceId> m_loggedDoubtful;
+    TimePoint m_doubtfulDue {};
+    std::vector<InstanceId> m_toldDoubtful;
 };
 
 Hub::Hub(std::unique_ptr<Impl> impl)
--- a/src/libhub/hub_client.cpp
+++ b/src/libhub/hub_client.cpp
@@ -245,7 +245,8 @@
         std::vector<InstanceId> ids;
         for (const auto& id : pulse->doubtful)
             ids.emplace_back(id);
-        m_lone.setDoubtful(ids);
+        if (pulse->tells)
+            m_lone.setDoubtful(ids);
     } else if (const auto welcome = unpack<WelcomeFrame>(bytes)) {
         onWelcome(link, welcome->controlHosts, now, actions);
     } else if (const auto redirect = unpack<RedirectFrame>(bytes)) {
--- a/src/libhub/hub_messages_pvt.h
+++ b/src/libhub/hub_messages_pvt.h
@@ -135,8 +135,10 @@
 /// Sent at short intervals while this host leads and a majority confirms it.
 struct PulseFrame {
     static constexpr std::uint8_t type = 39;
+    /// `doubtful` is told anew.
+    bool tells = false;
     std::vector<std::string> doubtful;
-    MSGPACK_DEFINE(doubtful)
+    MSGPACK_DEFINE(tells, doubtful)
 };
 
 // Between control hosts.
--- a/src/libplace/fleet_placer.cpp
+++ b/src/libplace/fleet_placer.cpp
@@ -18,10 +18,10 @@
     constexpr double repeatedRequestMs = 1500.0;
     /// Another data centre: a millisecond or two each way, and links that all share.
     constexpr double otherDataCentreMs = 15.0;
-    constexpr double otherDataCentreMsPerKib = 1.0;
-    /// Another region: 40 ms there and back, and narrow links.
-    constexpr double otherRegionMs = 250.0;
-    constexpr double otherRegionMsPerKib = 10.0;
+    constexpr double otherDataCentreMsPerKib = 8.0;
+    /// Another region: 40 ms there and back, over links that whole regions share.
+    constexpr double otherRegionMs = 400.0;
+    constexpr double otherRegionMsPerKib = 40.0;
     /// A busy instance is slower by up to this factor when all slots are taken.
     constexpr double crowdFactor = 0.6;
     /// A cold instance is slower, but must get work to warm up.
@@ -33,10 +33,12 @@
     constexpr double unheardFailureChance = 0.5;
     /// While a service fails, an instance without work for this long gets some, so that its sound
     /// instances all share the load.
-    constexpr auto idleWhileFailing = milliseconds(1000);
-    constexpr double failingShare = 0.07;
+    constexpr auto idleWhileFailing = milliseconds(1400);
+    constexpr double failingShare = 0.1;
     constexpr double idleBonusMs = 3000.0;
-    constexpr double failingGain = 0.05;
+    constexpr double failingGain = 0.03;
+    /// One that is likely to fail itself is no help.
+    constexpr double helpsBelowChance = 0.3;
 
     /// Before the first success a service is taken to need this long.
     constexpr double initialTypicalSeconds = 0.4;
@@ -165,7 +167,8 @@
         total += otherDataCentreMs + otherDataCentreMsPerKib * demand.kibibytes;
     if (instance.record.region != demand.region)
         total += otherRegionMs + otherRegionMsPerKib * demand.kibibytes;
-    if (service.failing > failingShare && now - instance.lastGranted > idleWhileFailing)
+    if (service.failing > failingShare && chance < helpsBelowChance
+        && now - instance.lastGranted > idleWhileFailing)
         total -= idleBonusMs;
     return total;
 }
