--- a/src/libhub/fleet_state.cpp
+++ b/src/libhub/fleet_state.cpp
@@ -8,11 +8,14 @@
 
 namespace {
 
+    /// Larger contents are refused before they reach the log.
+    constexpr std::size_t contentLimit = std::size_t { 16 } << 20U;
+
     struct PutConfigCommand {
         static constexpr std::uint8_t type = 1;
         std::uint64_t number = 0;
-        std::string content;
-        MSGPACK_DEFINE(number, content)
+        std::string deflated;
+        MSGPACK_DEFINE(number, deflated)
     };
 
     struct PutInstanceCommand {
@@ -42,7 +45,7 @@
 
 std::string FleetState::putConfig(const NumberedConfig& config)
 {
-    return pvt::pack(PutConfigCommand { config.number, config.content });
+    return pvt::pack(PutConfigCommand { config.number, pvt::deflateText(config.content, "") });
 }
 
 std::string FleetState::putInstance(const InstanceRecord& record)
@@ -58,12 +61,13 @@
 void FleetState::apply(LogIndex index, std::string_view command)
 {
     if (const auto put = pvt::unpack<PutConfigCommand>(command)) {
-        if (put->number <= m_config.number)
+        auto content = pvt::inflateText(put->deflated, "", contentLimit);
+        if (put->number <= m_config.number || !content)
             return;
         m_earlier.push_back(std::move(m_config));
         if (m_earlier.size() > keptConfigs)
             m_earlier.pop_front();
-        m_config = { put->number, put->content };
+        m_config = { put->number, std::move(*content) };
     } else if (const auto instance = pvt::unpack<PutInstanceCommand>(command)) {
         const InstanceRecord record = pvt::fromRow(instance->row);
         if (wouldChange(record))
--- a/src/libhub/hub.cpp
+++ b/src/libhub/hub.cpp
@@ -23,9 +23,10 @@
     /// The list of doubtful instances is told at most this often: hosts need it only when alone.
     constexpr auto doubtfulInterval = milliseconds(2000);
 
-    constexpr LogTiming logTiming { .heartbeat = milliseconds(200),
-        .electionMin = milliseconds(700),
-        .electionMax = milliseconds(1300) };
+    /// A round trip between regions takes 40 ms, a lost packet a fifth of a second more.
+    constexpr LogTiming logTiming { .heartbeat = milliseconds(175),
+        .electionMin = milliseconds(550),
+        .electionMax = milliseconds(950) };
 
     /// Parts of the budget of repeats that the view hands out. The rest is for hosts that are alone,
     /// for what was sent before this host led, and for the width of the window's slices.
--- a/src/libstate/log_membership.cpp
+++ b/src/libstate/log_membership.cpp
@@ -95,14 +95,24 @@
 }
 
 void ReplicatedLog::Impl::onJoin(
-    const JoinRequest& request, const HostId& from, TimePoint now, Outbox& /*out*/)
+    const JoinRequest& request, const HostId& sender, TimePoint now, Outbox& out)
 {
+    const HostId& from = request.host.value().empty() ? sender : request.host;
     const auto& hosts = options.controlHosts;
     const bool isListed = std::find(hosts.begin(), hosts.end(), from) != hosts.end();
     if (from == options.host || (options.admission == Admission::Listed && !isListed))
         return;
     m_joining[from]
         = { request.sender, request.blank, request.nonce, request.echo == m_nonce, now };
+    // Who joins may know none of today's leaders: whoever hears it passes it on, once.
+    const bool passesOn = options.admission == Admission::Open && role != LogRole::Leader
+        && request.host.value().empty();
+    const auto leader = leaderHost();
+    if (!passesOn || !leader || *leader == from)
+        return;
+    JoinRequest passed = request;
+    passed.host = from;
+    out.send(*leader, methodJoin, encode(passed));
 }
 
 /// Whether this member is in the membership, as far as it can tell. One that no leader has
--- a/src/libstate/log_messages.cpp
+++ b/src/libstate/log_messages.cpp
@@ -248,6 +248,7 @@
     value["blank"] = message.blank;
     value["nonce"] = Json::UInt64(message.nonce);
     value["echo"] = Json::UInt64(message.echo);
+    value["host"] = message.host.value();
     return value;
 }
 
@@ -258,6 +259,7 @@
     message.blank = reader.flag("blank");
     message.nonce = reader.number("nonce");
     message.echo = reader.number("echo");
+    message.host = HostId(reader.text("host"));
     return result(reader, message);
 }
 
--- a/src/libstate/log_messages_pvt.h
+++ b/src/libstate/log_messages_pvt.h
@@ -92,6 +92,8 @@
     std::uint64_t nonce = 0;
     /// The nonce last received from the target; 0 for none.
     std::uint64_t echo = 0;
+    /// The sender's host when another member passes the request on; else empty.
+    HostId host;
 };
 
 Json::Value encode(const VoteRequest& message);
--- a/src/libstate/log_replication.cpp
+++ b/src/libstate/log_replication.cpp
@@ -166,6 +166,12 @@
         progress.inFlight = 0;
         progress.next = next(progress.match);
     }
+    // One that does not answer gets the least that it can answer to, not all entries again.
+    if (now - progress.lastHeard > options.timing.electionMin) {
+        if (heartbeat)
+            sendProbe(member, progress, now, out);
+        return;
+    }
     if (progress.sending || progress.next <= store.baseIndex()) {
         if (!progress.sending || isOverdue)
             sendChunk(member, progress, now, out);
@@ -178,6 +184,16 @@
         out.send(member.host, methodAppend, encode(appendRequest(member, progress, now)));
 }
 
+/// Sends a request without entries to a member that has fallen silent; its answer starts
+/// replication again.
+void ReplicatedLog::Impl::sendProbe(
+    const Member& member, FollowerProgress& progress, TimePoint now, Outbox& out)
+{
+    progress.inFlight = 0;
+    progress.next = std::max(next(progress.match), next(store.baseIndex()));
+    out.send(member.host, methodAppend, encode(appendRequest(member, progress, now)));
+}
+
 /// Sends the next batch. False when there is none.
 bool ReplicatedLog::Impl::sendEntries(
     const Member& member, FollowerProgress& progress, TimePoint now, Outbox& out)
--- a/src/libstate/replicated_log.cpp
+++ b/src/libstate/replicated_log.cpp
@@ -47,7 +47,8 @@
     , m_joinDue(now)
 {
     const bool isFresh = store.lastIndex() == LogIndex(0) && term() == Term(0);
-    m_abstainUntil = isFresh ? now : now + options.timing.electionMax;
+    // A lease that rests on what an earlier process answered ends before electionMin.
+    m_abstainUntil = isFresh ? now : now + options.timing.electionMin;
     scheduleElection(now);
 }
 
