--- a/src/include/laburnumroute/fleet_placer.h
+++ b/src/include/laburnumroute/fleet_placer.h
@@ -38,8 +38,9 @@
     void upsert(const InstanceRecord& record, TimePoint now);
     /// Forgets an instance; attempts at it still end by end().
     void remove(const InstanceId& id);
-    /// Forgets everything; for a host that stops leading.
-    void clear();
+    /// Forgets everything and starts at `now`, for a host that begins to lead: what an earlier
+    /// leader granted of the budget of repeats counts as used up for a window.
+    void restart(TimePoint now);
     /// The instance announced itself; it stays cold for `coldFor` more.
     void heard(const InstanceId& id, Duration coldFor, TimePoint now);
 
@@ -116,6 +117,7 @@
     void release(const Place& place);
 
     RepeatBudgetTerms m_terms;
+    TimePoint m_startedAt {};
     std::map<InstanceId, Instance> m_instances;
     std::map<ServiceId, Service> m_services;
     std::map<AskKey, Place> m_places;
--- a/src/include/laburnumroute/repeat_window.h
+++ b/src/include/laburnumroute/repeat_window.h
@@ -28,6 +28,8 @@
     bool take(TimePoint now);
     /// Counts a repeat that happened without being asked for.
     void onRepeat(TimePoint now);
+    /// Takes the whole slack as used at `now`: what an earlier count has granted is not known.
+    void spendSlack(TimePoint now);
     /// Repeats that are left.
     double left(TimePoint now);
 
@@ -36,7 +38,7 @@
     struct Slice {
         std::int64_t number = -1;
         std::uint32_t requests = 0;
-        std::uint32_t repeats = 0;
+        double repeats = 0;
     };
 
     Slice& slice(TimePoint now);
--- a/src/libhub/hub.cpp
+++ b/src/libhub/hub.cpp
@@ -270,7 +270,7 @@
     {
         m_leads = true;
         m_placedIndex = LogIndex(0);
-        placer.clear();
+        placer.restart(now);
         syncPlacer(now);
         decide("lead", "started", actions);
         for (auto& [link, session] : m_sessions)
@@ -281,7 +281,6 @@
     void stopLeading(HubActions& actions)
     {
         m_leads = false;
-        placer.clear();
         m_commits.clear();
         decide("lead", "stopped", actions);
         for (auto& [link, session] : m_sessions) {
--- a/src/libplace/fleet_placer.cpp
+++ b/src/libplace/fleet_placer.cpp
@@ -83,8 +83,10 @@
 FleetPlacer::Service& FleetPlacer::serviceOf(const ServiceId& id)
 {
     const auto [found, inserted] = m_services.try_emplace(id);
-    if (inserted)
+    if (inserted) {
         found->second.repeats.setTerms(m_terms);
+        found->second.repeats.spendSlack(m_startedAt);
+    }
     return found->second;
 }
 
@@ -115,8 +117,9 @@
     m_instances.erase(found);
 }
 
-void FleetPlacer::clear()
+void FleetPlacer::restart(TimePoint now)
 {
+    m_startedAt = now;
     m_instances.clear();
     m_services.clear();
     m_places.clear();
--- a/src/libplace/repeat_window.cpp
+++ b/src/libplace/repeat_window.cpp
@@ -18,7 +18,9 @@
 }
 
 void RepeatWindow::onRequest(TimePoint now) { ++slice(now).requests; }
-void RepeatWindow::onRepeat(TimePoint now) { ++slice(now).repeats; }
+void RepeatWindow::onRepeat(TimePoint now) { slice(now).repeats += 1.0; }
+
+void RepeatWindow::spendSlack(TimePoint now) { slice(now).repeats += m_terms.slack; }
 
 double RepeatWindow::left(TimePoint now)
 {
