A starting host lets callers wait a second for its first configuration

Cause: after each closing fault two windows of two seconds were served 0 to 2 %: entry hosts that had started refused with no-configuration until a leader was elected, 1.5 s later. Ruled out: configuration from a control host that no leader confirms, which might be older.

--- a/src/include/laburnumroute/placement_desk.h
+++ b/src/include/laburnumroute/placement_desk.h
@@ -60,6 +60,9 @@
     virtual void leave(AskId ask) = 0;
     /// Ends an attempt that was placed.
     virtual void end(AskId ask, const PlacedReport& report) = 0;
+    /// Calls `ready` once as soon as a configuration is in force, until stopWaiting().
+    virtual std::uint64_t awaitConfiguration(std::function<void()> ready) = 0;
+    virtual void stopWaiting(std::uint64_t waiter) = 0;
     /// What callers may send now.
     virtual CallerLimits limits() const = 0;
 };
--- a/src/laburnumd/entry_node.cpp
+++ b/src/laburnumd/entry_node.cpp
@@ -24,8 +24,8 @@
     /// A balancer in front takes a host out within two questions, a second apart, and a little.
     constexpr auto leaveAtLeast = milliseconds(3000);
     /// Before the end of the grace: connections are closed, then what is left is cut.
-    constexpr auto closeBeforeEnd = milliseconds(700);
-    constexpr auto cutBeforeEnd = milliseconds(250);
+    constexpr auto closeBeforeEnd = milliseconds(1000);
+    constexpr auto cutBeforeEnd = milliseconds(500);
     constexpr auto stopLookInterval = milliseconds(100);
     /// An instance that opens no connection within this time is taken to be out of reach; a round
     /// trip between regions takes 40 ms.
--- a/src/laburnumd/fleet_desk.cpp
+++ b/src/laburnumd/fleet_desk.cpp
@@ -31,6 +31,14 @@
     m_serviceDeadlines.clear();
     for (const auto& service : configuration.services)
         m_serviceDeadlines[service.name] = service.deadline;
+    for (const auto& [waiter, ready] : std::exchange(m_starters, {}))
+        ready();
+}
+
+std::uint64_t FleetDesk::awaitConfiguration(std::function<void()> ready)
+{
+    m_starters[++m_lastStarter] = std::move(ready);
+    return m_lastStarter;
 }
 
 void FleetDesk::apply(HubClientActions& actions)
--- a/src/laburnumd/fleet_desk.h
+++ b/src/laburnumd/fleet_desk.h
@@ -29,6 +29,8 @@
     AskId ask(PlaceDemand demand, Done done) override;
     void leave(AskId ask) override;
     void end(AskId ask, const PlacedReport& report) override;
+    std::uint64_t awaitConfiguration(std::function<void()> ready) override;
+    void stopWaiting(std::uint64_t waiter) override { m_starters.erase(waiter); }
     CallerLimits limits() const override { return m_limits; }
 
     bool hasConfiguration() const noexcept { return m_number != 0; }
@@ -49,6 +51,9 @@
     std::map<ServiceId, Duration> m_serviceDeadlines;
     std::map<std::string, ShareSequence> m_shares;
     std::map<AskId, Done> m_waiting;
+    /// Requests that came before the first configuration.
+    std::map<std::uint64_t, std::function<void()>> m_starters;
+    std::uint64_t m_lastStarter = 0;
 };
 
 } // namespace laburnum
--- a/src/libhub/hub.cpp
+++ b/src/libhub/hub.cpp
@@ -25,8 +25,8 @@
 
     /// A round trip between regions takes 40 ms, a lost packet a fifth of a second more.
     constexpr LogTiming logTiming { .heartbeat = milliseconds(175),
-        .electionMin = milliseconds(550),
-        .electionMax = milliseconds(950) };
+        .electionMin = milliseconds(450),
+        .electionMax = milliseconds(750) };
 
     /// Parts of the budget of repeats that the view hands out. The rest is for hosts that are alone,
     /// for what was sent before this host led, and for the width of the window's slices.
--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -31,6 +31,10 @@
     constexpr double attemptShare = 0.65;
     constexpr auto attemptFloor = milliseconds(1000);
     constexpr auto retryAfterStart = milliseconds(500);
+    /// A host that starts hears its first configuration within a second, as a rule; a caller waits
+    /// for it so long, and no longer than this part of its time.
+    constexpr auto startPatience = milliseconds(1000);
+    constexpr int patienceDivisor = 4;
     constexpr std::uint64_t bytesPerKibibyte = 1024;
 
     /// Wakes the coroutine that waits for a place.
@@ -103,8 +107,7 @@
         m_request.keepAlive = false;
         co_return co_await answer(std::move(refusal));
     }
-    auto plan = m_entry.desk->plan(
-        m_request.method, std::string(m_request.field("host")), m_request.target);
+    auto plan = co_await this->plan();
     if (!plan && plan.error() == PlanRefusal::NoRoute) {
         OwnAnswer refusal { statusNotFound, RequestOutcome::NotRun, reasons::noRoute };
         co_return co_await answer(std::move(refusal));
@@ -128,6 +131,29 @@
     co_return co_await serve();
 }
 
+asio::awaitable<tl::expected<RequestPlan, PlanRefusal>> FleetRequest::plan()
+{
+    const auto planNow = [this] {
+        return m_entry.desk->plan(
+            m_request.method, std::string(m_request.field("host")), m_request.target);
+    };
+    auto result = planNow();
+    if (result || result.error() != PlanRefusal::NoConfiguration)
+        co_return result;
+    const Duration remaining
+        = callerDeadline(m_request, m_entry.options.names).value_or(startPatience);
+    auto wait = std::make_shared<PlaceWait>(m_stream.socket().get_executor());
+    wait->event.expires_after(std::chrono::duration_cast<SteadyTime::duration>(
+        std::min<Duration>(startPatience, remaining / patienceDivisor)));
+    const auto waiter
+        = m_entry.desk->awaitConfiguration([wait] { wait->event.cancel(); });
+    m_stream.watchPeer([wait] { wait->event.cancel(); });
+    co_await wait->event.async_wait(useTuple);
+    m_stream.unwatchPeer();
+    m_entry.desk->stopWaiting(waiter);
+    co_return planNow();
+}
+
 asio::awaitable<bool> FleetRequest::serve()
 {
     bool repeat = false;
--- a/src/libnet/fleet_request_pvt.h
+++ b/src/libnet/fleet_request_pvt.h
@@ -16,6 +16,8 @@
 
 private:
     asio::awaitable<bool> serve();
+    /// The route's plan. A host that has just started waits a little for its first configuration.
+    asio::awaitable<tl::expected<RequestPlan, PlanRefusal>> plan();
     /// Waits for a place; nothing when the caller left meanwhile.
     asio::awaitable<std::optional<PlacedAttempt>> place(bool repeat);
     asio::awaitable<AttemptOutcome> attempt(const PlacedAttempt& placed);
