A longer record of each instance; a lost request weighs more than a detour

Change: the record's half-life is 40 s over a prior of 15 requests; a failure that cannot be repeated costs 14 s of delay (8 s); doubtful from a chance of 0.12.

--- a/src/libplace/fleet_placer.cpp
+++ b/src/libplace/fleet_placer.cpp
@@ -13,9 +13,9 @@
     // caller against the others.
 
     /// What a failed attempt costs a caller whose request cannot be repeated: all of its time.
-    constexpr double lostRequestMs = 8000.0;
+    constexpr double lostRequestMs = 14000.0;
     /// What a failed attempt costs a request that is sent to another instance.
-    constexpr double repeatedRequestMs = 1500.0;
+    constexpr double repeatedRequestMs = 2000.0;
     /// Another data centre: a millisecond or two each way, and links that all share.
     constexpr double otherDataCentreMs = 15.0;
     constexpr double otherDataCentreMsPerKib = 8.0;
@@ -55,7 +55,7 @@
     constexpr double foreignSeconds = 1.0;
     /// After a link ended, its attempts are taken to run on for this long at most.
     constexpr auto orphanTime = milliseconds(1000);
-    constexpr double doubtfulChance = 0.25;
+    constexpr double doubtfulChance = 0.12;
 
     double toMs(Duration d) { return std::chrono::duration<double, std::milli>(d).count(); }
     Duration fromSeconds(double s)
--- a/src/libplace/instance_judge.cpp
+++ b/src/libplace/instance_judge.cpp
@@ -27,10 +27,10 @@
     /// A gray spell lasts several seconds; belief drifts to its long-run value with this constant.
     constexpr double driftSeconds = 4.0;
     /// The long run: half of an outcome's weight is gone after this.
-    constexpr double recordHalfLifeSeconds = 20.0;
+    constexpr double recordHalfLifeSeconds = 40.0;
     // An instance without a record is taken for one that failed little in many requests.
-    constexpr double priorFailures = 0.4;
-    constexpr double priorTrials = 25.0;
+    constexpr double priorFailures = 0.25;
+    constexpr double priorTrials = 15.0;
     /// A share of gray time is the share of failures over the failures of a gray instance.
     constexpr double minGray = 0.02;
     constexpr double maxGray = 0.5;
