Hosts alone judge instances by their own and their neighbours' outcomes

Change: LonePlacer judges instances as the view does, draws by cost; entry hosts of a region know each other through the view and tell each other of failures by datagram while alone; a leader that left an ask unanswered is doubted and others are asked at once.

--- a/src/include/laburnumroute/hub_client.h
+++ b/src/include/laburnumroute/hub_client.h
@@ -36,6 +36,8 @@
     std::vector<std::pair<LinkId, std::string>> frames;
     std::vector<PlaceAnswer> answers;
     std::vector<Decision> decisions;
+    /// Datagrams to other entry hosts.
+    std::vector<std::pair<Endpoint, std::string>> datagrams;
     /// A newer configuration came; take config().
     bool configChanged = false;
 };
@@ -47,11 +49,15 @@
     static constexpr Duration busyTick = std::chrono::milliseconds(50);
     static constexpr Duration idleTick = std::chrono::milliseconds(250);
 
-    HubClient(HostPlace place, std::vector<HostId> seeds, std::uint64_t seed);
+    /// `neighbour` is where other entry hosts reach this one, if they can.
+    HubClient(HostPlace place, std::vector<HostId> seeds, std::uint64_t seed,
+        std::optional<Endpoint> neighbour = std::nullopt);
 
     void linkOpened(LinkId link, TimePoint now, HubClientActions& actions);
     void linkClosed(LinkId link, TimePoint now, HubClientActions& actions);
     void receive(LinkId link, std::string_view frame, TimePoint now, HubClientActions& actions);
+    /// A datagram from another entry host; one that is not known is ignored.
+    void receiveDatagram(const Endpoint& from, std::string_view bytes, TimePoint now);
     void tick(TimePoint now, HubClientActions& actions);
     Duration tickInterval() const noexcept;
     void setSeeds(std::vector<HostId> seeds) { m_seeds = std::move(seeds); }
@@ -106,11 +112,15 @@
         TimePoint now, HubClientActions& actions);
     void onConfig(std::string_view frame, HubClientActions& actions);
     void onInstances(std::string_view frame);
+    void onNeighbours(const std::vector<std::string>& addresses);
+    void tellNeighbours(const InstanceId& id, PlacedEnd how, HubClientActions& actions) const;
     std::string hello(TimePoint now) const;
 
     HostPlace m_place;
     std::vector<HostId> m_seeds;
     std::vector<HostId> m_learned;
+    std::optional<Endpoint> m_neighbour;
+    std::set<Endpoint> m_neighbours;
     LonePlacer m_lone;
     Random m_random;
     std::map<LinkId, Link> m_links;
--- a/src/include/laburnumroute/lone_placer.h
+++ b/src/include/laburnumroute/lone_placer.h
@@ -1,5 +1,9 @@
-/// Chooses instances with one host's knowledge alone: while the fleet's view is out of reach, and to
-/// keep requests off paths that only this host finds broken. No I/O.
+/// Chooses instances with one host's knowledge: while the fleet's view is out of reach, and to keep
+/// requests off paths that only this host finds broken. No I/O.
+///
+/// Load pattern: many hosts are cut off from the view at once for many seconds, while instances turn
+/// gray. Each judges instances by its own outcomes and those that its neighbours tell it, and draws
+/// among the good ones at random, so that hosts that believe the same do not all choose the same.
 #pragma once
 
 #include <map>
@@ -9,6 +13,7 @@
 
 #include <laburnumroute/host_place.h>
 #include <laburnumroute/instance.h>
+#include <laburnumroute/instance_judge.h>
 #include <laburnumroute/placement_types.h>
 #include <laburnumroute/random.h>
 #include <laburnumroute/repeat_window.h>
@@ -25,32 +30,35 @@
     const InstanceRecord* find(const InstanceId& id) const;
     const std::map<InstanceId, InstanceRecord>& instances() const noexcept { return m_records; }
     /// Replaces what the fleet's view last held for likely to fail.
-    void setDoubtful(const std::vector<InstanceId>& ids);
+    void setDoubtful(const std::vector<InstanceId>& ids, TimePoint now);
 
-    /// An attempt began or ended at `id`.
+    /// An attempt of this host began or ended at `id`.
     void begin(const InstanceId& id) { ++m_busy[id]; }
-    void end(const InstanceId& id, PlacedEnd how, TimePoint now);
+    void end(const InstanceId& id, const PlacedReport& report, TimePoint now);
+    /// An attempt of another host ended at `id`.
+    void hear(const InstanceId& id, PlacedEnd how, TimePoint now);
     /// Instances that this host alone found out of reach lately.
     std::vector<InstanceId> brokenPaths(TimePoint now) const;
 
-    /// The instance for a request of `service`, not one of `avoid`. Two random ones are compared by
-    /// their load, near ones first.
-    std::optional<InstanceId> choose(
-        const ServiceId& service, const std::vector<InstanceId>& avoid, TimePoint now);
+    /// The instance for a request of `demand`, drawn among those that serve it at little cost.
+    std::optional<InstanceId> choose(const PlaceDemand& demand, TimePoint now);
     /// Takes one repeat from this host's own budget.
     bool takeRepeat(const ServiceId& service, TimePoint now);
     void onRequest(const ServiceId& service, TimePoint now);
 
 private:
-    int distance(const InstanceRecord& record) const;
+    void judge(const InstanceId& id, const PlacedReport& report, TimePoint now);
+    double cost(const InstanceRecord& record, const PlaceDemand& demand, TimePoint now) const;
     std::uint32_t busy(const InstanceId& id) const;
 
     HostPlace m_place;
     Random m_random;
     std::map<InstanceId, InstanceRecord> m_records;
     std::map<InstanceId, std::uint32_t> m_busy;
+    std::map<InstanceId, InstanceJudge> m_judges;
     std::map<InstanceId, TimePoint> m_brokenUntil;
     std::set<InstanceId> m_doubtful;
+    TimePoint m_doubtfulAt {};
     std::map<ServiceId, RepeatWindow> m_repeats;
 };
 
--- a/src/laburnumd/entry_node.cpp
+++ b/src/laburnumd/entry_node.cpp
@@ -6,6 +6,7 @@
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <laburnumroute/datagram_port.h>
 #include <laburnumroute/entry_server.h>
 #include <laburnumroute/frame_link.h>
 #include <laburnumroute/log_sink.h>
@@ -51,7 +52,8 @@
             : m_settings(std::move(settings))
             , m_log(openDecisionLog(m_settings.place.host, m_settings.logFile))
             , m_outer(std::move(*OuterInterfaceRegistry::instance().create(m_settings.interface)))
-            , m_client(m_settings.place, controlHostsAt(m_settings.seeds), drawSeed())
+            , m_client(
+                  m_settings.place, controlHostsAt(m_settings.seeds), drawSeed(), m_settings.peer)
             , m_desk(m_client, m_clock, *m_outer, *m_log, drawSeed(),
                   [this](HubClientActions& actions) { carry(actions); })
             , m_entry(m_context, m_desk, *m_log, entryOptions(*m_outer))
@@ -86,6 +88,10 @@
                 if (auto bound = m_metrics.listen(*m_settings.metrics); !bound)
                     return bound;
             }
+            if (m_settings.peer) {
+                if (auto bound = listenToNeighbours(); !bound)
+                    return bound;
+            }
             m_watch.start();
             awaitSignal();
             tick();
@@ -126,11 +132,21 @@
                 if (found != m_links.end())
                     found->second->send(frame);
             }
+            for (const auto& [to, bytes] : actions.datagrams)
+                m_neighbours.send(to, bytes);
             // An ask that was just made needs finer ticks than an idle host.
             if (m_tickDue - std::chrono::steady_clock::now() > m_client.tickInterval())
                 armTicker();
         }
 
+        Expected<void> listenToNeighbours()
+        {
+            return m_neighbours.listen(
+                *m_settings.peer, [this](const Endpoint& from, std::string_view bytes) {
+                    m_client.receiveDatagram(from, bytes, m_clock.now());
+                });
+        }
+
         void closeLink(LinkId link)
         {
             const auto found = m_links.find(link);
@@ -272,6 +288,7 @@
         asio::steady_timer m_stopTimer;
         std::chrono::steady_clock::time_point m_tickDue;
         std::chrono::steady_clock::time_point m_stopSince;
+        DatagramPort m_neighbours { m_context };
         std::map<LinkId, std::shared_ptr<FrameLink>> m_links;
         bool m_stopping = false;
         bool m_draining = false;
--- a/src/laburnumd/seeded_settings.h
+++ b/src/laburnumd/seeded_settings.h
@@ -26,7 +26,8 @@
     std::optional<Endpoint> ready;
     /// Calls of instances and operators; set on control hosts.
     std::optional<Endpoint> calls;
-    /// Other hosts reach a control host here; set on control hosts.
+    /// Other hosts reach this one here: a control host by TCP, an entry host by UDP. Set on control
+    /// hosts.
     std::optional<Endpoint> peer;
     std::optional<Endpoint> metrics;
     /// Where other control hosts are reached.
--- a/src/libhub/hub.cpp
+++ b/src/libhub/hub.cpp
@@ -271,6 +271,7 @@
         m_leads = true;
         m_placedIndex = LogIndex(0);
         placer.restart(now);
+        m_introduced.clear();
         syncPlacer(now);
         decide("lead", "started", actions);
         for (auto& [link, session] : m_sessions)
@@ -348,9 +349,29 @@
             adopt(link, open, now);
         session.hello.open.clear();
         update(link, session, actions);
+        introduce(link, session, actions);
         actions.frames.emplace_back(link, fullPulse(now));
     }
 
+    /// Tells the entry hosts of a region of each other.
+    void introduce(LinkId link, const Session& session, HubActions& actions)
+    {
+        const std::string& address = session.hello.neighbour;
+        if (address.empty())
+            return;
+        const bool isNew = m_introduced.insert(address).second;
+        NeighboursFrame all;
+        for (const auto& [otherLink, other] : m_sessions) {
+            if (otherLink == link || !other.welcomed || other.hello.neighbour.empty()
+                || other.hello.region != session.hello.region)
+                continue;
+            all.addresses.push_back(other.hello.neighbour);
+            if (isNew)
+                actions.frames.emplace_back(otherLink, pack(NeighboursFrame { { address } }));
+        }
+        actions.frames.emplace_back(link, pack(all));
+    }
+
     void adopt(LinkId link, const OpenPlaceRow& row, TimePoint now)
     {
         placer.adopt({ { link, AskId(row.ask) }, InstanceId(row.instance), ServiceId(row.service),
@@ -602,6 +623,7 @@
     std::map<CallId, PendingCall> m_calls;
     std::vector<Commit> m_commits;
     std::vector<PlaceReply> m_replies;
+    std::set<std::string> m_introduced;
     TimePoint m_doubtfulDue {};
     std::vector<InstanceId> m_toldDoubtful;
 };
--- a/src/libhub/hub_client.cpp
+++ b/src/libhub/hub_client.cpp
@@ -16,7 +16,7 @@
     /// Grace behind the end of a wait that the leader named.
     constexpr auto waitGrace = milliseconds(300);
     /// Pulses come every half second; without one for this long the leader is left.
-    constexpr auto pulseLimit = milliseconds(1400);
+    constexpr auto pulseLimit = milliseconds(1250);
     /// A connection that is not open after this long is given up.
     constexpr auto connectLimit = milliseconds(700);
     /// A control host that names no leader for so long is asked anew.
@@ -24,13 +24,17 @@
     constexpr auto searchInterval = milliseconds(150);
     constexpr std::size_t searchLinks = 3;
     constexpr std::size_t configLimit = std::size_t { 16 } << 20U;
+    /// Neighbours that are kept; far above the hosts of a region today.
+    constexpr std::size_t neighbourLimit = 512;
     constexpr auto defaultRetryAfter = milliseconds(500);
 
 } // namespace
 
-HubClient::HubClient(HostPlace place, std::vector<HostId> seeds, std::uint64_t seed)
+HubClient::HubClient(HostPlace place, std::vector<HostId> seeds, std::uint64_t seed,
+    std::optional<Endpoint> neighbour)
     : m_place(place)
     , m_seeds(std::move(seeds))
+    , m_neighbour(std::move(neighbour))
     , m_lone(std::move(place), seed)
     , m_random(seed)
     , m_nextContact(m_random() % 1000)
@@ -75,12 +79,12 @@
 /// Keeps a few connections to control hosts open until one of them says that it leads.
 void HubClient::search(TimePoint now, HubClientActions& actions)
 {
-    if (m_leader || now < m_searchDue)
+    if ((m_leader && !m_leaderDoubted) || now < m_searchDue)
         return;
     m_searchDue = now + searchInterval;
     std::vector<LinkId> stale;
     for (const auto& [id, link] : m_links) {
-        if (now - link.since > (link.open ? idleLinkLimit : connectLimit))
+        if (id != m_leader && now - link.since > (link.open ? idleLinkLimit : connectLimit))
             stale.push_back(id);
     }
     for (const LinkId id : stale)
@@ -98,7 +102,8 @@
 std::string HubClient::hello(TimePoint now) const
 {
     HelloFrame frame { m_place.host.value(), m_place.dataCentre.value(), m_place.region.value(),
-        m_config.number, m_instancesIndex.value(), m_holdsInstances, {} };
+        m_config.number, m_instancesIndex.value(), m_holdsInstances, {},
+        m_neighbour ? formatEndpoint(*m_neighbour) : "" };
     for (const auto& [ask, place] : m_places)
         frame.open.push_back({ ask.value(), place.instance.value(), place.service.value(),
             wireMs(now - place.since), wireMs(place.until - now) });
@@ -180,7 +185,7 @@
         m_leader.reset();
         loseLeader("redirected", now, actions);
     }
-    if (!leader.empty() && !m_leader && !isContacted(HostId(leader)))
+    if (!leader.empty() && (!m_leader || m_leaderDoubted) && !isContacted(HostId(leader)))
         open(HostId(leader), now, actions);
 }
 
@@ -246,9 +251,11 @@
         for (const auto& id : pulse->doubtful)
             ids.emplace_back(id);
         if (pulse->tells)
-            m_lone.setDoubtful(ids);
+            m_lone.setDoubtful(ids, now);
     } else if (const auto welcome = unpack<WelcomeFrame>(bytes)) {
         onWelcome(link, welcome->controlHosts, now, actions);
+    } else if (const auto neighbours = unpack<NeighboursFrame>(bytes)) {
+        onNeighbours(neighbours->addresses);
     } else if (const auto redirect = unpack<RedirectFrame>(bytes)) {
         onRedirect(link, redirect->leader, redirect->controlHosts, now, actions);
     } else {
@@ -259,6 +266,33 @@
         m_leaderDoubted = false;
 }
 
+void HubClient::onNeighbours(const std::vector<std::string>& addresses)
+{
+    for (const auto& text : addresses) {
+        const auto address = parseEndpoint(text);
+        if (address && m_neighbours.size() < neighbourLimit)
+            m_neighbours.insert(*address);
+    }
+}
+
+void HubClient::tellNeighbours(
+    const InstanceId& id, PlacedEnd how, HubClientActions& actions) const
+{
+    const std::string datagram
+        = pack(EvidenceFrame { id.value(), static_cast<std::uint8_t>(how) });
+    for (const Endpoint& neighbour : m_neighbours)
+        actions.datagrams.emplace_back(neighbour, datagram);
+}
+
+void HubClient::receiveDatagram(const Endpoint& from, std::string_view bytes, TimePoint now)
+{
+    const auto evidence = unpack<EvidenceFrame>(bytes);
+    if (evidence && m_neighbours.contains(from)
+        && evidence->end <= static_cast<std::uint8_t>(PlacedEnd::Unused))
+        m_lone.hear(
+            InstanceId(evidence->instance), static_cast<PlacedEnd>(evidence->end), now);
+}
+
 void HubClient::tick(TimePoint now, HubClientActions& actions)
 {
     if (m_leader && now - m_pulseHeard > pulseLimit)
@@ -326,8 +360,7 @@
     const Ask open = found->second;
     const PlaceDemand& demand = open.demand;
     const bool allowed = !demand.repeat || m_lone.takeRepeat(demand.service, now);
-    const auto instance
-        = allowed ? m_lone.choose(demand.service, demand.avoid, now) : std::nullopt;
+    const auto instance = allowed ? m_lone.choose(demand, now) : std::nullopt;
     if (!instance) {
         if (m_leader)
             actions.frames.emplace_back(*m_leader, pack(LeaveFrame { ask.value() }));
@@ -358,8 +391,12 @@
     const auto found = m_places.find(ask);
     if (found == m_places.end())
         return;
-    m_lone.end(found->second.instance, report.end, now);
+    const InstanceId instance = found->second.instance;
+    m_lone.end(instance, report, now);
     m_places.erase(found);
+    const bool failed = report.end != PlacedEnd::Success && report.end != PlacedEnd::Unused;
+    if (failed && (!m_leader || m_leaderDoubted))
+        tellNeighbours(instance, report.end, actions);
     if (m_leader)
         actions.frames.emplace_back(*m_leader,
             pack(EndFrame { ask.value(), static_cast<std::uint8_t>(report.end),
--- a/src/libhub/hub_messages_pvt.h
+++ b/src/libhub/hub_messages_pvt.h
@@ -32,7 +32,10 @@
     std::uint64_t instancesIndex = 0;
     bool holdsInstances = false;
     std::vector<OpenPlaceRow> open;
-    MSGPACK_DEFINE(host, dataCentre, region, configNumber, instancesIndex, holdsInstances, open)
+    /// Where other entry hosts reach it; empty when they cannot.
+    std::string neighbour;
+    MSGPACK_DEFINE(
+        host, dataCentre, region, configNumber, instancesIndex, holdsInstances, open, neighbour)
 };
 
 struct AskFrame {
@@ -141,6 +144,23 @@
     MSGPACK_DEFINE(tells, doubtful)
 };
 
+/// Entry hosts of the same region, which share what they see while they are alone.
+struct NeighboursFrame {
+    static constexpr std::uint8_t type = 40;
+    std::vector<std::string> addresses;
+    MSGPACK_DEFINE(addresses)
+};
+
+// Between entry hosts, as datagrams.
+
+/// An attempt of the sender failed.
+struct EvidenceFrame {
+    static constexpr std::uint8_t type = 64;
+    std::string instance;
+    std::uint8_t end = 0;
+    MSGPACK_DEFINE(instance, end)
+};
+
 // Between control hosts.
 
 /// A message of the replicated log.
--- a/src/libplace/fleet_placer.cpp
+++ b/src/libplace/fleet_placer.cpp
@@ -3,25 +3,14 @@
 #include <algorithm>
 #include <cmath>
 
+#include "placement_cost_pvt.h"
+
 namespace laburnum {
 
 using std::chrono::milliseconds;
 
 namespace {
 
-    // Costs are in milliseconds of expected delay; the constants weigh what a place may cost the
-    // caller against the others.
-
-    /// What a failed attempt costs a caller whose request cannot be repeated: all of its time.
-    constexpr double lostRequestMs = 14000.0;
-    /// What a failed attempt costs a request that is sent to another instance.
-    constexpr double repeatedRequestMs = 2000.0;
-    /// Another data centre: a millisecond or two each way, and links that all share.
-    constexpr double otherDataCentreMs = 15.0;
-    constexpr double otherDataCentreMsPerKib = 8.0;
-    /// Another region: 40 ms there and back, over links that whole regions share.
-    constexpr double otherRegionMs = 400.0;
-    constexpr double otherRegionMsPerKib = 40.0;
     /// A busy instance is slower by up to this factor when all slots are taken.
     constexpr double crowdFactor = 0.6;
     /// A cold instance is slower, but must get work to warm up.
@@ -164,12 +153,9 @@
     double chance = instance.judge.failureChance(now);
     if (now - instance.heard > unheardAfter && now - instance.judge.lastSuccess() > workCountsFor)
         chance = std::max(chance, unheardFailureChance);
-    const bool repeatable = demand.kind == RequestKind::Safe;
-    double total = work + chance * (repeatable ? repeatedRequestMs : lostRequestMs);
-    if (instance.record.dataCentre != demand.dataCentre)
-        total += otherDataCentreMs + otherDataCentreMsPerKib * demand.kibibytes;
-    if (instance.record.region != demand.region)
-        total += otherRegionMs + otherRegionMsPerKib * demand.kibibytes;
+    double total = work + pvt::failureCost(demand.kind, chance)
+        + pvt::distanceCost(
+            instance.record, demand.dataCentre, demand.region, demand.kibibytes);
     if (service.failing > failingShare && chance < helpsBelowChance
         && now - instance.lastGranted > idleWhileFailing)
         total -= idleBonusMs;
@@ -330,24 +316,9 @@
         instance.foreign = std::max(0.0, static_cast<double>(report.reportedLoad) - instance.busy - 1);
         instance.foreignAt = now;
     }
-    switch (report.end) {
-    case PlacedEnd::Success:
-        return instance.judge.onSuccess(report.latency, typicalOf(service), now);
-    case PlacedEnd::Failure:
-        return instance.judge.onFailure(now);
-    case PlacedEnd::Shed:
-        return instance.judge.onShed(now);
-    case PlacedEnd::Silence:
-        return instance.judge.onSilence(now);
-    case PlacedEnd::Refused:
-        instance.lastUnreachable = now;
-        return instance.judge.onRefused(now);
-    case PlacedEnd::Unreachable:
+    if (report.end == PlacedEnd::Refused || report.end == PlacedEnd::Unreachable)
         instance.lastUnreachable = now;
-        return instance.judge.onUnreachable(now);
-    case PlacedEnd::Unused:
-        return;
-    }
+    pvt::tellJudge(instance.judge, report, typicalOf(service), now);
 }
 
 void FleetPlacer::adopt(const OpenPlace& place, TimePoint now)
--- a/src/libplace/lone_placer.cpp
+++ b/src/libplace/lone_placer.cpp
@@ -1,6 +1,9 @@
 #include <laburnumroute/lone_placer.h>
 
 #include <algorithm>
+#include <cmath>
+
+#include "placement_cost_pvt.h"
 
 namespace laburnum {
 
@@ -8,12 +11,19 @@
 
     /// A path that failed is left alone for so long, about as long as a cut takes to heal.
     constexpr auto brokenFor = std::chrono::milliseconds(3000);
+    constexpr double brokenChance = 0.5;
     /// Repeats for each request of this host while it is alone; half of what the fleet allows, so
     /// that the hosts together stay within it while the view's own share runs out.
     constexpr double loneRepeatRatio = 0.1;
-    /// Nearer instances are taken while at least so many serve there.
-    constexpr std::size_t enoughNear = 2;
-    constexpr int distances = 3;
+    /// A host alone does not know typical latencies; it compares with this.
+    constexpr auto assumedLatency = std::chrono::milliseconds(500);
+    /// What the view held for doubtful fades with this constant.
+    constexpr double doubtfulChance = 0.3;
+    constexpr double doubtfulFadeSeconds = 4.0;
+    /// One more request of this host at an instance costs so much of the others' time.
+    constexpr double busyMs = 60.0;
+    /// Costs that differ by this are told apart at random, three to one.
+    constexpr double spreadMs = 150.0;
 
 } // namespace
 
@@ -23,11 +33,18 @@
 {
 }
 
-void LonePlacer::upsert(const InstanceRecord& record) { m_records[record.id] = record; }
+void LonePlacer::upsert(const InstanceRecord& record)
+{
+    const InstanceRecord* known = find(record.id);
+    if (known != nullptr && known->incarnation != record.incarnation)
+        m_judges.erase(record.id);
+    m_records[record.id] = record;
+}
 
 void LonePlacer::remove(const InstanceId& id)
 {
     m_records.erase(id);
+    m_judges.erase(id);
     m_brokenUntil.erase(id);
 }
 
@@ -37,24 +54,39 @@
     return found == m_records.end() ? nullptr : &found->second;
 }
 
-void LonePlacer::setDoubtful(const std::vector<InstanceId>& ids)
+void LonePlacer::setDoubtful(const std::vector<InstanceId>& ids, TimePoint now)
 {
     m_doubtful = { ids.begin(), ids.end() };
+    m_doubtfulAt = now;
 }
 
-void LonePlacer::end(const InstanceId& id, PlacedEnd how, TimePoint now)
+void LonePlacer::judge(const InstanceId& id, const PlacedReport& report, TimePoint now)
+{
+    if (m_records.contains(id))
+        pvt::tellJudge(m_judges[id], report, assumedLatency, now);
+}
+
+void LonePlacer::end(const InstanceId& id, const PlacedReport& report, TimePoint now)
 {
     const auto found = m_busy.find(id);
     if (found != m_busy.end() && --found->second == 0)
         m_busy.erase(found);
-    const bool broken
-        = how == PlacedEnd::Unreachable || how == PlacedEnd::Refused || how == PlacedEnd::Silence;
+    judge(id, report, now);
+    const bool broken = report.end == PlacedEnd::Unreachable || report.end == PlacedEnd::Refused
+        || report.end == PlacedEnd::Silence;
     if (broken)
         m_brokenUntil[id] = now + brokenFor;
-    else if (how == PlacedEnd::Success)
+    else if (report.end == PlacedEnd::Success)
         m_brokenUntil.erase(id);
 }
 
+void LonePlacer::hear(const InstanceId& id, PlacedEnd how, TimePoint now)
+{
+    // The path of another host says little about this one's.
+    if (how != PlacedEnd::Unreachable)
+        judge(id, { how, assumedLatency }, now);
+}
+
 std::vector<InstanceId> LonePlacer::brokenPaths(TimePoint now) const
 {
     std::vector<InstanceId> ids;
@@ -65,42 +97,56 @@
     return ids;
 }
 
-int LonePlacer::distance(const InstanceRecord& record) const
-{
-    if (record.dataCentre == m_place.dataCentre)
-        return 0;
-    return record.region == m_place.region ? 1 : 2;
-}
-
 std::uint32_t LonePlacer::busy(const InstanceId& id) const
 {
     const auto found = m_busy.find(id);
     return found == m_busy.end() ? 0 : found->second;
 }
 
-std::optional<InstanceId> LonePlacer::choose(
-    const ServiceId& service, const std::vector<InstanceId>& avoid, TimePoint now)
+double LonePlacer::cost(
+    const InstanceRecord& record, const PlaceDemand& demand, TimePoint now) const
 {
-    std::vector<InstanceId> good;
-    std::vector<InstanceId> any;
-    for (int reach = 0; reach < distances && good.size() < enoughNear; ++reach) {
-        for (const auto& [id, record] : m_records) {
-            if (record.service != service || record.phase != InstancePhase::Serving
-                || distance(record) != reach
-                || std::find(avoid.begin(), avoid.end(), id) != avoid.end())
-                continue;
-            any.push_back(id);
-            const auto broken = m_brokenUntil.find(id);
-            if (!m_doubtful.contains(id) && (broken == m_brokenUntil.end() || now >= broken->second))
-                good.push_back(id);
-        }
+    const auto known = m_judges.find(record.id);
+    const InstanceJudge fresh;
+    const InstanceJudge& judge = known == m_judges.end() ? fresh : known->second;
+    double chance = judge.failureChance(now);
+    if (m_doubtful.contains(record.id)) {
+        const double age = std::chrono::duration<double>(now - m_doubtfulAt).count();
+        chance = std::max(chance, doubtfulChance * std::exp(-age / doubtfulFadeSeconds));
     }
-    const auto& pool = good.empty() ? any : good;
-    if (pool.empty())
+    const auto broken = m_brokenUntil.find(record.id);
+    if (broken != m_brokenUntil.end() && now < broken->second)
+        chance = std::max(chance, brokenChance);
+    return pvt::failureCost(demand.kind, chance)
+        + pvt::distanceCost(record, m_place.dataCentre, m_place.region, demand.kibibytes)
+        + busyMs * busy(record.id);
+}
+
+std::optional<InstanceId> LonePlacer::choose(const PlaceDemand& demand, TimePoint now)
+{
+    std::vector<std::pair<double, InstanceId>> costs;
+    for (const auto& [id, record] : m_records) {
+        const bool fits = record.service == demand.service
+            && record.phase == InstancePhase::Serving
+            && std::find(demand.avoid.begin(), demand.avoid.end(), id) == demand.avoid.end();
+        if (fits)
+            costs.emplace_back(cost(record, demand, now), id);
+    }
+    if (costs.empty())
         return std::nullopt;
-    const InstanceId& first = pool[uniformBelow(m_random, pool.size())];
-    const InstanceId& second = pool[uniformBelow(m_random, pool.size())];
-    return busy(second) < busy(first) ? second : first;
+    const double least = std::min_element(costs.begin(), costs.end())->first;
+    double sum = 0.0;
+    for (auto& [weight, id] : costs) {
+        weight = std::exp((least - weight) / spreadMs);
+        sum += weight;
+    }
+    double position = uniformReal(m_random) * sum;
+    for (const auto& [weight, id] : costs) {
+        position -= weight;
+        if (position < 0)
+            return id;
+    }
+    return costs.back().second;
 }
 
 bool LonePlacer::takeRepeat(const ServiceId& service, TimePoint now)
