--- a/src/include/laburnumroute/fleet_placer.h
+++ b/src/include/laburnumroute/fleet_placer.h
@@ -71,6 +71,9 @@
         TimePoint heard;
         TimePoint coldUntil;
         TimePoint lastGranted;
+        TimePoint lastFailure;
+        /// Among the likeliest to fail; may stay idle.
+        bool leftOut = false;
         TimePoint lastUnreachable;
         /// Places that other askers hold besides `busy`, as the instance reported.
         double foreign = 0.0;
@@ -97,8 +100,6 @@
         RepeatWindow repeats;
         /// Typical latency of a success, in seconds.
         double typical = 0.0;
-        /// Running share of attempts that failed.
-        double failing = 0.0;
     };
 
     Service& serviceOf(const ServiceId& id);
@@ -106,6 +107,8 @@
     std::optional<InstanceId> choose(const PlaceDemand& demand, TimePoint now) const;
     double cost(const Instance& instance, const Service& service, const PlaceDemand& demand,
         TimePoint now) const;
+    bool isDue(const Instance& instance, const PlaceDemand& demand, TimePoint now) const;
+    void leaveOutWorst(TimePoint now);
     bool hasRoom(const Instance& instance, TimePoint now) const;
     bool usable(const Instance& instance, TimePoint now) const;
     void grant(const PlaceDemand& demand, const InstanceId& id, TimePoint now,
--- /dev/null
+++ b/src/libhub/hub_test.cpp
@@ -0,0 +1,267 @@
+#include <catch2/catch.hpp>
+
+#include "fakes/hub_fleet.h"
+
+using namespace laburnum;
+using namespace laburnum::fakes;
+using namespace std::chrono_literals;
+
+namespace {
+
+HostId c(unsigned i) { return HubFleet::control(i); }
+HostId e(unsigned i) { return HubFleet::entry(i); }
+
+std::size_t voters(HubFleet& fleet)
+{
+    const auto leader = fleet.leader();
+    return leader ? fleet.hub(*leader)->log().membership().voters() : 0;
+}
+
+/// A fleet with `count` voters, and all entry hosts subscribed.
+void found(HubFleet& fleet, std::size_t count = 5)
+{
+    REQUIRE(fleet.runUntil(5s, [&] { return voters(fleet) == count; }));
+}
+
+bool allHold(HubFleet& fleet, unsigned entries, std::uint64_t number)
+{
+    for (unsigned i = 1; i <= entries; ++i) {
+        if (fleet.client(e(i)).config().number != number)
+            return false;
+    }
+    return true;
+}
+
+PutConfigCall config(std::uint64_t number)
+{
+    return { { number, "content " + std::to_string(number) } };
+}
+
+PlaceDemand demand(const std::string& service)
+{
+    PlaceDemand wanted;
+    wanted.service = ServiceId(service);
+    wanted.remaining = 4s;
+    wanted.dataCentre = DataCentreId("d");
+    wanted.region = RegionId("r");
+    return wanted;
+}
+
+} // namespace
+
+TEST_CASE("three seeds found one log, and the other control hosts vote soon after")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        HubFleet fleet({ .seed = seed });
+        CAPTURE(seed);
+        REQUIRE(fleet.runUntil(3s, [&] { return voters(fleet) == 5; }));
+        REQUIRE(fleet.runUntil(2s, [&] {
+            return fleet.hub(*fleet.leader())->subscribers() == 4;
+        }));
+    }
+}
+
+TEST_CASE("a configuration is accepted at any host and in force everywhere")
+{
+    HubFleet fleet({ .seed = 3 });
+    found(fleet);
+    for (unsigned i = 1; i <= 5; ++i) {
+        const auto index = fleet.call(c(i), config(i * 10));
+        REQUIRE(fleet.runUntil(900ms, [&] { return fleet.record(index).result.has_value(); }));
+        REQUIRE(fleet.record(index).result->done);
+        REQUIRE(fleet.runUntil(500ms, [&] { return allHold(fleet, 4, i * 10); }));
+        // A resend, a lower number and other content under the same number change nothing.
+        REQUIRE(fleet.callAnywhere(PutConfigCall { { i * 10, "other" } }));
+        REQUIRE(fleet.callAnywhere(config(1)));
+        const auto read = fleet.call(c(6 - i), GetConfigCall {});
+        REQUIRE(fleet.runUntil(900ms, [&] { return fleet.record(read).result.has_value(); }));
+        REQUIRE(fleet.record(read).result->config.content == "content " + std::to_string(i * 10));
+    }
+}
+
+TEST_CASE("an emptied voter comes back as a new member, also when the leader is no seed")
+{
+    HubFleet fleet({ .seed = 5 });
+    found(fleet);
+    REQUIRE(fleet.callAnywhere(PutConfigCall { { 1, std::string(50'000, 'x') } }));
+    // Only c4 and c5 stay up to date, so that one of them leads.
+    while (fleet.leader() && *fleet.leader() != c(4) && *fleet.leader() != c(5)) {
+        const HostId old = *fleet.leader();
+        fleet.freeze(old);
+        REQUIRE(fleet.runUntil(5s, [&] { return fleet.leader().has_value(); }));
+        fleet.freeze(old, false);
+        fleet.run(3s);
+    }
+    REQUIRE(fleet.leader().has_value());
+    const HostId leader = *fleet.leader();
+    fleet.wipe(c(1));
+    fleet.wipe(c(2));
+    fleet.run(3s);
+    const std::uint64_t before = fleet.bytesSent(leader);
+    fleet.run(5s);
+    // Silent members get probes, not the whole log again and again.
+    REQUIRE(fleet.bytesSent(leader) - before < 100'000);
+    fleet.startControl(c(1));
+    fleet.startControl(c(2));
+    REQUIRE(fleet.runUntil(4s, [&] {
+        return fleet.leader() && fleet.hub(c(1))->log().membership().isVoter(MemberId("c1-2"))
+            && fleet.hub(c(2))->log().membership().isVoter(MemberId("c2-2"));
+    }));
+    REQUIRE(voters(fleet) == 5);
+}
+
+TEST_CASE("a new machine takes the place of one that is gone for good")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        HubFleet fleet({ .seed = seed });
+        found(fleet);
+        fleet.wipe(c(1 + seed % 5));
+        fleet.run(1s);
+        fleet.startControl(c(6));
+        REQUIRE(fleet.runUntil(4s, [&] {
+            return fleet.leader()
+                && fleet.hub(c(6))->log().membership().isVoter(MemberId("c6-1"))
+                && voters(fleet) == 5;
+        }));
+    }
+}
+
+TEST_CASE("what was acknowledged survives two lost disks and the loss of all power")
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        CAPTURE(seed);
+        HubFleet fleet({ .seed = seed });
+        found(fleet);
+        REQUIRE(fleet.callAnywhere(config(5)));
+        const auto index = fleet.call(c(1 + seed % 5), config(9));
+        REQUIRE(fleet.runUntil(900ms, [&] { return fleet.record(index).result.has_value(); }));
+        REQUIRE(fleet.record(index).result->done);
+        fleet.wipe(c(1 + (seed / 5) % 5));
+        fleet.wipe(c(1 + (seed / 5 + 1 + seed % 4) % 5));
+        for (unsigned i = 1; i <= 5; ++i)
+            fleet.kill(c(i));
+        for (unsigned i = 1; i <= 4; ++i)
+            fleet.kill(e(i));
+        fleet.run(1s);
+        for (unsigned i = 1; i <= 5; ++i)
+            fleet.startControl(c(i));
+        for (unsigned i = 1; i <= 4; ++i)
+            fleet.startEntry(e(i));
+        REQUIRE(fleet.runUntil(4s, [&] { return allHold(fleet, 4, 9); }));
+        REQUIRE(fleet.runUntil(6s, [&] { return voters(fleet) == 5; }));
+    }
+}
+
+TEST_CASE("a leader that is cut off answers no read and loses its subscribers")
+{
+    HubFleet fleet({ .seed = 11 });
+    found(fleet);
+    REQUIRE(fleet.callAnywhere(config(1)));
+    REQUIRE(fleet.runUntil(1s, [&] { return allHold(fleet, 4, 1); }));
+    const HostId old = *fleet.leader();
+    for (unsigned i = 1; i <= 5; ++i) {
+        if (c(i) != old)
+            fleet.cut(old, c(i));
+    }
+    const TimePoint cutAt = fleet.now();
+    REQUIRE(fleet.runUntil(3s, [&] { return fleet.leader() && *fleet.leader() != old; }));
+    const auto put = fleet.call(*fleet.leader(), config(2));
+    REQUIRE(fleet.runUntil(900ms, [&] { return fleet.record(put).result.has_value(); }));
+    REQUIRE(fleet.record(put).result->done);
+    const auto read = fleet.call(old, GetConfigCall {});
+    REQUIRE(fleet.runUntil(1s, [&] { return fleet.record(read).result.has_value(); }));
+    REQUIRE_FALSE(fleet.record(read).result->done);
+    REQUIRE(fleet.runUntil(2500ms, [&] { return allHold(fleet, 4, 2); }));
+    REQUIRE(fleet.now() - cutAt < 4s);
+}
+
+TEST_CASE("a frozen leader that thaws acknowledges nothing by its old belief")
+{
+    HubFleet fleet({ .seed = 12 });
+    found(fleet);
+    const HostId old = *fleet.leader();
+    fleet.freeze(old);
+    REQUIRE(fleet.runUntil(3s, [&] { return fleet.leader().has_value(); }));
+    REQUIRE(fleet.callAnywhere(config(3)));
+    fleet.freeze(old, false);
+    const auto read = fleet.call(old, GetConfigCall {});
+    REQUIRE(fleet.runUntil(1s, [&] { return fleet.record(read).result.has_value(); }));
+    const CallResult& result = *fleet.record(read).result;
+    REQUIRE((!result.done || result.config.number == 3));
+}
+
+TEST_CASE("an instance that drains gets no more attempts once that is acknowledged")
+{
+    HubFleet fleet({ .seed = 13 });
+    found(fleet);
+    REQUIRE(fleet.callAnywhere(AnnounceCall { instanceRecord("a", "s", 80) }));
+    REQUIRE(fleet.callAnywhere(AnnounceCall { instanceRecord("b", "s", 81) }));
+    fleet.run(500ms);
+    auto draining = instanceRecord("a", "s", 80, 1, 2);
+    draining.phase = InstancePhase::Draining;
+    REQUIRE(fleet.callAnywhere(AnnounceCall { draining }));
+    // Also by hosts that are cut off from the view once the news had time to travel.
+    fleet.run(20ms);
+    for (unsigned i = 1; i <= 5; ++i)
+        fleet.cut(e(1), c(i));
+    fleet.run(100ms);
+    for (int i = 0; i < 40; ++i) {
+        for (unsigned host = 1; host <= 2; ++host) {
+            const AskId ask = fleet.ask(e(host), demand("s"));
+            REQUIRE(fleet.runUntil(500ms, [&] { return fleet.answers(e(host)).contains(ask); }));
+            const auto& answer = fleet.answers(e(host)).at(ask);
+            REQUIRE(answer.instance.has_value());
+            REQUIRE(answer.instance->id == InstanceId("b"));
+            fleet.end(e(host), ask, { PlacedEnd::Success, 50ms });
+        }
+    }
+}
+
+TEST_CASE("an entry host that is cut off serves alone and learns from its neighbours")
+{
+    HubFleet fleet({ .seed = 14 });
+    found(fleet);
+    for (std::uint16_t i = 0; i < 4; ++i)
+        REQUIRE(fleet.callAnywhere(
+            AnnounceCall { instanceRecord("i" + std::to_string(i), "s", 80 + i) }));
+    fleet.run(1s);
+    for (unsigned host = 1; host <= 4; ++host) {
+        for (unsigned i = 1; i <= 5; ++i)
+            fleet.cut(e(host), c(i));
+    }
+    // The first ask waits for the leader a little, the next ones do not.
+    unsigned sick = 0;
+    for (int i = 0; i < 60; ++i) {
+        const HostId host = e(1 + static_cast<unsigned>(i) % 4);
+        const AskId ask = fleet.ask(host, demand("s"));
+        REQUIRE(fleet.runUntil(400ms, [&] { return fleet.answers(host).contains(ask); }));
+        const auto& answer = fleet.answers(host).at(ask);
+        REQUIRE(answer.instance.has_value());
+        const bool isSick = answer.instance->id == InstanceId("i2");
+        sick += isSick ? 1 : 0;
+        fleet.end(
+            host, ask, { isSick ? PlacedEnd::Failure : PlacedEnd::Success, 50ms });
+        fleet.run(20ms);
+    }
+    // Each of four hosts alone would have to find out by itself.
+    REQUIRE(sick <= 3);
+}
+
+TEST_CASE("asks of a lost leader are placed at once, and the next leader learns of them")
+{
+    HubFleet fleet({ .seed = 15 });
+    found(fleet);
+    REQUIRE(fleet.callAnywhere(AnnounceCall { instanceRecord("a", "s", 80) }));
+    fleet.run(1s);
+    const AskId first = fleet.ask(e(1), demand("s"));
+    REQUIRE(fleet.runUntil(200ms, [&] { return fleet.answers(e(1)).contains(first); }));
+    REQUIRE_FALSE(fleet.answers(e(1)).at(first).alone);
+    fleet.kill(*fleet.leader());
+    const AskId second = fleet.ask(e(1), demand("s"));
+    REQUIRE(fleet.runUntil(300ms, [&] { return fleet.answers(e(1)).contains(second); }));
+    REQUIRE(fleet.answers(e(1)).at(second).alone);
+    REQUIRE(fleet.runUntil(
+        5s, [&] { return fleet.leader() && fleet.hub(*fleet.leader())->subscribers() == 4; }));
+    REQUIRE(fleet.hub(*fleet.leader())->placer().granted() == 2);
+}
--- a/src/libplace/fleet_placer.cpp
+++ b/src/libplace/fleet_placer.cpp
@@ -1,6 +1,7 @@
 #include <laburnumroute/fleet_placer.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 #include "placement_cost_pvt.h"
@@ -20,14 +21,24 @@
     constexpr auto unheardAfter = milliseconds(4500);
     constexpr auto workCountsFor = milliseconds(3000);
     constexpr double unheardFailureChance = 0.5;
-    /// While a service fails, an instance without work for this long gets some, so that its sound
-    /// instances all share the load.
-    constexpr auto idleWhileFailing = milliseconds(1400);
-    constexpr double failingShare = 0.1;
-    constexpr double idleBonusMs = 3000.0;
-    constexpr double failingGain = 0.03;
-    /// One that is likely to fail itself is no help.
-    constexpr double helpsBelowChance = 0.3;
+    /// Every instance that may be sound gets work at least this often, whatever its record says: a
+    /// fleet that leaves most of a service idle has nothing to turn to when the rest fails, and finds
+    /// out late that an instance is well again. Requests that can be repeated go first.
+    /// By distance: in the asker's data centre, its region, another region.
+    constexpr std::array<Duration, 3> idleForSafe { milliseconds(1200), milliseconds(1350),
+        milliseconds(1700) };
+    constexpr std::array<Duration, 3> idleForUnsafe { milliseconds(1350), milliseconds(1500),
+        milliseconds(1750) };
+    /// Large bodies do not travel far for this while another request may come.
+    constexpr std::array<Duration, 3> idleForUpload { milliseconds(1200), milliseconds(1600),
+        milliseconds(1850) };
+    /// An instance that failed is left alone for so long first.
+    constexpr auto restAfterFailure = milliseconds(2000);
+    /// Part of a service's instances, the likeliest to fail, that may stay idle all the same.
+    constexpr double leftOutShare = 0.25;
+    constexpr double leftOutChance = 0.15;
+    /// More than any cost: an instance that is due goes first.
+    constexpr double dueBonusMs = 30000.0;
 
     /// Before the first success a service is taken to need this long.
     constexpr double initialTypicalSeconds = 0.4;
@@ -156,10 +167,42 @@
     double total = work + pvt::failureCost(demand.kind, chance)
         + pvt::distanceCost(
             instance.record, demand.dataCentre, demand.region, demand.kibibytes);
-    if (service.failing > failingShare && chance < helpsBelowChance
-        && now - instance.lastGranted > idleWhileFailing)
-        total -= idleBonusMs;
-    return total;
+    return isDue(instance, demand, now) ? total - dueBonusMs : total;
+}
+
+bool FleetPlacer::isDue(
+    const Instance& instance, const PlaceDemand& demand, TimePoint now) const
+{
+    if (instance.leftOut || instance.lastUnreachable > instance.judge.lastSuccess())
+        return false;
+    const TimePoint since
+        = std::max(instance.lastGranted, instance.lastFailure + restAfterFailure);
+    std::size_t distance = instance.record.region == demand.region ? 1 : 2;
+    if (instance.record.dataCentre == demand.dataCentre)
+        distance = 0;
+    const auto& limits = demand.kind == RequestKind::Safe ? idleForSafe
+        : demand.kind == RequestKind::Upload              ? idleForUpload
+                                                          : idleForUnsafe;
+    return now - since > limits[distance];
+}
+
+/// Chooses the instances of each service that may stay idle.
+void FleetPlacer::leaveOutWorst(TimePoint now)
+{
+    for (const auto& [id, service] : m_services) {
+        std::vector<std::pair<double, Instance*>> byChance;
+        for (const InstanceId& each : service.instances) {
+            Instance& instance = m_instances.at(each);
+            instance.leftOut = false;
+            if (usable(instance, now))
+                byChance.emplace_back(instance.judge.failureChance(now), &instance);
+        }
+        std::sort(byChance.begin(), byChance.end(), std::greater<>());
+        const auto most = static_cast<std::size_t>(
+            leftOutShare * static_cast<double>(byChance.size()));
+        for (std::size_t i = 0; i < most && byChance[i].first > leftOutChance; ++i)
+            byChance[i].second->leftOut = true;
+    }
 }
 
 std::optional<InstanceId> FleetPlacer::choose(const PlaceDemand& demand, TimePoint now) const
@@ -299,10 +342,6 @@
 {
     Service& service = serviceOf(place.service);
     const auto found = m_instances.find(place.instance);
-    if (report.end != PlacedEnd::Unused) {
-        const double failed = report.end == PlacedEnd::Success ? 0.0 : 1.0;
-        service.failing += failingGain * (failed - service.failing);
-    }
     if (report.end == PlacedEnd::Success) {
         const double seconds = std::chrono::duration<double>(report.latency).count();
         if (service.typical <= 0)
@@ -316,6 +355,8 @@
         instance.foreign = std::max(0.0, static_cast<double>(report.reportedLoad) - instance.busy - 1);
         instance.foreignAt = now;
     }
+    if (report.end != PlacedEnd::Success && report.end != PlacedEnd::Unused)
+        instance.lastFailure = now;
     if (report.end == PlacedEnd::Refused || report.end == PlacedEnd::Unreachable)
         instance.lastUnreachable = now;
     pvt::tellJudge(instance.judge, report, typicalOf(service), now);
@@ -341,6 +382,7 @@
 
 void FleetPlacer::tick(TimePoint now, std::vector<PlaceReply>& replies)
 {
+    leaveOutWorst(now);
     std::set<ServiceId> freed;
     for (auto place = m_places.begin(); place != m_places.end();) {
         Place& open = place->second;
