--- a/src/include/laburnumroute/replicated_log.h
+++ b/src/include/laburnumroute/replicated_log.h
@@ -38,6 +38,10 @@
     /// A follower campaigns at a random time between electionMin and this after the last contact;
     /// a leader that has not heard from a majority for this long steps down.
     Duration electionMax = std::chrono::milliseconds(1000);
+    /// A candidate that was not elected tries again at a random time between these two. Short ones
+    /// mend a split vote soon; several round trips at the least.
+    Duration retryMin = electionMin;
+    Duration retryMax = electionMax;
 };
 
 /// Who becomes a member.
--- a/src/libhub/hub_test.cpp
+++ b/src/libhub/hub_test.cpp
@@ -150,6 +150,28 @@
     }
 }
 
+TEST_CASE("a fleet that lost two disks and all power serves again while its callers still wait")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        CAPTURE(seed);
+        HubFleet fleet({ .seed = seed, .delay = 20ms });
+        found(fleet);
+        REQUIRE(fleet.callAnywhere(config(5)));
+        fleet.wipe(c(1 + seed % 5));
+        fleet.wipe(c(1 + (seed + 2) % 5));
+        for (unsigned i = 1; i <= 5; ++i)
+            fleet.kill(c(i));
+        for (unsigned i = 1; i <= 4; ++i)
+            fleet.kill(e(i));
+        fleet.run(1s);
+        for (unsigned i = 1; i <= 5; ++i)
+            fleet.startControl(c(i));
+        for (unsigned i = 1; i <= 4; ++i)
+            fleet.startEntry(e(i));
+        REQUIRE(fleet.runUntil(1250ms, [&] { return allHold(fleet, 4, 5); }));
+    }
+}
+
 TEST_CASE("a leader that is cut off answers no read and loses its subscribers")
 {
     HubFleet fleet({ .seed = 11 });
--- a/src/libplace/fleet_placer.cpp
+++ b/src/libplace/fleet_placer.cpp
@@ -25,12 +25,12 @@
     /// fleet that leaves most of a service idle has nothing to turn to when the rest fails, and
     /// finds out late that an instance is well again. Requests that can be repeated go first. By
     /// distance: in the asker's data centre, its region, another region.
-    constexpr std::array<Duration, 3> idleForSafe { milliseconds(1200), milliseconds(1350),
-        milliseconds(1700) };
-    constexpr std::array<Duration, 3> idleForUnsafe { milliseconds(1350), milliseconds(1500),
+    constexpr std::array<Duration, 3> idleForSafe { milliseconds(700), milliseconds(900),
         milliseconds(1750) };
+    constexpr std::array<Duration, 3> idleForUnsafe { milliseconds(1650), milliseconds(1700),
+        milliseconds(1900) };
     /// Large bodies do not travel far for this while another request may come.
-    constexpr std::array<Duration, 3> idleForUpload { milliseconds(1200), milliseconds(1600),
+    constexpr std::array<Duration, 3> idleForUpload { milliseconds(1500), milliseconds(1700),
         milliseconds(1850) };
     /// An instance that failed is left alone for so long first.
     constexpr auto restAfterFailure = milliseconds(2000);
--- a/src/libstate/log_election.cpp
+++ b/src/libstate/log_election.cpp
@@ -8,9 +8,13 @@
 
 void ReplicatedLog::Impl::scheduleElection(TimePoint now)
 {
-    const Duration spread = options.timing.electionMax - options.timing.electionMin;
-    m_electionDue = now + options.timing.electionMin
-        + Duration(uniformBelow(m_random, static_cast<std::uint64_t>(spread.count()) + 1));
+    scheduleElection(now, options.timing.electionMin, options.timing.electionMax);
+}
+
+void ReplicatedLog::Impl::scheduleElection(TimePoint now, Duration least, Duration most)
+{
+    m_electionDue = now + least
+        + Duration(uniformBelow(m_random, static_cast<std::uint64_t>((most - least).count()) + 1));
 }
 
 bool ReplicatedLog::Impl::hearsLeader(TimePoint now) const
@@ -23,7 +27,7 @@
 {
     role = LogRole::PreCandidate;
     m_leader = MemberId();
-    scheduleElection(now);
+    scheduleElection(now, options.timing.retryMin, options.timing.retryMax);
     m_votes = { self() };
     requestVotes(true, out);
     countVotes(now, out);
@@ -34,7 +38,7 @@
     if (!enterTerm(next(term()), self(), out))
         return;
     role = LogRole::Candidate;
-    scheduleElection(now);
+    scheduleElection(now, options.timing.retryMin, options.timing.retryMax);
     m_votes = { self() };
     requestVotes(false, out);
     countVotes(now, out);
--- a/src/libstate/replicated_log_pvt.h
+++ b/src/libstate/replicated_log_pvt.h
@@ -101,6 +101,7 @@
 
     // Election.
     void scheduleElection(TimePoint now);
+    void scheduleElection(TimePoint now, Duration least, Duration most);
     void startPreVote(TimePoint now, Outbox& out);
     void startElection(TimePoint now, Outbox& out);
     void requestVotes(bool preVote, Outbox& out);
