--- a/src/include/laburnumroute/entry_server.h
+++ b/src/include/laburnumroute/entry_server.h
@@ -55,12 +55,13 @@
 public:
     /// `claims` may be null: then requests with an idempotency key run unclaimed. Both `table` and
     /// `claims` outlive the io_context's last handler.
-    EntryServer(asio::io_context& context, DispatchTable& table, EntryOptions options = {},
+    EntryServer(asio::io_context& context, DispatchTable& table, const EntryOptions& options = {},
         ClaimGate* claims = nullptr);
     /// Serves by a desk that places attempts for the whole fleet. `desk` and `log` outlive the
     /// io_context's last handler; the io_context runs on one thread.
     EntryServer(
-        asio::io_context& context, PlacementDesk& desk, DecisionLog& log, EntryOptions options);
+        asio::io_context& context, PlacementDesk& desk, DecisionLog& log,
+        const EntryOptions& options);
     ~EntryServer();
 
     /// Starts to accept. Io names the address when it cannot be bound. Port 0 takes a free port.
--- a/src/libhub/codec.cpp
+++ b/src/libhub/codec.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    constexpr std::size_t chunkBytes = 16 * 1024;
+    constexpr std::size_t chunkBytes = std::size_t { 16 } * 1024;
 
     const Bytef* bytesOf(std::string_view text)
     {
@@ -16,7 +16,7 @@
     /// The end of `dictionary` that fits into the window of deflate.
     std::string_view windowOf(std::string_view dictionary)
     {
-        constexpr std::size_t window = 32 * 1024;
+        constexpr std::size_t window = std::size_t { 32 } * 1024;
         return dictionary.size() > window ? dictionary.substr(dictionary.size() - window)
                                           : dictionary;
     }
--- a/src/libhub/hub_client.cpp
+++ b/src/libhub/hub_client.cpp
@@ -140,6 +140,7 @@
     m_leader.reset();
     m_searchDue = now;
     std::vector<AskId> open;
+    open.reserve(m_asks.size());
     for (const auto& [id, ask] : m_asks)
         open.push_back(id);
     for (const AskId id : open)
--- a/src/libhub/hub_test.cpp
+++ b/src/libhub/hub_test.cpp
@@ -64,16 +64,17 @@
     HubFleet fleet({ .seed = 3 });
     found(fleet);
     for (unsigned i = 1; i <= 5; ++i) {
-        const auto index = fleet.call(c(i), config(i * 10));
+        const std::uint64_t number = std::uint64_t { 10 } * i;
+        const auto index = fleet.call(c(i), config(number));
         REQUIRE(fleet.runUntil(900ms, [&] { return fleet.record(index).result.has_value(); }));
         REQUIRE(fleet.record(index).result->done);
-        REQUIRE(fleet.runUntil(500ms, [&] { return allHold(fleet, 4, i * 10); }));
+        REQUIRE(fleet.runUntil(500ms, [&] { return allHold(fleet, 4, number); }));
         // A resend, a lower number and other content under the same number change nothing.
-        REQUIRE(fleet.callAnywhere(PutConfigCall { { i * 10, "other" } }));
+        REQUIRE(fleet.callAnywhere(PutConfigCall { { number, "other" } }));
         REQUIRE(fleet.callAnywhere(config(1)));
         const auto read = fleet.call(c(6 - i), GetConfigCall {});
         REQUIRE(fleet.runUntil(900ms, [&] { return fleet.record(read).result.has_value(); }));
-        REQUIRE(fleet.record(read).result->config.content == "content " + std::to_string(i * 10));
+        REQUIRE(fleet.record(read).result->config.content == "content " + std::to_string(number));
     }
 }
 
--- a/src/libnet/entry_server.cpp
+++ b/src/libnet/entry_server.cpp
@@ -151,14 +151,14 @@
 };
 
 EntryServer::EntryServer(
-    asio::io_context& context, DispatchTable& table, EntryOptions options, ClaimGate* claims)
+    asio::io_context& context, DispatchTable& table, const EntryOptions& options, ClaimGate* claims)
     : m_impl(std::make_shared<Impl>(context,
         std::make_shared<pvt::EntryContext>(context, &table, nullptr, nullptr, options, claims)))
 {
 }
 
 EntryServer::EntryServer(
-    asio::io_context& context, PlacementDesk& desk, DecisionLog& log, EntryOptions options)
+    asio::io_context& context, PlacementDesk& desk, DecisionLog& log, const EntryOptions& options)
     : m_impl(std::make_shared<Impl>(context,
         std::make_shared<pvt::EntryContext>(context, nullptr, &desk, &log, options, nullptr)))
 {
--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -31,8 +31,8 @@
     constexpr double attemptShare = 0.65;
     constexpr auto attemptFloor = milliseconds(1000);
     constexpr auto retryAfterStart = milliseconds(500);
-    /// A host that starts hears its first configuration within a second, as a rule, later when votes split; a caller waits
-    /// for it so long, and no longer than this part of its time.
+    /// A host that starts hears its first configuration within a second, as a rule, later when
+    /// votes split; a caller waits for it so long, and no longer than this part of its time.
     constexpr auto startPatience = milliseconds(1250);
     constexpr int patienceDivisor = 4;
     constexpr std::uint64_t bytesPerKibibyte = 1024;
--- a/src/libstate/replicated_log_pvt.h
+++ b/src/libstate/replicated_log_pvt.h
@@ -127,8 +127,7 @@
     FollowerProgress* heardFrom(const pvt::LogHeader& from, std::uint64_t sentAt, TimePoint now);
     bool flushProposals(TimePoint now, Outbox& out);
     void sendTo(const Member& member, bool heartbeat, TimePoint now, Outbox& out);
-    void sendProbe(
-        const Member& member, FollowerProgress& progress, TimePoint now, Outbox& out);
+    void sendProbe(const Member& member, FollowerProgress& progress, TimePoint now, Outbox& out);
     bool sendEntries(const Member& member, FollowerProgress& progress, TimePoint now, Outbox& out);
     pvt::AppendRequest appendRequest(
         const Member& member, const FollowerProgress& progress, TimePoint now) const;
--- a/testsuite/fakes/hub_fleet.cpp
+++ b/testsuite/fakes/hub_fleet.cpp
@@ -100,8 +100,8 @@
 void HubFleet::startEntry(const HostId& host)
 {
     const HostPlace place { host, DataCentreId("d"), RegionId("r") };
-    m_entries[host].client = std::make_unique<HubClient>(
-        place, seedHosts(), m_random(), Endpoint { host.value(), 1 });
+    m_entries[host].client
+        = std::make_unique<HubClient>(place, seedHosts(), m_random(), Endpoint { host.value(), 1 });
 }
 
 void HubFleet::kill(const HostId& host)
@@ -191,9 +191,8 @@
             if (isCut(host, to) || !isUp(to))
                 return;
             deliver(to, [this, to, frame] {
-                withHub(to, [&](Hub& hub, HubActions& out) {
-                    hub.receive(LinkId(0), frame, m_now, out);
-                });
+                withHub(to,
+                    [&](Hub& hub, HubActions& out) { hub.receive(LinkId(0), frame, m_now, out); });
             });
         });
     }
@@ -264,8 +263,7 @@
             return later(silenceLimit, [this, global] { closeLink(global); });
         const HostId to = found->second.control;
         deliver(to, [this, global, to, frame] {
-            withHub(
-                to, [&](Hub& hub, HubActions& out) { hub.receive(global, frame, m_now, out); });
+            withHub(to, [&](Hub& hub, HubActions& out) { hub.receive(global, frame, m_now, out); });
         });
     });
 }
@@ -322,9 +320,8 @@
 {
     const std::size_t index = m_calls.size();
     m_calls.push_back({ call, host, m_now, std::nullopt, m_now });
-    withHub(host, [&](Hub& hub, HubActions& out) {
-        hub.call(CallId(index), std::move(call), m_now, out);
-    });
+    withHub(host,
+        [&](Hub& hub, HubActions& out) { hub.call(CallId(index), std::move(call), m_now, out); });
     return index;
 }
 
@@ -372,13 +369,12 @@
 
 void HubFleet::end(const HostId& entry, AskId ask, const PlacedReport& report)
 {
-    withClient(entry, [&](HubClient& client, HubClientActions& out) {
-        client.end(ask, report, m_now, out);
-    });
+    withClient(entry,
+        [&](HubClient& client, HubClientActions& out) { client.end(ask, report, m_now, out); });
 }
 
-InstanceRecord instanceRecord(const std::string& id, const std::string& service,
-    std::uint16_t port, std::uint64_t incarnation, std::uint64_t version)
+InstanceRecord instanceRecord(const std::string& id, const std::string& service, std::uint16_t port,
+    std::uint64_t incarnation, std::uint64_t version)
 {
     InstanceRecord record;
     record.id = InstanceId(id);
--- a/testsuite/fakes/hub_fleet.h
+++ b/testsuite/fakes/hub_fleet.h
@@ -1,5 +1,5 @@
-/// A seeded fleet in memory: control hosts with fake disks, entry hosts, and the connections between
-/// them on a paused clock. Deterministic for a seed.
+/// A seeded fleet in memory: control hosts with fake disks, entry hosts, and the connections
+/// between them on a paused clock. Deterministic for a seed.
 #pragma once
 
 #include <functional>
@@ -133,7 +133,7 @@
 };
 
 /// An instance record as an announcement gives it.
-InstanceRecord instanceRecord(const std::string& id, const std::string& service,
-    std::uint16_t port, std::uint64_t incarnation = 1, std::uint64_t version = 1);
+InstanceRecord instanceRecord(const std::string& id, const std::string& service, std::uint16_t port,
+    std::uint64_t incarnation = 1, std::uint64_t version = 1);
 
 } // namespace laburnum::fakes
