--- a/src/include/laburnumroute/entry_server.h
+++ b/src/include/laburnumroute/entry_server.h
@@ -59,8 +59,7 @@
         ClaimGate* claims = nullptr);
     /// Serves by a desk that places attempts for the whole fleet. `desk` and `log` outlive the
     /// io_context's last handler; the io_context runs on one thread.
-    EntryServer(
-        asio::io_context& context, PlacementDesk& desk, DecisionLog& log,
+    EntryServer(asio::io_context& context, PlacementDesk& desk, DecisionLog& log,
         const EntryOptions& options);
     ~EntryServer();
 
--- /dev/null
+++ b/src/laburnumd/seeded_settings_test.cpp
@@ -0,0 +1,67 @@
+#include <catch2/catch.hpp>
+
+#include "seeded_settings.h"
+
+using namespace laburnum;
+
+namespace {
+
+SeededSettings read(const std::string& text, Findings& findings)
+{
+    const auto root = parseToml(text, "s.toml", findings);
+    REQUIRE(root.has_value());
+    TableReader reader(*root, "s.toml", findings);
+    return readSeededSettings(reader);
+}
+
+const std::string common = "host = \"h\"\ndata_centre = \"d\"\nregion = \"r\"\n"
+                           "interface = \"provider\"\n";
+
+} // namespace
+
+TEST_CASE("a control host's settings are read, seeds with the port of their peers")
+{
+    Findings findings;
+    const auto settings = read(common
+            + "role = \"control\"\nfirst_start = true\ncalls = \"10.0.0.1:8000\"\n"
+              "peer_address = \"10.0.0.1:7000\"\nseeds = [\"10.0.0.2:8000\"]\n"
+              "seed_peer_port = 7000\ndata_folder = \"/data\"\nbear_losses = 1\n"
+              "repeat_ratio = 0.2\nrepeat_slack = 64\nrepeat_window_ms = 10000\n"
+              "[data_centres]\nd = \"r\"\n",
+        findings);
+    REQUIRE(findings.empty());
+    REQUIRE(settings.control);
+    REQUIRE(settings.firstStart);
+    REQUIRE(settings.seeds == std::vector<Endpoint> { { "10.0.0.2", 7000 } });
+    REQUIRE(settings.bearLosses == 1);
+    REQUIRE(settings.repeats.ratio == Approx(0.2));
+    REQUIRE(settings.repeats.slack == Approx(64.0));
+    REQUIRE(settings.dataCentres.at(DataCentreId("d")) == RegionId("r"));
+}
+
+TEST_CASE("every wrong setting of a seeded host is found in one run")
+{
+    Findings findings;
+    read(common
+            + "role = \"chief\"\nentry = \"nowhere\"\nseeds = [\"10.0.0.2\"]\n"
+              "repeat_ratio = -1\ncolour = 1\n[data_centres]\nd = 3\n",
+        findings);
+    std::string all;
+    for (const auto& finding : findings.sorted())
+        all += formatFinding(finding) + '\n';
+    for (const char* part :
+        { "must be entry or control", "nowhere", "10.0.0.2", "'repeat_ratio' must be a number",
+            "unknown key 'colour'", "a region must be a string" }) {
+        CAPTURE(part);
+        REQUIRE(all.find(part) != std::string::npos);
+    }
+}
+
+TEST_CASE("an unknown interface is a finding")
+{
+    Findings findings;
+    read("host = \"h\"\ndata_centre = \"d\"\nregion = \"r\"\ninterface = \"odd\"\n"
+         "entry = \"10.0.0.1:80\"\nseeds = []\n",
+        findings);
+    REQUIRE(findings.hasErrors());
+}
--- a/src/libdeclare/config_printer_test.cpp
+++ b/src/libdeclare/config_printer_test.cpp
@@ -53,7 +53,19 @@
     route.prefix = "/" + std::to_string(serial) + "/\"\\'%20";
     for (std::size_t i = uniformBelow(random, methods.size() + 1); i > 0; --i)
         route.methods.emplace_back(methods[i - 1]);
-    route.service = service.name;
+    route.name = uniformBelow(random, 2) == 0 ? "" : randomName(random, serial);
+    if (uniformBelow(random, 2) == 0) {
+        route.service = service.name;
+    } else {
+        for (std::uint64_t i = 1 + uniformBelow(random, 3); i > 0; --i)
+            route.split.push_back({ service.name, static_cast<std::uint32_t>(i) });
+    }
+    route.kind = static_cast<RequestKind>(uniformBelow(random, 4));
+    route.timeout = std::chrono::milliseconds(1 + uniformBelow(random, 3'600'000));
+    route.objective = std::chrono::milliseconds(
+        uniformBelow(random, static_cast<std::uint64_t>(toMillis(route.timeout))));
+    route.priority = static_cast<std::uint32_t>(uniformBelow(random, 1000));
+    route.attempts = static_cast<std::uint32_t>(1 + uniformBelow(random, 100));
     return route;
 }
 
