--- a/src/libplace/fleet_placer.cpp
+++ b/src/libplace/fleet_placer.cpp
@@ -259,7 +259,8 @@
     if (!demand.again)
         service.repeats.onRequest(now);
     if (demand.repeat && !service.repeats.take(now)) {
-        replies.push_back({ PlaceReplyKind::Refused, demand.key, {}, PlaceRefusal::NoBudget });
+        replies.push_back(
+            { PlaceReplyKind::Refused, demand.key, {}, PlaceRefusal::NoBudget, minRetryAfter });
         return;
     }
     // Those that wait already go first unless this one outranks them.
--- a/src/libplace/fleet_placer_test.cpp
+++ b/src/libplace/fleet_placer_test.cpp
@@ -88,8 +88,8 @@
     Instance& instance(unsigned i) { return m_instances[i]; }
 
     Tally run(
-        Duration time, std::function<double(Duration)> perSecond,
-        std::function<PlaceDemand(std::uint32_t)> make
+        Duration time, const std::function<double(Duration)>& perSecond,
+        const std::function<PlaceDemand(std::uint32_t)>& make
         = [](std::uint32_t ask) { return demand(ask); })
     {
         Tally tally;
