--- a/src/libhub/hub.cpp
+++ b/src/libhub/hub.cpp
@@ -134,7 +134,7 @@
         } else if (const auto leave = unpack<LeaveFrame>(frame)) {
             m_replies.clear();
             placer.leave({ link, AskId(leave->ask) }, now, m_replies);
-            sendReplies(now, actions);
+            sendReplies(actions);
         } else if (const auto adopted = unpack<AdoptFrame>(frame)) {
             onAdopt(link, *adopted, now, actions);
         } else if (const auto hello = unpack<HelloFrame>(frame)) {
@@ -170,7 +170,7 @@
             m_placerDue = now + placerTick;
             m_replies.clear();
             placer.tick(now, m_replies);
-            sendReplies(now, actions);
+            sendReplies(actions);
         }
         if (now >= m_pulseDue && log->holdsLease(now))
             sendPulse(now, actions);
@@ -475,7 +475,7 @@
             demand.avoid.emplace_back(id);
         m_replies.clear();
         placer.ask(demand, now, m_replies);
-        sendReplies(now, actions);
+        sendReplies(actions);
     }
 
     void onEnd(LinkId link, const EndFrame& frame, TimePoint now, HubActions& actions)
@@ -485,19 +485,19 @@
             { static_cast<PlacedEnd>(frame.end), milliseconds(frame.latencyMs),
                 frame.reportedLoad },
             now, m_replies);
-        sendReplies(now, actions);
+        sendReplies(actions);
     }
 
     void onAdopt(LinkId link, const AdoptFrame& frame, TimePoint now, HubActions& actions)
     {
         m_replies.clear();
         placer.leave({ link, AskId(frame.place.ask) }, now, m_replies);
-        sendReplies(now, actions);
+        sendReplies(actions);
         if (m_leads)
             adopt(link, frame.place, now);
     }
 
-    void sendReplies(TimePoint /*now*/, HubActions& actions)
+    void sendReplies(HubActions& actions)
     {
         for (const PlaceReply& reply : m_replies) {
             const std::uint32_t ask = reply.key.ask.value();
