--- a/src/laburnumd/control_node.cpp
+++ b/src/laburnumd/control_node.cpp
@@ -94,7 +94,7 @@
         struct PeerConnection {
             std::shared_ptr<FrameLink> link;
             bool open = false;
-            std::chrono::steady_clock::time_point since;
+            TimePoint since;
         };
 
         /// Opens the store; tries again later when the disk does not allow it.
@@ -205,7 +205,7 @@
 
         void sendToPeer(const HostId& host, const std::string& frame)
         {
-            const auto now = std::chrono::steady_clock::now();
+            const TimePoint now = m_clock.now();
             auto& peer = m_peers[host];
             const bool stuck = peer.link && !peer.open && now - peer.since > connectLimit;
             if (stuck) {
@@ -226,12 +226,10 @@
             FrameLink::Handlers handlers;
             handlers.onOpen = [this, host] { m_peers[host].open = true; };
             handlers.onFrame = [](std::string_view) {};
-            handlers.onClosed = [this, host] {
-                m_peers[host] = { nullptr, false, std::chrono::steady_clock::now() };
-            };
+            handlers.onClosed = [this, host] { m_peers[host] = { nullptr, false, m_clock.now() }; };
             peer = { std::make_shared<FrameLink>(
                          asio::ip::tcp::socket(m_context), std::move(handlers)),
-                false, std::chrono::steady_clock::now() };
+                false, m_clock.now() };
             peer.link->connect(parseEndpoint(host.value()).value_or(Endpoint {}));
         }
 
