Orders rest from gray instances while few are lost; a silence counts by its length

Each gray instance beyond a quarter of the service got an order every 3.6 s, since the floor wants work at every instance that may be sound, though a floor binds only while over a tenth of the requests is lost. And an attempt that a route's timeout of one second ended weighed like a hang: sound instances were avoided, lookups waited (p90 of placing 378 ms).

Changed: LossShare counts what a service lost lately; below 0.07 of at least 30 requests the worst 45 % may rest from orders and uploads for up to 12 s (lookups try them as before), above it a quarter as before. InstanceJudge::onSilence takes the time waited and the typical latency, and weighs by how rarely a sound answer takes as long.

Ruled out: spreading grants over instances to lose less at once (tried before), as the chance per order stays the same.

--- a/src/include/laburnumroute/fleet_placer.h
+++ b/src/include/laburnumroute/fleet_placer.h
@@ -21,6 +21,7 @@
 #include <laburnumroute/decision.h>
 #include <laburnumroute/instance.h>
 #include <laburnumroute/instance_judge.h>
+#include <laburnumroute/loss_share.h>
 #include <laburnumroute/placement_types.h>
 #include <laburnumroute/repeat_window.h>
 
@@ -74,6 +75,9 @@
         TimePoint lastFailure;
         /// Among the likeliest to fail; may stay idle.
         bool leftOut = false;
+        /// May stay idle besides while few requests are lost, but for requests that can be
+        /// repeated.
+        bool restsInCalm = false;
         TimePoint lastUnreachable;
         /// Places that other askers hold besides `busy`, as the instance reported.
         double foreign = 0.0;
@@ -85,6 +89,8 @@
         ServiceId service;
         TimePoint since;
         TimePoint until;
+        /// A failure ends the request: it is not sent again.
+        bool last = false;
         bool overdue = false;
     };
 
@@ -98,6 +104,7 @@
         std::set<InstanceId> instances;
         std::vector<Waiter> waiters;
         RepeatWindow repeats;
+        LossShare loss;
         /// Typical latency of a success, in seconds.
         double typical = 0.0;
     };
@@ -112,6 +119,9 @@
         TimePoint now) const;
     bool isDue(const Instance& instance, const PlaceDemand& demand, TimePoint now) const;
     void leaveOutWorst(TimePoint now);
+    bool isCalm(const Service& service, TimePoint now) const;
+    void refuse(const PlaceDemand& demand, PlaceRefusal refusal, Duration delay, TimePoint now,
+        std::vector<PlaceReply>& replies);
     bool hasRoom(const Instance& instance, TimePoint now) const;
     bool usable(const Instance& instance, TimePoint now) const;
     void grant(const PlaceDemand& demand, const InstanceId& id, TimePoint now,
--- a/src/include/laburnumroute/instance_judge.h
+++ b/src/include/laburnumroute/instance_judge.h
@@ -22,8 +22,9 @@
     void onFailure(TimePoint now);
     /// The instance declined to run the request.
     void onShed(TimePoint now);
-    /// No answer for much longer than is usual.
-    void onSilence(TimePoint now);
+    /// No answer within `waited`, where the service typically takes `typical`: says little when
+    /// many sound answers take as long, much when almost none does.
+    void onSilence(Duration waited, Duration typical, TimePoint now);
     /// The instance's machine refused the connection: no process listens there.
     void onRefused(TimePoint now);
     /// No connection within the time allowed; the path of one host may be at fault.
--- a/src/include/laburnumroute/placement_types.h
+++ b/src/include/laburnumroute/placement_types.h
@@ -98,7 +98,7 @@
 /// The report that ends a place.
 struct PlacedReport {
     PlacedEnd end = PlacedEnd::Unused;
-    /// From the attempt's start to the head of the answer.
+    /// From the attempt's start to the head of the answer, or to its end without one.
     Duration latency {};
     /// Requests that the instance said it runs and keeps waiting; negative when it said nothing.
     std::int32_t reportedLoad = -1;
--- a/src/libplace/fleet_placer.cpp
+++ b/src/libplace/fleet_placer.cpp
@@ -43,6 +43,15 @@
     /// Part of a service's instances, the likeliest to fail, that may stay idle all the same.
     constexpr double leftOutShare = 0.25;
     constexpr double leftOutChance = 0.15;
+    /// The same while few requests are lost: the floor binds when over a tenth is, and each try of
+    /// an instance that is still gray loses a request that cannot be repeated.
+    constexpr double leftOutShareCalm = 0.45;
+    /// Below the tenth by as much as the count may lag.
+    constexpr double calmLossShare = 0.07;
+    /// On fewer requests (in weights of 0 to 1) the share of losses says little.
+    constexpr double calmMinRequests = 30.0;
+    /// No instance stays idle longer: a spell lasts about nine seconds.
+    constexpr auto longestIdle = milliseconds(12000);
     /// More than any cost: an instance that is due goes first.
     constexpr double dueBonusMs = 30000.0;
 
@@ -182,9 +191,11 @@
 
 bool FleetPlacer::isDue(const Instance& instance, const PlaceDemand& demand, TimePoint now) const
 {
-    if (instance.leftOut || instance.lastUnreachable > instance.judge.lastSuccess())
+    if (instance.lastUnreachable > instance.judge.lastSuccess())
         return false;
     const TimePoint since = std::max(instance.lastGranted, instance.lastFailure + restAfterFailure);
+    if (instance.leftOut || (instance.restsInCalm && demand.kind != RequestKind::Safe))
+        return now - since > longestIdle;
     std::size_t distance = instance.record.region == demand.region ? 1 : 2;
     if (instance.record.dataCentre == demand.dataCentre)
         distance = 0;
@@ -194,6 +205,11 @@
     return now - since > limits[distance];
 }
 
+bool FleetPlacer::isCalm(const Service& service, TimePoint now) const
+{
+    return service.loss.requests(now) >= calmMinRequests && service.loss.share() < calmLossShare;
+}
+
 /// Chooses the instances of each service that may stay idle.
 void FleetPlacer::leaveOutWorst(TimePoint now)
 {
@@ -202,14 +218,19 @@
         for (const InstanceId& each : service.instances) {
             Instance& instance = m_instances.at(each);
             instance.leftOut = false;
+            instance.restsInCalm = false;
             if (usable(instance, now))
                 byChance.emplace_back(instance.judge.failureChance(now), &instance);
         }
         std::sort(byChance.begin(), byChance.end(), std::greater<>());
-        const auto most
-            = static_cast<std::size_t>(leftOutShare * static_cast<double>(byChance.size()));
-        for (std::size_t i = 0; i < most && byChance[i].first > leftOutChance; ++i)
-            byChance[i].second->leftOut = true;
+        const auto count = static_cast<double>(byChance.size());
+        const auto most = static_cast<std::size_t>(leftOutShare * count);
+        const auto mostInCalm
+            = isCalm(service, now) ? static_cast<std::size_t>(leftOutShareCalm * count) : most;
+        for (std::size_t i = 0; i < mostInCalm && byChance[i].first > leftOutChance; ++i) {
+            byChance[i].second->leftOut = i < most;
+            byChance[i].second->restsInCalm = true;
+        }
     }
 }
 
@@ -249,20 +270,20 @@
     Instance& instance = m_instances.at(id);
     ++instance.busy;
     instance.lastGranted = now;
-    m_places[demand.key] = { id, demand.service, now, now + demand.remaining, false };
+    const bool last = demand.kind != RequestKind::Safe || demand.repeat;
+    m_places[demand.key] = { id, demand.service, now, now + demand.remaining, last };
     replies.push_back({ PlaceReplyKind::Granted, demand.key, id });
 }
 
 void FleetPlacer::ask(const PlaceDemand& demand, TimePoint now, std::vector<PlaceReply>& replies)
 {
     Service& service = serviceOf(demand.service);
-    if (!demand.again)
+    if (!demand.again) {
         service.repeats.onRequest(now);
-    if (demand.repeat && !service.repeats.take(now)) {
-        replies.push_back(
-            { PlaceReplyKind::Refused, demand.key, {}, PlaceRefusal::NoBudget, minRetryAfter });
-        return;
+        service.loss.onRequest(now);
     }
+    if (demand.repeat && !service.repeats.take(now))
+        return refuse(demand, PlaceRefusal::NoBudget, minRetryAfter, now, replies);
     // Those that wait already go first unless this one outranks them.
     const bool mayPass = std::none_of(service.waiters.begin(), service.waiters.end(),
         [&](const Waiter& w) { return w.demand.priority <= demand.priority; });
@@ -273,6 +294,13 @@
     enqueue(demand, now, replies);
 }
 
+void FleetPlacer::refuse(const PlaceDemand& demand, PlaceRefusal refusal, Duration delay,
+    TimePoint now, std::vector<PlaceReply>& replies)
+{
+    serviceOf(demand.service).loss.onLoss(now);
+    replies.push_back({ PlaceReplyKind::Refused, demand.key, {}, refusal, delay });
+}
+
 Duration FleetPlacer::expectedWait(const Service& service, std::size_t ahead, TimePoint now) const
 {
     std::uint32_t slots = 0;
@@ -304,9 +332,8 @@
         if (const auto id = choose(demand, now, Pick::Any))
             return grant(demand, *id, now, replies);
         const Duration delay = std::clamp<Duration>(wait, minRetryAfter, maxRetryAfter);
-        replies.push_back({ PlaceReplyKind::Refused, demand.key, {},
-            anyUsable ? PlaceRefusal::Busy : PlaceRefusal::NoInstance, delay });
-        return;
+        return refuse(
+            demand, anyUsable ? PlaceRefusal::Busy : PlaceRefusal::NoInstance, delay, now, replies);
     }
     service.waiters.push_back({ demand, now, now + patience });
     replies.push_back({ PlaceReplyKind::Waiting, demand.key, {}, PlaceRefusal::None, patience });
@@ -364,6 +391,8 @@
             service.typical = initialTypicalSeconds;
         service.typical += typicalGain * (std::min(seconds, 4 * service.typical) - service.typical);
     }
+    if (place.last && (report.end == PlacedEnd::Failure || report.end == PlacedEnd::Silence))
+        service.loss.onLoss(now);
     if (found == m_instances.end())
         return;
     Instance& instance = found->second;
@@ -384,8 +413,7 @@
     const auto found = m_instances.find(place.instance);
     if (found != m_instances.end())
         ++found->second.busy;
-    m_places[place.key]
-        = { place.instance, place.service, now - place.age, now + place.remaining, false };
+    m_places[place.key] = { place.instance, place.service, now - place.age, now + place.remaining };
 }
 
 void FleetPlacer::dropLink(LinkId link, TimePoint now)
@@ -409,7 +437,7 @@
         const auto instance = m_instances.find(open.instance);
         if (!open.overdue && now - open.since > limit && instance != m_instances.end()) {
             open.overdue = true;
-            instance->second.judge.onSilence(now);
+            instance->second.judge.onSilence(now - open.since, typicalOf(service), now);
         }
         if (now <= open.until + orphanTime) {
             ++place;
@@ -429,8 +457,7 @@
                 grant(demand, *last, now, replies);
                 return true;
             }
-            replies.push_back({ PlaceReplyKind::Refused, waiter.demand.key, {}, PlaceRefusal::Busy,
-                minRetryAfter });
+            refuse(waiter.demand, PlaceRefusal::Busy, minRetryAfter, now, replies);
             return true;
         });
         if (!service.waiters.empty())
--- a/src/libplace/instance_judge.cpp
+++ b/src/libplace/instance_judge.cpp
@@ -15,7 +15,13 @@
     constexpr double successRatio = (1.0 - failsWhenGray) / (1.0 - failsWhenSound);
     /// A full instance sheds without being gray, so a shed says less than a failure.
     constexpr double shedRatio = 5.0;
-    constexpr double silenceRatio = 15.0;
+    // Work of sound instances is spread like a lognormal, of this deviation, with a few that take
+    // far longer; so the users say. Of gray instances about a third hang.
+    constexpr double workDeviation = 0.5;
+    constexpr double longWorkShare = 0.01;
+    constexpr double hangsWhenGray = 0.3;
+    /// A silence of three typical latencies; what is longer says no more.
+    constexpr double mostSilenceRatio = 15.0;
     constexpr double refusedRatio = 400.0;
     /// One host's path may be cut while the instance is well.
     constexpr double unreachableRatio = 8.0;
@@ -47,6 +53,15 @@
         return std::max(std::chrono::duration<double>(now - since).count(), 0.0);
     }
 
+    /// How much likelier a gray instance is silent for `typicals` typical latencies.
+    double silenceRatio(double typicals)
+    {
+        const double mean = 0.5 * workDeviation * workDeviation;
+        const double z = (std::log(std::max(typicals, 1e-3)) + mean) / workDeviation;
+        const double sound = 0.5 * std::erfc(z / std::sqrt(2.0)) + longWorkShare;
+        return std::min((hangsWhenGray + (1.0 - hangsWhenGray) * sound) / sound, mostSilenceRatio);
+    }
+
     double faded(double value, TimePoint since, TimePoint now, double halfLife)
     {
         return value * std::exp2(-secondsBetween(since, now) / halfLife);
@@ -112,12 +127,16 @@
     count(shedCounts, now);
 }
 
-void InstanceJudge::onSilence(TimePoint now)
+void InstanceJudge::onSilence(Duration waited, Duration typical, TimePoint now)
 {
-    weigh(silenceRatio, now);
-    count(silenceCounts, now);
+    const double typicals = std::chrono::duration<double>(waited).count()
+        / std::max(std::chrono::duration<double>(typical).count(), 1e-3);
+    const double ratio = silenceRatio(typicals);
+    const double weight = std::max(ratio - 1.0, 0.0) / (mostSilenceRatio - 1.0);
+    weigh(std::max(ratio, 1.0), now);
+    count(silenceCounts * weight, now);
     const double before = faded(m_logSlowness, m_slownessAt, now, slownessHalfLifeSeconds);
-    m_logSlowness = std::min(std::max(before, 0.0) + silenceStep, maxLogSlowness);
+    m_logSlowness = std::min(std::max(before, 0.0) + silenceStep * weight, maxLogSlowness);
     m_slownessAt = now;
 }
 
--- a/src/libplace/instance_judge_test.cpp
+++ b/src/libplace/instance_judge_test.cpp
@@ -44,6 +44,20 @@
     REQUIRE(judge.slowness(TimePoint(125s)) < 1.2);
 }
 
+TEST_CASE("a silence says as much as sound answers are rarely that long")
+{
+    const auto after = [](Duration waited) {
+        InstanceJudge judge;
+        judge.onSilence(waited, 630ms, TimePoint(110s));
+        return judge.failureChance(TimePoint(110s));
+    };
+    // One sound answer of eight takes a second where the mean is 630 ms: a route that gives up
+    // after it must not drive its callers from instance to instance.
+    REQUIRE(after(1000ms) < 0.15);
+    REQUIRE(after(1300ms) < 0.2);
+    REQUIRE(after(2000ms) > 0.25);
+}
+
 TEST_CASE("a split keeps its weights also over few requests")
 {
     const std::vector<RouteShare> split { { ServiceId("a"), 90 }, { ServiceId("b"), 10 } };
--- a/src/libplace/lone_placer.cpp
+++ b/src/libplace/lone_placer.cpp
@@ -17,6 +17,8 @@
     constexpr double loneRepeatRatio = 0.1;
     /// A host alone does not know typical latencies; it compares with this.
     constexpr auto assumedLatency = std::chrono::milliseconds(500);
+    /// A silence that another host passes on was worth telling.
+    constexpr auto assumedSilence = 3 * assumedLatency;
     /// What the view held for doubtful fades with this constant.
     constexpr double doubtfulChance = 0.3;
     constexpr double doubtfulFadeSeconds = 4.0;
@@ -84,7 +86,7 @@
 {
     // The path of another host says little about this one's.
     if (how != PlacedEnd::Unreachable)
-        judge(id, { how, assumedLatency }, now);
+        judge(id, { how, how == PlacedEnd::Silence ? assumedSilence : assumedLatency }, now);
 }
 
 std::vector<InstanceId> LonePlacer::brokenPaths(TimePoint now) const
--- a/src/libplace/placement_cost_pvt.h
+++ b/src/libplace/placement_cost_pvt.h
@@ -51,7 +51,7 @@
     case PlacedEnd::Shed:
         return judge.onShed(now);
     case PlacedEnd::Silence:
-        return judge.onSilence(now);
+        return judge.onSilence(report.latency, typical, now);
     case PlacedEnd::Refused:
         return judge.onRefused(now);
     case PlacedEnd::Unreachable:
