No window holds more repeats than the budget's terms, wherever it begins

Changed: repeats count for eleven slices, requests for ten; both err on the safe side. With that the view hands out three quarters of the slack instead of half (the rest is for hosts that are alone).

--- a/src/include/laburnumroute/repeat_window.h
+++ b/src/include/laburnumroute/repeat_window.h
@@ -19,7 +19,9 @@
     Duration window = std::chrono::seconds(10);
 };
 
-/// Counts requests and repeats of one service in slices of a tenth of the window. No I/O.
+/// Counts requests and repeats of one service in slices of a tenth of the window. The slice that
+/// the window's far end cuts counts whole for repeats and not at all for requests: no window of
+/// this length, wherever it begins, holds more repeats than its terms allow. No I/O.
 class RepeatWindow {
 public:
     void setTerms(const RepeatBudgetTerms& terms) { m_terms = terms; }
@@ -34,7 +36,8 @@
     double left(TimePoint now);
 
 private:
-    static constexpr std::size_t slices = 10;
+    static constexpr std::int64_t windowSlices = 10;
+    static constexpr std::size_t keptSlices = windowSlices + 1;
     struct Slice {
         std::int64_t number = -1;
         std::uint32_t requests = 0;
@@ -45,7 +48,7 @@
     std::int64_t numberAt(TimePoint now) const;
 
     RepeatBudgetTerms m_terms;
-    std::array<Slice, slices> m_slices {};
+    std::array<Slice, keptSlices> m_slices {};
 };
 
 } // namespace laburnum
--- a/src/libhub/hub.cpp
+++ b/src/libhub/hub.cpp
@@ -34,7 +34,7 @@
     /// Parts of the budget of repeats that the view hands out. The rest is for hosts that are
     /// alone, for what was sent before this host led, and for the width of the window's slices.
     constexpr double viewShareOfRatio = 0.85;
-    constexpr double viewShareOfSlack = 0.5;
+    constexpr double viewShareOfSlack = 0.75;
 
     RepeatBudgetTerms viewShare(RepeatBudgetTerms terms)
     {
--- a/src/libplace/repeat_window.cpp
+++ b/src/libplace/repeat_window.cpp
@@ -4,15 +4,14 @@
 
 std::int64_t RepeatWindow::numberAt(TimePoint now) const
 {
-    const auto length
-        = std::max<Duration::rep>(m_terms.window.count() / std::int64_t { slices }, 1);
+    const auto length = std::max<Duration::rep>(m_terms.window.count() / windowSlices, 1);
     return now.time_since_epoch().count() / length;
 }
 
 RepeatWindow::Slice& RepeatWindow::slice(TimePoint now)
 {
     const std::int64_t number = numberAt(now);
-    Slice& current = m_slices[static_cast<std::size_t>(number) % slices];
+    Slice& current = m_slices[static_cast<std::size_t>(number) % keptSlices];
     if (current.number != number)
         current = { number };
     return current;
@@ -29,10 +28,11 @@
     double requests = 0;
     double repeats = 0;
     for (const Slice& each : m_slices) {
-        if (each.number <= number - std::int64_t { slices } || each.number > number)
+        if (each.number < number - windowSlices || each.number > number)
             continue;
-        requests += each.requests;
         repeats += each.repeats;
+        if (each.number > number - windowSlices)
+            requests += each.requests;
     }
     return m_terms.ratio * requests + m_terms.slack - repeats;
 }
