The log is bounded, loses lines in the right order, and nobody waits for its reader

Cause: log4cxx's asynchronous appender held 128 lines and dropped any of them, failed requests too, with a summary that is no JSON; a process whose standard output nobody reads could not end (its writer never came back), and SIGPIPE of a reader that went away ended the process.

Changed: record() admits lines to the appender itself: up to 8,192 wait, ordinary ones fill half, dropped ones are counted and told as `log-volume: dropped` when the reader takes lines again. Lines of one kind and reason beyond 100 a second are counted and summed up as `log-volume: summed-up`; lines that explain a failed request (Decision::keep) never are. The writer polls before it writes and ends within 250 ms of the log's close. `attempt` lines name service, number of the send, whether the host was alone, and when it began.

--- a/src/include/laburnumroute/decision.h
+++ b/src/include/laburnumroute/decision.h
@@ -1,6 +1,7 @@
 /// The decision log: one JSON line per routing, placement, ejection, retry or refusal decision.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <utility>
 
@@ -14,6 +15,8 @@
     std::string kind;
     std::string reason;
     Json::Value facts { Json::objectValue };
+    /// Needed to explain a request that failed: never counted instead of written.
+    bool keep = false;
 };
 
 /// Renders `decision` as one line of JSON without a line end.
@@ -24,6 +27,8 @@
 public:
     virtual ~DecisionLog() = default;
     virtual void record(const Decision& decision) = 0;
+    /// Lines lost because nobody took them in time.
+    virtual std::uint64_t dropped() const { return 0; }
 };
 
 /// Drops every decision.
--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -383,9 +383,15 @@
 void FleetRequest::recordAttempt(const AttemptOutcome& outcome) const
 {
     Decision decision { "attempt", endName(outcome.end) };
+    decision.keep = true;
     decision.facts["id"] = std::string(m_request.field(m_entry.options.names.requestId));
     decision.facts["instance"] = m_instance.value();
     decision.facts["status"] = outcome.status;
+    decision.facts["service"] = m_plan.service.value();
+    decision.facts["send"] = m_sends;
+    decision.facts["alone"] = m_alone;
+    decision.facts["after_ms"] = Json::Int64(
+        toMillis(std::chrono::steady_clock::now() - m_side.arrival - outcome.latency));
     decision.facts["ms"] = Json::Int64(toMillis(outcome.latency));
     decision.facts["may_have_run"] = outcome.mayHaveRun;
     m_entry.log->record(decision);
@@ -397,6 +403,8 @@
     m_entry.metrics.record({ m_plan.service, outcome, status, m_sends > 0 ? m_sends - 1 : 0, whole,
         std::max(whole - m_waited, Duration::zero()), m_body.bytes() });
     Decision decision { "request", reason };
+    constexpr unsigned statusMultipleChoices = 300;
+    decision.keep = m_sends > 1 || status == 0 || status >= statusMultipleChoices;
     decision.facts["id"] = std::string(m_request.field(m_entry.options.names.requestId));
     decision.facts["route"] = m_plan.route;
     decision.facts["service"] = m_plan.service.value();
--- /dev/null
+++ b/src/libnet/log_sink_test.cpp
@@ -0,0 +1,141 @@
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <cstdlib>
+#include <filesystem>
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <laburnumroute/json.h>
+#include <laburnumroute/log_sink.h>
+
+using namespace laburnum;
+
+namespace {
+
+/// A named pipe in a folder of its own, open for reading.
+class Pipe {
+public:
+    Pipe()
+    {
+        std::string pattern = (std::filesystem::temp_directory_path() / "laburnum-XXXXXX").string();
+        REQUIRE(::mkdtemp(pattern.data()) != nullptr);
+        m_folder = pattern;
+        REQUIRE(::mkfifo(path().c_str(), 0600) == 0);
+        m_reader = ::open(path().c_str(), O_RDONLY | O_NONBLOCK);
+        REQUIRE(m_reader >= 0);
+    }
+    ~Pipe()
+    {
+        closeReader();
+        std::filesystem::remove_all(m_folder);
+    }
+    Pipe(const Pipe&) = delete;
+    Pipe& operator=(const Pipe&) = delete;
+
+    std::string path() const { return m_folder + "/log"; }
+
+    void closeReader()
+    {
+        if (m_reader >= 0)
+            ::close(m_reader);
+        m_reader = -1;
+    }
+
+    /// Reads until `enough` lines came; each has to be whole JSON.
+    std::vector<Json::Value> read(std::size_t enough)
+    {
+        ::fcntl(m_reader, F_SETFL, 0);
+        std::vector<Json::Value> lines;
+        std::string text;
+        std::array<char, 65536> buffer {};
+        while (lines.size() < enough) {
+            const auto count = ::read(m_reader, buffer.data(), buffer.size());
+            REQUIRE(count > 0);
+            text.append(buffer.data(), static_cast<std::size_t>(count));
+            std::size_t end = 0;
+            while ((end = text.find('\n')) != std::string::npos) {
+                auto line = parseJson(text.substr(0, end));
+                REQUIRE(line);
+                lines.push_back(std::move(*line));
+                text.erase(0, end + 1);
+            }
+        }
+        return lines;
+    }
+
+private:
+    std::string m_folder;
+    int m_reader = -1;
+};
+
+Decision failedRequest(int number)
+{
+    Decision decision { "request", "no-answer" };
+    decision.facts["id"] = number;
+    decision.facts["filling"] = std::string(200, 'x');
+    decision.keep = true;
+    return decision;
+}
+
+} // namespace
+
+TEST_CASE("a reader that takes nothing holds nobody up, and what is lost is counted")
+{
+    Pipe pipe;
+    auto log = openDecisionLog(HostId("h"), pipe.path());
+    constexpr int written = 3 * static_cast<int>(logQueueLines);
+    for (int i = 0; i < written; ++i)
+        log->record(failedRequest(i));
+    const std::uint64_t dropped = log->dropped();
+    REQUIRE(dropped > 0);
+    REQUIRE(dropped <= written - logQueueLines);
+
+    // The reader comes back: what waited comes in order, and how much is missing is said.
+    const auto lines = pipe.read(written - dropped + 1);
+    std::uint64_t told = 0;
+    int next = 0;
+    for (const auto& line : lines) {
+        REQUIRE(line["host"] == "h");
+        if (line["kind"] == "log-volume") {
+            REQUIRE(line["reason"] == "dropped");
+            told += line["lines"].asUInt64();
+        } else {
+            REQUIRE(line["id"].asInt() >= next);
+            next = line["id"].asInt() + 1;
+        }
+    }
+    REQUIRE(told == dropped);
+    log.reset();
+}
+
+TEST_CASE("lines that explain failed requests outlast ordinary ones")
+{
+    Pipe pipe;
+    auto log = openDecisionLog(HostId("h"), pipe.path());
+    for (int i = 0; i < static_cast<int>(logQueueLines); ++i) {
+        Decision ordinary { "request", "answered-" + std::to_string(i / 50) };
+        ordinary.facts["filling"] = std::string(200, 'x');
+        log->record(ordinary);
+    }
+    const std::uint64_t before = log->dropped();
+    REQUIRE(before > 0);
+    for (int i = 0; i < static_cast<int>(logQueueLinesOrdinary) / 2; ++i)
+        log->record(failedRequest(i));
+    REQUIRE(log->dropped() == before);
+    // Ends within its closing time, though nobody reads.
+    log.reset();
+}
+
+TEST_CASE("a reader that goes away does not end the process")
+{
+    Pipe pipe;
+    auto log = openDecisionLog(HostId("h"), pipe.path());
+    pipe.closeReader();
+    for (int i = 0; i < 100; ++i)
+        log->record(failedRequest(i));
+    log.reset();
+    SUCCEED();
+}
