--- a/src/laburnumctl/commands.cpp
+++ b/src/laburnumctl/commands.cpp
@@ -12,15 +12,23 @@
 
 namespace {
 
-    constexpr std::array<Command, 8> commandTable { {
-        { "check", "FILE", "print all findings of a configuration; no network", 1, runCheck },
-        { "diff", "FILE", "compare a file with the configuration in force", 1, runDiff },
-        { "apply", "FILE", "submit a configuration and wait until it is in force", 1, runApply },
-        { "show", "", "print the configuration in force, or that of --revision", 0, runShow },
-        { "status", "", "print which revision is in force where", 0, runStatus },
-        { "history", "", "list the accepted revisions", 0, runHistory },
-        { "explain", "METHOD HOST TARGET", "say where a request would go and why", 3, runExplain },
-        { "drain", "INSTANCE", "take an instance out of service gracefully", 1, runDrain },
+    constexpr std::array<Command, 10> commandTable { {
+        { "check", "FILE", "print all findings of a configuration; no network", 1, false,
+            runCheck },
+        { "diff", "FILE", "compare a file with the configuration in force", 1, false, runDiff },
+        { "apply", "FILE", "submit a configuration and wait until it is in force", 1, false,
+            runApply },
+        { "show", "", "print the configuration in force, or that of --revision", 0, false,
+            runShow },
+        { "status", "", "print which revision is in force where", 0, false, runStatus },
+        { "history", "", "list the accepted revisions", 0, false, runHistory },
+        { "explain", "METHOD HOST TARGET", "say where a request would go and why", 3, false,
+            runExplain },
+        { "drain", "INSTANCE", "take an instance out of service gracefully", 1, false, runDrain },
+        { "trace", "ID FILE...", "tell one request's life and the cause of its end from logs", 2,
+            true, runTrace },
+        { "timeline", "NAME FILE...", "tell what became of an instance's or a service's requests",
+            2, true, runTimeline },
     } };
 
     Expected<std::optional<SharedKey>> readKey(const Options& options)
@@ -63,7 +71,9 @@
         [&](const Command& candidate) { return options.command == candidate.name; });
     if (command == commandTable.end())
         return failUsage(errors, "unknown command '" + options.command + "'");
-    if (options.arguments.size() != command->argumentCount)
+    const bool fits = command->mayRepeat ? options.arguments.size() >= command->argumentCount
+                                         : options.arguments.size() == command->argumentCount;
+    if (!fits)
         return failUsage(
             errors, "usage: laburnumctl " + std::string(command->name) + ' ' + command->usage);
     auto key = readKey(options);
--- a/src/laburnumctl/commands.h
+++ b/src/laburnumctl/commands.h
@@ -26,6 +26,8 @@
     const char* usage;
     const char* help;
     std::size_t argumentCount;
+    /// Whether the last argument may be given several times.
+    bool mayRepeat;
     int (*run)(Session& session);
 };
 
@@ -44,5 +46,7 @@
 int runHistory(Session& session);
 int runExplain(Session& session);
 int runDrain(Session& session);
+int runTrace(Session& session);
+int runTimeline(Session& session);
 
 } // namespace laburnum::ctl
--- a/src/laburnumctl/commands_test.cpp
+++ b/src/laburnumctl/commands_test.cpp
@@ -241,3 +241,30 @@
     REQUIRE(
         diffLines("a\nb\nc\nd\n", "a\nx\nc\ny\nd\n") == "@@ -2 +2 @@\n-b\n+x\n@@ -4 +4 @@\n+y\n");
 }
+
+TEST_CASE("trace and timeline read logs, name bad lines and exit with 1 when they find nothing")
+{
+    const TemporaryFile log(R"({"kind":"attempt","reason":"answered","time_ms":5,"host":"h",)"
+                            R"("id":"q","instance":"i","service":"s","status":500})"
+                            "\nnoise\n"
+                            R"({"kind":"request","reason":"answered","time_ms":6,"host":"h",)"
+                            R"("id":"q","instance":"i","service":"s","status":500})"
+                            "\n");
+    const Outcome traced = runCtl({ "trace", "q", log.path() });
+    REQUIRE(traced.exitCode == ExitOk);
+    REQUIRE(traced.out.find("cause: instance-error: i answered 500") != std::string::npos);
+    REQUIRE(traced.errors == log.path() + ":2: passed over: no JSON object\n");
+    REQUIRE(jsonOf(runCtl({ "trace", "q", log.path(), "--json" }))["cause"] == "instance-error");
+    REQUIRE(runCtl({ "trace", "unknown", log.path() }).exitCode == ExitFindings);
+    REQUIRE(runCtl({ "trace", "q", log.path(), "/nonexistent" }).exitCode == ExitUsage);
+    REQUIRE(runCtl({ "trace", "q" }).exitCode == ExitUsage);
+
+    REQUIRE(runCtl({ "timeline", "s", log.path() }).out.find("0 i failed=1") != std::string::npos);
+    REQUIRE(runCtl({ "timeline", "other", log.path() }).exitCode == ExitFindings);
+    const TemporaryFile picture("");
+    REQUIRE(runCtl({ "timeline", "i", log.path(), "--svg", picture.path() }).exitCode == ExitOk);
+    std::ifstream drawn(picture.path());
+    std::string head;
+    REQUIRE(std::getline(drawn, head));
+    REQUIRE(head.starts_with("<svg"));
+}
--- a/src/laburnumctl/options.cpp
+++ b/src/laburnumctl/options.cpp
@@ -25,6 +25,7 @@
             cxxopts::value<std::uint32_t>()->default_value("10"));
         add("timeout", "seconds to repeat a request that nobody answers",
             cxxopts::value<std::uint32_t>()->default_value("10"));
+        add("svg", "file for a picture instead of text (timeline)", cxxopts::value<std::string>());
         add("help", "print this text");
         add("words", "command and its arguments", cxxopts::value<std::vector<std::string>>());
         parser.positional_help("COMMAND [ARGUMENT...]");
@@ -56,6 +57,7 @@
         options.revision = optionalValue<std::uint64_t>(parsed, "revision");
         options.wait = std::chrono::seconds(parsed["wait"].as<std::uint32_t>());
         options.timeout = std::chrono::seconds(parsed["timeout"].as<std::uint32_t>());
+        options.picture = optionalValue<std::string>(parsed, "svg").value_or("");
         options.json = parsed.count("json") != 0;
         options.help = parsed.count("help") != 0;
         return options;
--- a/src/laburnumctl/options.h
+++ b/src/laburnumctl/options.h
@@ -29,6 +29,8 @@
     std::chrono::seconds wait { 10 };
     /// How long a request is repeated while no control host answers.
     std::chrono::seconds timeout { 10 };
+    /// File for a picture (timeline); empty for text.
+    std::string picture;
     bool json = false;
     bool help = false;
 };
--- a/src/laburnumd/control_node.cpp
+++ b/src/laburnumd/control_node.cpp
@@ -345,6 +345,7 @@
                     + std::to_string(value) + '\n';
             };
             add("laburnum_store_open", m_hub ? 1 : 0);
+            add("laburnum_log_lines_dropped", m_log->dropped());
             if (!m_hub)
                 return text;
             add("laburnum_leads", m_hub->leads() ? 1 : 0);
--- a/src/laburnumd/entry_node.cpp
+++ b/src/laburnumd/entry_node.cpp
@@ -269,6 +269,7 @@
                 std::chrono::duration<double>(m_clock.now() - m_client.leaderHeard()).count());
             add("laburnum_asks_open", static_cast<double>(m_client.openAsks()));
             add("laburnum_attempts_open", static_cast<double>(m_client.openPlaces()));
+            add("laburnum_log_lines_dropped", static_cast<double>(m_log->dropped()));
             add("laburnum_requests_in_flight", static_cast<double>(m_entry.inFlight()));
             return text;
         }
--- /dev/null
+++ b/src/libtrace/request_story_test.cpp
@@ -0,0 +1,157 @@
+#include <catch2/catch.hpp>
+
+#include <sstream>
+
+#include <laburnumroute/request_story.h>
+#include <laburnumroute/timeline.h>
+
+using namespace laburnum;
+
+namespace {
+
+/// Builds a log as the hosts of a fleet write it.
+class Log {
+public:
+    Log& end(int ms, const std::string& id, const std::string& reason, int status,
+        const std::string& instance, const std::string& more = {})
+    {
+        return add(ms, "request", reason,
+            R"("host":"h1","id":")" + id + R"(","instance":")" + instance + R"(","status":)"
+                + std::to_string(status) + R"(,"service":"s")" + more);
+    }
+
+    Log& attempt(int ms, const std::string& id, const std::string& reason, int status,
+        const std::string& instance, const std::string& host = "h1")
+    {
+        return add(ms, "attempt", reason,
+            R"("host":")" + host + R"(","id":")" + id + R"(","instance":")" + instance
+                + R"(","status":)" + std::to_string(status) + R"(,"service":"s")");
+    }
+
+    Log& add(int ms, const std::string& kind, const std::string& reason, const std::string& facts)
+    {
+        m_text << R"({"kind":")" << kind << R"(","reason":")" << reason << R"(","time_ms":)"
+               << 1000000 + ms << ',' << facts << "}\n";
+        return *this;
+    }
+
+    LogLines lines() const
+    {
+        LogLines log;
+        std::istringstream in(m_text.str());
+        log.read(in, "log");
+        REQUIRE(log.bad.empty());
+        log.sortByTime();
+        return log;
+    }
+
+    EndCause cause(const std::string& id) const { return tellRequest(lines(), id).cause; }
+
+private:
+    std::ostringstream m_text;
+};
+
+} // namespace
+
+TEST_CASE("an instance that fails others too is gray, one that does not had an error")
+{
+    Log log;
+    log.attempt(100, "a", "answered", 500, "i1").end(101, "a", "answered", 500, "i1");
+    log.attempt(900, "b", "answered", 500, "i1", "h2");
+    log.attempt(200, "c", "answered", 500, "i2").end(201, "c", "answered", 500, "i2");
+    for (int i = 0; i < 6; ++i)
+        log.end(300 + i, "ok" + std::to_string(i), "answered", 200, "i2");
+    REQUIRE(log.cause("a") == EndCause::InstanceGray);
+    REQUIRE(log.cause("c") == EndCause::InstanceError);
+    REQUIRE(log.cause("ok1") == EndCause::Served);
+}
+
+TEST_CASE("refusals name what was lacking")
+{
+    Log log;
+    log.attempt(100, "a", "shed", 503, "i1").end(101, "a", "no-budget", 503, "i1");
+    log.end(200, "b", "busy", 503, "").end(300, "c", "no-instance", 503, "");
+    log.add(50, "start", "entry", R"("host":"h1")");
+    log.end(400, "d", "no-configuration", 503, "").end(500, "e", "no-route", 404, "");
+    log.end(600, "f", "draining", 503, "");
+    REQUIRE(log.cause("a") == EndCause::Shed);
+    REQUIRE(log.cause("b") == EndCause::NoPlace);
+    REQUIRE(log.cause("c") == EndCause::NoInstance);
+    REQUIRE(log.cause("d") == EndCause::NoConfiguration);
+    REQUIRE(log.cause("e") == EndCause::NoRoute);
+    REQUIRE(log.cause("f") == EndCause::Refused);
+    log.attempt(700, "g", "shed", 421, "i1").end(701, "g", "no-budget", 503, "i1");
+    REQUIRE(log.cause("g") == EndCause::InstanceGone);
+    const auto story = tellRequest(log.lines(), "d");
+    REQUIRE(story.sentence == "h1 knew no configuration yet, 350 ms after its start");
+    REQUIRE(story.lines.size() == 2);
+}
+
+TEST_CASE("a cut path is told from an instance that is gone")
+{
+    Log log;
+    log.attempt(100, "a", "not-connected", 0, "i1").end(101, "a", "not-connected", 503, "i1");
+    log.attempt(100, "b", "not-connected", 0, "i2").end(101, "b", "not-connected", 503, "i2");
+    log.attempt(150, "x", "not-connected", 0, "i2", "h2");
+    log.end(150, "ok", "answered", 200, "i1");
+    REQUIRE(log.cause("a") == EndCause::PathCut);
+    REQUIRE(log.cause("b") == EndCause::InstanceGone);
+}
+
+TEST_CASE("time that ran out was spent waiting or at an instance")
+{
+    Log log;
+    log.end(100, "a", "deadline", 504, "", R"(,"ms":4000,"placing_ms":3900)");
+    log.end(100, "b", "deadline", 504, "i1", R"(,"ms":4000,"placing_ms":50)");
+    log.end(100, "c", "deadline", 504, "i2", R"(,"ms":4000,"placing_ms":50)");
+    log.attempt(120, "x", "deadline", 0, "i2", "h2");
+    log.end(130, "d", "caller-gone", 0, "i1", R"(,"ms":900,"placing_ms":20,"sends":1)");
+    log.end(140, "e", "cut", 0, "i1");
+    REQUIRE(log.cause("a") == EndCause::NoPlace);
+    REQUIRE(log.cause("b") == EndCause::InstanceSlow);
+    REQUIRE(log.cause("c") == EndCause::InstanceSilent);
+    REQUIRE(log.cause("d") == EndCause::CallerLeft);
+    log.attempt(150, "f", "answered", 504, "i1").end(150, "f", "answered", 504, "i1");
+    REQUIRE(log.cause("f") == EndCause::InstanceSlow);
+    REQUIRE(log.cause("e") == EndCause::AnswerBroken);
+}
+
+TEST_CASE("what no host ended is said so")
+{
+    Log log;
+    log.attempt(100, "a", "not-connected", 0, "i1");
+    REQUIRE(log.cause("a") == EndCause::HostDied);
+    REQUIRE(log.cause("b") == EndCause::NeverSeen);
+    REQUIRE(log.cause("") == EndCause::NeverSeen);
+}
+
+TEST_CASE("bad lines are listed, stamps of a collector passed over")
+{
+    LogLines log;
+    std::istringstream in(
+        "2026-01-01 host {\"kind\":\"start\",\"time_ms\":5}\n\nnoise\n{\"kind\":\n"
+        "{\"kind\":\"start\"}\n[1]\n{\"kind\":7,\"time_ms\":\"x\"}\n");
+    log.read(in, "f");
+    REQUIRE(log.lines.size() == 1);
+    REQUIRE(log.bad.size() == 5);
+    REQUIRE(log.bad.front().number == 3);
+    REQUIRE(log.bad.front().file == "f");
+}
+
+TEST_CASE("a timeline counts what happened at a service's instances and draws it")
+{
+    Log log;
+    log.end(0, "a", "answered", 200, "i1").attempt(100, "b", "shed", 503, "i2");
+    log.attempt(1200, "c", "deadline", 0, "i2").attempt(1300, "d", "answered", 500, "i1");
+    log.add(1400, "judge", "doubtful", R"("host":"c1","instances":["i1","other"])");
+    const Timeline timeline = tellTimeline(log.lines(), "s");
+    REQUIRE(timeline.events.size() == 5);
+    REQUIRE(renderTimeline(timeline)
+        == "seconds from 1000000 ms, instance, counts\n0 i1 served=1\n0 i2 shed=1\n"
+           "1 i1 failed=1 doubted=1\n1 i2 silent=1\n");
+    REQUIRE(tellTimeline(log.lines(), "i2").events.size() == 2);
+    const std::string picture = drawTimeline(timeline, "a<b");
+    REQUIRE(picture.find("a&lt;b") != std::string::npos);
+    REQUIRE(picture.find("</svg>") != std::string::npos);
+    REQUIRE(renderTimeline({}) == "nothing happened there\n");
+}
