--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -2,6 +2,8 @@
 
 #include <cstdio>
 
+#include <laburnumroute/attempt_time.h>
+
 #include "request_vetting_pvt.h"
 
 namespace laburnum::pvt {
@@ -26,10 +28,6 @@
     constexpr unsigned askLimit = 6;
     /// With less time left a further attempt cannot be answered.
     constexpr auto shortestAttempt = milliseconds(100);
-    /// A repeatable request leaves a silent instance after this part of its objective, and not
-    /// before the floor: few answers take longer, and another instance can still be in time.
-    constexpr double attemptShare = 0.65;
-    constexpr auto attemptFloor = milliseconds(1000);
     constexpr auto retryAfterStart = milliseconds(500);
     /// A host that starts hears its first configuration within a second, as a rule, later when
     /// votes split; a caller waits for it so long, and no longer than this part of its time.
@@ -233,10 +231,8 @@
 {
     if (!m_side.repeatable || m_runs + 1 >= m_plan.attempts || !m_body.replayable())
         return SteadyTime::max();
-    const double objective = std::chrono::duration<double>(m_plan.objective).count();
-    const auto share = std::chrono::duration_cast<SteadyTime::duration>(
-        std::chrono::duration<double>(objective * attemptShare));
-    return std::chrono::steady_clock::now() + std::max<SteadyTime::duration>(share, attemptFloor);
+    return std::chrono::steady_clock::now()
+        + std::chrono::duration_cast<SteadyTime::duration>(attemptTime(m_plan.objective));
 }
 
 asio::awaitable<AttemptOutcome> FleetRequest::attempt(const PlacedAttempt& placed)
--- /dev/null
+++ b/src/libplace/attempt_time.cpp
@@ -0,0 +1,25 @@
+#include <laburnumroute/attempt_time.h>
+
+#include <algorithm>
+
+namespace laburnum {
+
+namespace {
+
+    /// Of the objective: with work of a third of it, spread by half, staying so long answers more
+    /// requests in time than leaving at two thirds, and a repeat still fits twice the objective.
+    constexpr double attemptShare = 0.85;
+    /// Short objectives would send a request from instance to instance.
+    constexpr auto attemptFloor = std::chrono::milliseconds(1000);
+
+} // namespace
+
+Duration attemptTime(Duration objective)
+{
+    const double seconds = std::chrono::duration<double>(objective).count();
+    return std::max<Duration>(attemptFloor,
+        std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double>(attemptShare * seconds)));
+}
+
+} // namespace laburnum
