Waits for a better place are reckoned with the better instances alone, and hold nobody up

A request waited for a better place as if any slot of the service would do, though only the better ones, mostly near ones that are full, count; and every request that came later queued behind it until the next tick, also those that would have taken a free place.

Changed: isWorthAWait() reckons the wait with the slots of the instances that are better by the margin, which falls from 300 to 100 ms; newcomers pass those that wait, but for the first second of a view, when places open by time.

Test that failed first: "load pattern: the near instances are full, and those far away have room".

--- a/src/include/laburnumroute/fleet_placer.h
+++ b/src/include/laburnumroute/fleet_placer.h
@@ -115,6 +115,13 @@
     enum class Pick { Sensible, Any };
 
     std::optional<InstanceId> choose(const PlaceDemand& demand, TimePoint now, Pick pick) const;
+    /// An instance without room, and what a place there would cost.
+    struct FullInstance {
+        double cost = 0.0;
+        std::uint32_t slots = 0;
+    };
+    bool isWorthAWait(
+        const std::vector<FullInstance>& full, double bestCost, const Service& service) const;
     double cost(const Instance& instance, const Service& service, const PlaceDemand& demand,
         TimePoint now) const;
     bool isDue(const Instance& instance, const PlaceDemand& demand, TimePoint now) const;
--- a/src/libplace/fleet_placer.cpp
+++ b/src/libplace/fleet_placer.cpp
@@ -56,7 +56,7 @@
     constexpr double dueBonusMs = 30000.0;
 
     /// A wait for a better place has to save so much more than it takes.
-    constexpr double waitMarginMs = 300.0;
+    constexpr double waitMarginMs = 100.0;
 
     /// Before the first success a service is taken to need this long.
     constexpr double initialTypicalSeconds = 0.4;
@@ -242,7 +242,7 @@
         return std::nullopt;
     std::optional<InstanceId> best;
     double bestCost = 0.0;
-    double leastFull = std::numeric_limits<double>::max();
+    std::vector<FullInstance> full;
     for (const InstanceId& id : service->second.instances) {
         const Instance& instance = m_instances.at(id);
         const bool avoided
@@ -251,19 +251,37 @@
             continue;
         const double candidate = cost(instance, service->second, demand, now);
         if (!hasRoom(instance, now)) {
-            leastFull = std::min(leastFull, candidate);
+            full.push_back({ candidate, instance.record.slots });
         } else if (!best || candidate < bestCost) {
             best = id;
             bestCost = candidate;
         }
     }
-    // A place at a better instance may be worth a wait.
-    const Duration wait = expectedWait(service->second, service->second.waiters.size(), now);
-    if (pick == Pick::Sensible && bestCost > leastFull + toMs(wait) + waitMarginMs)
+    if (pick == Pick::Sensible && best && isWorthAWait(full, bestCost, service->second))
         return std::nullopt;
     return best;
 }
 
+/// Whether a place at an instance that is full now is worth more than one at `bestCost` at once.
+bool FleetPlacer::isWorthAWait(
+    const std::vector<FullInstance>& full, double bestCost, const Service& service) const
+{
+    double least = bestCost;
+    std::uint32_t slots = 0;
+    for (const FullInstance& each : full) {
+        if (each.cost + waitMarginMs >= bestCost)
+            continue;
+        least = std::min(least, each.cost);
+        slots += each.slots;
+    }
+    if (slots == 0)
+        return false;
+    // Those that wait already are served first, and only these instances will do.
+    const double waitMs
+        = toMs(typicalOf(service)) * static_cast<double>(service.waiters.size() + 1) / slots;
+    return bestCost > least + waitMs + waitMarginMs;
+}
+
 void FleetPlacer::grant(const PlaceDemand& demand, const InstanceId& id, TimePoint now,
     std::vector<PlaceReply>& replies)
 {
@@ -284,9 +302,11 @@
     }
     if (demand.repeat && !service.repeats.take(now))
         return refuse(demand, PlaceRefusal::NoBudget, minRetryAfter, now, replies);
-    // Those that wait already go first unless this one outranks them.
-    const bool mayPass = std::none_of(service.waiters.begin(), service.waiters.end(),
-        [&](const Waiter& w) { return w.demand.priority <= demand.priority; });
+    // Whoever waits was offered each place when it became free, and waits for a better one; while
+    // places open by time, those that wait go first unless this one outranks them.
+    const bool mayPass = now - m_startedAt >= startPhase
+        || std::none_of(service.waiters.begin(), service.waiters.end(),
+            [&](const Waiter& w) { return w.demand.priority <= demand.priority; });
     if (mayPass) {
         if (const auto id = choose(demand, now, Pick::Sensible))
             return grant(demand, *id, now, replies);
--- a/src/libplace/fleet_placer_test.cpp
+++ b/src/libplace/fleet_placer_test.cpp
@@ -301,6 +301,43 @@
     REQUIRE(failed < 5 * 16);
 }
 
+TEST_CASE("load pattern: the near instances are full, and those far away have room")
+{
+    const auto [kibibytes, mostWaiting] = GENERATE(table<std::uint32_t, unsigned>({
+        // Another region costs 415 ms, places near by come free every 33 ms.
+        { 0U, 10U },
+        // It costs 655 ms.
+        { 5U, 17U },
+    }));
+    FleetPlacer placer(terms);
+    const TimePoint now(100s);
+    for (unsigned i = 0; i < 12; ++i) {
+        InstanceRecord instance = record(i);
+        if (i >= 2) {
+            instance.dataCentre = DataCentreId("far");
+            instance.region = RegionId("far");
+        }
+        placer.upsert(instance, now);
+    }
+    std::vector<PlaceReply> replies;
+    for (std::uint32_t ask = 1; ask <= 40; ++ask) {
+        PlaceDemand wanted = demand(ask);
+        wanted.kibibytes = kibibytes;
+        placer.ask(wanted, now, replies);
+    }
+    unsigned waiting = 0;
+    unsigned far = 0;
+    for (const PlaceReply& reply : replies) {
+        waiting += reply.kind == PlaceReplyKind::Waiting ? 1 : 0;
+        far += reply.kind == PlaceReplyKind::Granted && reply.instance != InstanceId("i0")
+                && reply.instance != InstanceId("i1")
+            ? 1
+            : 0;
+    }
+    REQUIRE(waiting <= mostWaiting);
+    REQUIRE(far >= 28 - mostWaiting);
+}
+
 TEST_CASE("load pattern: a slow instance gets little work, a service that is slow as a whole all")
 {
     Replay replay(12, 7);
