--- a/src/include/laburnumroute/request_metrics.h
+++ b/src/include/laburnumroute/request_metrics.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <laburnumroute/clock.h>
@@ -32,6 +33,10 @@
     Duration added {};
     /// Bytes of bodies that passed, both ways.
     std::uint64_t bytes = 0;
+    /// Part of `latency` that was spent waiting for places; listed fleets do not tell.
+    std::optional<Duration> placing;
+    /// Part of `latency` that was spent waiting for instances, connecting included; as above.
+    std::optional<Duration> atInstance;
 };
 
 /// Collects samples from all workers. Each service's record is guarded by the lock of its stripe;
--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -397,7 +397,7 @@
 {
     const Duration whole = std::chrono::steady_clock::now() - m_side.arrival;
     m_entry.metrics.record({ m_plan.service, outcome, status, m_sends > 0 ? m_sends - 1 : 0, whole,
-        std::max(whole - m_waited, Duration::zero()), m_body.bytes() });
+        std::max(whole - m_waited, Duration::zero()), m_body.bytes(), m_placing, m_waited });
     Decision decision { "request", reason };
     constexpr unsigned statusMultipleChoices = 300;
     decision.keep = m_sends > 1 || status == 0 || status >= statusMultipleChoices;
--- a/src/libnet/request_metrics.cpp
+++ b/src/libnet/request_metrics.cpp
@@ -1,5 +1,7 @@
 #include <laburnumroute/request_metrics.h>
 
+#include <algorithm>
+#include <array>
 #include <map>
 #include <mutex>
 #include <sstream>
@@ -45,6 +47,42 @@
         std::uint64_t m_count = 0;
     };
 
+    /// Upper ends of the histograms' buckets in seconds: from a hop within a data centre to the
+    /// longest time limit that callers have, finer around the usual objective of 2 s.
+    constexpr std::array<double, 12> bucketEnds { 0.002, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0,
+        1.5, 2.0, 4.0, 10.0 };
+
+    /// Counts by bucket; unlike quantiles, those of several hosts can be added up.
+    class LatencyHistogram {
+    public:
+        void add(Duration latency)
+        {
+            const double seconds = std::chrono::duration<double>(latency).count();
+            const auto end = std::lower_bound(bucketEnds.begin(), bucketEnds.end(), seconds);
+            ++m_counts.at(static_cast<std::size_t>(end - bucketEnds.begin()));
+            m_sum += seconds;
+        }
+
+        void render(std::ostream& out, const std::string& name, const std::string& labels) const
+        {
+            std::uint64_t count = 0;
+            for (std::size_t i = 0; i < bucketEnds.size(); ++i) {
+                count += m_counts.at(i);
+                out << name << "_bucket{" << labels << ",le=\"" << bucketEnds.at(i) << "\"} "
+                    << count << '\n';
+            }
+            count += m_counts.back();
+            out << name << "_bucket{" << labels << ",le=\"+Inf\"} " << count << '\n';
+            out << name << "_sum{" << labels << "} " << m_sum << '\n';
+            out << name << "_count{" << labels << "} " << count << '\n';
+        }
+
+    private:
+        /// The last one counts what is beyond all ends.
+        std::array<std::uint64_t, bucketEnds.size() + 1> m_counts {};
+        double m_sum = 0.0;
+    };
+
     struct ServiceRecord {
         /// By outcome and status.
         std::map<std::pair<RequestOutcome, unsigned>, std::uint64_t> requests;
@@ -52,6 +90,8 @@
         std::uint64_t bytes = 0;
         LatencySummary latency;
         LatencySummary added;
+        LatencyHistogram placing;
+        LatencyHistogram atInstance;
     };
 
     std::string labelText(const std::string& value)
@@ -91,10 +131,11 @@
                 << record.bytes << '\n';
     }
 
-    void renderSummary(std::ostream& out, const Records& records, const char* name,
-        const char* help, LatencySummary ServiceRecord::*member)
+    template <class Latencies>
+    void renderLatencies(std::ostream& out, const Records& records, const char* name,
+        const char* type, const char* help, Latencies ServiceRecord::*member)
     {
-        declare(out, name, "summary", help);
+        declare(out, name, type, help);
         for (const auto& [service, record] : records)
             (record.*member).render(out, name, "service=\"" + labelText(service.value()) + '"');
     }
@@ -142,6 +183,10 @@
     record.latency.add(sample.latency);
     if (sample.outcome == RequestOutcome::Answered)
         record.added.add(sample.added);
+    if (sample.placing)
+        record.placing.add(*sample.placing);
+    if (sample.atInstance)
+        record.atInstance.add(*sample.atInstance);
 }
 
 std::string RequestMetrics::render() const
@@ -153,10 +198,15 @@
     }
     std::ostringstream out;
     renderCounters(out, records);
-    renderSummary(out, records, "laburnum_request_seconds",
+    renderLatencies(out, records, "laburnum_request_seconds", "summary",
         "Time from a request's head to the end of its answer.", &ServiceRecord::latency);
-    renderSummary(out, records, "laburnum_added_seconds",
+    renderLatencies(out, records, "laburnum_added_seconds", "summary",
         "Time that this host itself added to answered requests.", &ServiceRecord::added);
+    renderLatencies(out, records, "laburnum_placing_seconds", "histogram",
+        "Time that requests waited for places.", &ServiceRecord::placing);
+    renderLatencies(out, records, "laburnum_instance_seconds", "histogram",
+        "Time that requests waited for instances, connecting included.",
+        &ServiceRecord::atInstance);
     return out.str();
 }
 
--- a/src/libnet/request_metrics_test.cpp
+++ b/src/libnet/request_metrics_test.cpp
@@ -12,6 +12,8 @@
         sample.latency = std::chrono::milliseconds(i);
         sample.added = std::chrono::microseconds(i);
         sample.bytes = 10;
+        if (i <= 10)
+            sample.placing = std::chrono::milliseconds(2 * i);
         metrics.record(sample);
     }
     metrics.record({ ServiceId("a\"b"), RequestOutcome::NotRun, 503, 1 });
@@ -24,6 +26,13 @@
     CHECK(has(R"(laburnum_retries_total{service="a\"b"} 1)"));
     CHECK(has(R"(laburnum_body_bytes_total{service="s"} 10000)"));
     CHECK(has(R"(laburnum_request_seconds_count{service="s"} 1000)"));
+    CHECK(has("# TYPE laburnum_placing_seconds histogram"));
+    CHECK(has(R"(laburnum_placing_seconds_bucket{service="s",le="0.002"} 1)"));
+    CHECK(has(R"(laburnum_placing_seconds_bucket{service="s",le="0.005"} 2)"));
+    CHECK(has(R"(laburnum_placing_seconds_bucket{service="s",le="0.02"} 10)"));
+    CHECK(has(R"(laburnum_placing_seconds_bucket{service="s",le="+Inf"} 10)"));
+    CHECK(has(R"(laburnum_placing_seconds_count{service="s"} 10)"));
+    CHECK(has(R"(laburnum_instance_seconds_count{service="s"} 0)"));
     const std::string median = R"(laburnum_request_seconds{service="s",quantile="0.5"} )";
     const auto at = text.find(median);
     REQUIRE(at != std::string::npos);
--- a/src/libstate/log_election.cpp
+++ b/src/libstate/log_election.cpp
@@ -25,6 +25,8 @@
 
 void ReplicatedLog::Impl::startPreVote(TimePoint now, Outbox& out)
 {
+    if (role == LogRole::Candidate)
+        logDecision("not-elected", out);
     role = LogRole::PreCandidate;
     m_leader = MemberId();
     scheduleElection(now, options.timing.retryMin, options.timing.retryMax);
