Of two that campaign at once one goes on

Changed: a member that began its own pre-vote less than retryMin ago refuses that of a rival whose log, or else id, is behind its own; one that grants a rival's pre-vote gives its own up. Pre-votes bind nobody, so votes and terms are as safe as before; a member that hears but is not heard holds others up for retryMin at most.

--- a/src/libhub/hub_test.cpp
+++ b/src/libhub/hub_test.cpp
@@ -157,11 +157,13 @@
     // objective of two seconds.
     constexpr auto soonEnough = 600ms;
     unsigned soon = 0;
+    unsigned splitVotes = 0;
     for (std::uint64_t seed = 1; seed <= 40; ++seed) {
         CAPTURE(seed);
         HubFleet fleet({ .seed = seed, .delay = 20ms });
         found(fleet);
         REQUIRE(fleet.callAnywhere(config(5)));
+        const auto termBefore = fleet.hub(*fleet.leader())->log().term().value();
         fleet.wipe(c(1 + seed % 5));
         fleet.wipe(c(1 + (seed + 2) % 5));
         for (unsigned i = 1; i <= 5; ++i)
@@ -176,8 +178,15 @@
         if (fleet.runUntil(soonEnough, [&] { return allHold(fleet, 4, 5); }))
             ++soon;
         REQUIRE(fleet.runUntil(1250ms - soonEnough, [&] { return allHold(fleet, 4, 5); }));
+        const auto leader = fleet.leader();
+        REQUIRE(leader);
+        // Each lost election raises the term once more.
+        splitVotes += fleet.hub(*leader)->log().term().value() - termBefore - 1;
     }
     REQUIRE(soon >= 20);
+    // All three that are left have to vote for the same one.
+    CAPTURE(splitVotes);
+    REQUIRE(splitVotes <= 4);
 }
 
 TEST_CASE("a leader that is cut off answers no read and loses its subscribers")
--- a/src/libstate/log_election.cpp
+++ b/src/libstate/log_election.cpp
@@ -1,5 +1,7 @@
 // Election: pre-vote, votes, terms, stepping down.
 
+#include <tuple>
+
 #include "replicated_log_pvt.h"
 
 namespace laburnum {
@@ -28,6 +30,7 @@
     if (role == LogRole::Candidate)
         logDecision("not-elected", out);
     role = LogRole::PreCandidate;
+    m_preVoteSince = now;
     m_leader = MemberId();
     scheduleElection(now, options.timing.retryMin, options.timing.retryMax);
     m_votes = { self() };
@@ -71,6 +74,14 @@
         becomeLeader(now, out);
 }
 
+bool ReplicatedLog::Impl::outranks(const VoteRequest& request, TimePoint now) const
+{
+    if (role != LogRole::PreCandidate || now - m_preVoteSince >= options.timing.retryMin)
+        return false;
+    const auto own = std::tuple(store.lastTerm(), store.lastIndex(), self());
+    return own > std::tuple(request.lastTerm, request.lastIndex, request.header.sender);
+}
+
 bool ReplicatedLog::Impl::grants(const VoteRequest& request, TimePoint now) const
 {
     if (hearsLeader(now) || now < m_abstainUntil)
@@ -78,8 +89,10 @@
     if (request.lastTerm < store.lastTerm()
         || (request.lastTerm == store.lastTerm() && request.lastIndex < store.lastIndex()))
         return false;
+    // Of two that campaign at once one goes on: votes for both would elect neither where all who
+    // live are needed.
     if (request.preVote)
-        return request.header.term > term();
+        return request.header.term > term() && !outranks(request, now);
     const MemberId& votedFor = store.vote().votedFor;
     return request.header.term == term()
         && (votedFor.value().empty() || votedFor == request.header.sender);
@@ -102,6 +115,10 @@
             return;
         scheduleElection(now);
     }
+    if (granted && request.preVote && role == LogRole::PreCandidate) {
+        role = LogRole::Follower;
+        scheduleElection(now, options.timing.retryMin, options.timing.retryMax);
+    }
     out.send(from, methodVoted,
         encode(VoteResponse {
             header(request.header.sender), request.preVote, granted, request.header.term }));
--- a/src/libstate/replicated_log_pvt.h
+++ b/src/libstate/replicated_log_pvt.h
@@ -103,6 +103,9 @@
     void scheduleElection(TimePoint now);
     void scheduleElection(TimePoint now, Duration least, Duration most);
     void startPreVote(TimePoint now, Outbox& out);
+    /// True when this member began its own pre-vote just now and its log, or else its id, is ahead
+    /// of the sender's.
+    bool outranks(const pvt::VoteRequest& request, TimePoint now) const;
     void startElection(TimePoint now, Outbox& out);
     void requestVotes(bool preVote, Outbox& out);
     void countVotes(TimePoint now, Outbox& out);
@@ -170,6 +173,8 @@
     TimePoint m_electionDue;
     /// Until then no vote is granted: an earlier process may have followed a leader.
     TimePoint m_abstainUntil;
+    /// When this member last began a pre-vote.
+    TimePoint m_preVoteSince;
     std::set<MemberId> m_votes;
     std::map<MemberId, FollowerProgress> m_followers;
     std::vector<LogEntry> m_proposals;
