--- /dev/null
+++ b/src/laburnumd/settings_watch_test.cpp
@@ -0,0 +1,96 @@
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+#include "settings_watch.h"
+
+using namespace laburnum;
+
+namespace {
+
+/// A settings file in a folder of its own.
+class SettingsFile {
+public:
+    SettingsFile()
+    {
+        std::string pattern = (std::filesystem::temp_directory_path() / "laburnum-XXXXXX").string();
+        REQUIRE(::mkdtemp(pattern.data()) != nullptr);
+        m_folder = pattern;
+    }
+    ~SettingsFile() { std::filesystem::remove_all(m_folder); }
+    SettingsFile(const SettingsFile&) = delete;
+    SettingsFile& operator=(const SettingsFile&) = delete;
+
+    std::string path() const { return m_folder + "/settings.toml"; }
+    void write(const std::string& text) const
+    {
+        std::ofstream(path(), std::ios::binary | std::ios::trunc) << text;
+    }
+
+private:
+    std::string m_folder;
+};
+
+class RecordingLog final : public DecisionLog {
+public:
+    void record(const Decision& decision) override { decisions.push_back(decision); }
+    std::vector<Decision> decisions;
+};
+
+std::string settingsWith(const std::string& seeds)
+{
+    return "host = \"h\"\ndata_centre = \"d\"\nregion = \"r\"\ninterface = \"provider\"\n"
+           "role = \"control\"\nfirst_start = true\ncalls = \"10.0.0.1:8000\"\n"
+           "peer_address = \"10.0.0.1:7000\"\nseeds = ["
+        + seeds
+        + "]\nseed_peer_port = 7000\ndata_folder = \"/data\"\nbear_losses = 1\n"
+          "repeat_ratio = 0.2\nrepeat_slack = 64\nrepeat_window_ms = 10000\n"
+          "[data_centres]\nd = \"r\"\n";
+}
+
+} // namespace
+
+TEST_CASE("SIGHUP reads the settings in place; a file with findings changes nothing")
+{
+    const SettingsFile file;
+    file.write(settingsWith("\"10.0.0.2:8000\""));
+    asio::io_context context;
+    RecordingLog log;
+    std::vector<std::vector<Endpoint>> seeds;
+    SettingsWatch watch(context, file.path(), log,
+        [&](const SeededSettings& settings) { seeds.push_back(settings.seeds); });
+    watch.start();
+    const auto signal = [&] {
+        const std::size_t before = log.decisions.size();
+        REQUIRE(::raise(SIGHUP) == 0);
+        while (log.decisions.size() == before)
+            context.run_one();
+        return log.decisions.back();
+    };
+
+    file.write(settingsWith("\"10.0.0.3:8000\", \"10.0.0.4:8000\""));
+    const Decision done = signal();
+    REQUIRE(done.kind == "reload");
+    REQUIRE(done.reason == "done");
+    REQUIRE(done.facts["cause"] == "signal");
+    REQUIRE(seeds.size() == 1);
+    REQUIRE(seeds.back() == std::vector<Endpoint> { { "10.0.0.3", 7000 }, { "10.0.0.4", 7000 } });
+
+    for (const std::string& broken : { std::string("host ="), settingsWith("\"nowhere\"") }) {
+        file.write(broken);
+        const Decision refused = signal();
+        REQUIRE(refused.reason == "refused");
+        REQUIRE(!refused.facts["findings"].empty());
+    }
+    std::filesystem::remove(file.path());
+    REQUIRE(signal().reason == "refused");
+    REQUIRE(seeds.size() == 1);
+
+    // What is mended is taken up again.
+    file.write(settingsWith("\"10.0.0.5:8000\""));
+    REQUIRE(signal().reason == "done");
+    REQUIRE(seeds.size() == 2);
+}
