--- a/src/libtrace/request_story.cpp
+++ b/src/libtrace/request_story.cpp
@@ -53,7 +53,7 @@
                 return explainMissing(story);
             const std::string& reason = m_end->reason;
             if (pvt::isServed(*m_end))
-                story = told(story, EndCause::Served, servedSentence());
+                tell(story, EndCause::Served, servedSentence());
             else if (reason == "answered")
                 explainFailure(story, *m_end);
             else if (reason == "deadline")
@@ -67,11 +67,10 @@
         }
 
     private:
-        static RequestStory told(RequestStory story, EndCause cause, std::string sentence)
+        static void tell(RequestStory& story, EndCause cause, std::string sentence)
         {
             story.cause = cause;
             story.sentence = std::move(sentence);
-            return story;
         }
 
         std::string instanceOf(const LogLine& line) const
@@ -103,11 +102,11 @@
         void explainMissing(RequestStory& story) const
         {
             if (m_lastAttempt == nullptr) {
-                story = told(story, EndCause::NeverSeen,
+                tell(story, EndCause::NeverSeen,
                     "no line names the request: its host never read it, or died before it wrote");
                 return;
             }
-            story = told(story, EndCause::HostDied,
+            tell(story, EndCause::HostDied,
                 m_lastAttempt->host + " wrote no end: its process ended after the attempt at "
                     + m_lastAttempt->text("instance"));
         }
@@ -117,17 +116,17 @@
             const std::string instance = instanceOf(line);
             const auto record = recordOf(instance);
             if (line.number("status") == statusGatewayTimeout) {
-                story = told(story,
-                    record.isGray() ? EndCause::InstanceSilent : EndCause::InstanceSlow,
+                tell(story, record.isGray() ? EndCause::InstanceSilent : EndCause::InstanceSlow,
                     instance + " gave up when the time that it was given had passed: "
                         + recordText(record));
                 return;
             }
             const std::string head
                 = instance + " answered " + std::to_string(line.number("status"));
-            story = record.isGray()
-                ? told(story, EndCause::InstanceGray, head + " and is gray: " + recordText(record))
-                : told(story, EndCause::InstanceError,
+            if (record.isGray())
+                tell(story, EndCause::InstanceGray, head + " and is gray: " + recordText(record));
+            else
+                tell(story, EndCause::InstanceError,
                     head + ", an error of its own: " + recordText(record));
         }
 
@@ -136,7 +135,7 @@
             const std::int64_t whole = m_end->number("ms");
             const std::int64_t placing = m_end->number("placing_ms");
             if (2 * placing > whole || instanceOf(*m_end).empty()) {
-                story = told(story, EndCause::NoPlace,
+                tell(story, EndCause::NoPlace,
                     "its time ran out after " + ms(whole) + ", of which " + ms(placing)
                         + " waiting for a place");
                 return;
@@ -145,14 +144,14 @@
             const auto record = recordOf(instance);
             const std::string head = instance + " gave no answer in time (" + ms(whole - placing)
                 + " of " + ms(whole) + ")";
-            story = told(story, record.isGray() ? EndCause::InstanceSilent : EndCause::InstanceSlow,
+            tell(story, record.isGray() ? EndCause::InstanceSilent : EndCause::InstanceSlow,
                 head + ": " + recordText(record));
         }
 
         void explainBroken(RequestStory& story) const
         {
             const std::string instance = instanceOf(*m_end);
-            story = told(story, EndCause::AnswerBroken,
+            tell(story, EndCause::AnswerBroken,
                 instance + " broke off or sent what is no answer (" + m_end->reason
                     + "): " + recordText(recordOf(instance)));
         }
@@ -164,7 +163,7 @@
             const std::string meanwhile = m_end->number("sends") == 0
                 ? "waiting for a place"
                 : "at " + instanceOf(*m_end) + " (" + ms(placing) + " of it waiting for places)";
-            story = told(story, EndCause::CallerLeft,
+            tell(story, EndCause::CallerLeft,
                 "the caller left after " + ms(whole) + ", " + meanwhile);
         }
 
@@ -176,7 +175,7 @@
             if (reason == "not-connected")
                 return explainUnreached(story, instanceOf(*m_end));
             if (reason == "no-configuration") {
-                story = told(story, EndCause::NoConfiguration, configurationSentence());
+                tell(story, EndCause::NoConfiguration, configurationSentence());
                 return;
             }
             static const std::array<std::pair<const char*, EndCause>, 3> plain { {
@@ -186,7 +185,7 @@
             } };
             const auto found = std::find_if(
                 plain.begin(), plain.end(), [&](const auto& each) { return reason == each.first; });
-            story = told(story, found == plain.end() ? EndCause::Refused : found->second,
+            tell(story, found == plain.end() ? EndCause::Refused : found->second,
                 m_end->host + " refused it: " + reason + " (service '" + m_end->text("service")
                     + "', configuration " + std::to_string(m_end->number("config")) + ")");
         }
@@ -194,13 +193,13 @@
         void explainNoRepeat(RequestStory& story) const
         {
             if (m_lastAttempt && m_lastAttempt->number("status") == statusMisdirected) {
-                story = told(story, EndCause::InstanceGone,
+                tell(story, EndCause::InstanceGone,
                     m_lastAttempt->text("instance")
                         + " is gone and its address another's; no repeat was left");
                 return;
             }
             if (m_lastAttempt == nullptr || m_lastAttempt->reason == "shed") {
-                story = told(story, EndCause::Shed,
+                tell(story, EndCause::Shed,
                     "declined by " + std::to_string(m_sheds) + " instances, last "
                         + instanceOf(*m_end) + "; the fleet's budget of repeats was used up");
                 return;
@@ -215,7 +214,7 @@
         {
             const auto record = recordOf(instance);
             const bool others = record.served > 0;
-            story = told(story, others ? EndCause::PathCut : EndCause::InstanceGone,
+            tell(story, others ? EndCause::PathCut : EndCause::InstanceGone,
                 m_end->host + " found no connection in " + std::to_string(m_unreached)
                     + " tries, last to " + instance + ", which others "
                     + (others ? "reached: " : "did not reach either: ") + recordText(record));
