--- a/src/laburnumctl/log_commands.cpp
+++ b/src/laburnumctl/log_commands.cpp
@@ -4,6 +4,7 @@
 
 #include <fstream>
 #include <ostream>
+#include <sstream>
 
 #include <laburnumroute/json.h>
 #include <laburnumroute/request_story.h>
@@ -25,11 +26,10 @@
         LogLines log;
         const auto& arguments = session.options.arguments;
         for (auto file = arguments.begin() + 1; file != arguments.end(); ++file) {
-            std::ifstream in(*file, std::ios::binary);
-            if (!in) {
-                session.errors << "laburnumctl: cannot read '" << *file << "'\n";
+            const auto text = readFile(session, *file);
+            if (!text)
                 return std::nullopt;
-            }
+            std::istringstream in(*text);
             log.read(in, *file);
         }
         log.sortByTime();
--- a/src/laburnumd/control_node.cpp
+++ b/src/laburnumd/control_node.cpp
@@ -113,6 +113,11 @@
             Decision decision { "store", "closed" };
             decision.facts["message"] = hub.error().message;
             m_log->record(decision);
+            reopenLater();
+        }
+
+        void reopenLater()
+        {
             m_reopenTimer.expires_after(reopenInterval);
             m_reopenTimer.async_wait([this](std::error_code code) {
                 if (!code)
@@ -160,11 +165,7 @@
             if (m_hub && m_hub->log().failure()) {
                 m_hub.reset();
                 failCalls();
-                m_reopenTimer.expires_after(reopenInterval);
-                m_reopenTimer.async_wait([this](std::error_code code) {
-                    if (!code)
-                        openHub();
-                });
+                reopenLater();
             }
         }
 
@@ -341,8 +342,7 @@
         {
             std::string text;
             const auto add = [&](const char* name, std::uint64_t value) {
-                text += std::string("# TYPE ") + name + " gauge\n" + name + ' '
-                    + std::to_string(value) + '\n';
+                addGauge(text, name, std::to_string(value));
             };
             add("laburnum_store_open", m_hub ? 1 : 0);
             add("laburnum_log_lines_dropped", m_log->dropped());
--- a/src/laburnumd/entry_node.cpp
+++ b/src/laburnumd/entry_node.cpp
@@ -112,7 +112,6 @@
         void armTicker()
         {
             m_ticker.expires_after(m_client.tickInterval());
-            m_tickDue = m_ticker.expiry();
             m_ticker.async_wait([this](std::error_code code) {
                 if (!code)
                     tick();
@@ -135,7 +134,7 @@
             for (const auto& [to, bytes] : actions.datagrams)
                 m_neighbours.send(to, bytes);
             // An ask that was just made needs finer ticks than an idle host.
-            if (m_tickDue - std::chrono::steady_clock::now() > m_client.tickInterval())
+            if (m_ticker.expiry() - asio::steady_timer::clock_type::now() > m_client.tickInterval())
                 armTicker();
         }
 
@@ -211,7 +210,7 @@
         void startStopping()
         {
             m_stopping = true;
-            m_stopSince = std::chrono::steady_clock::now();
+            m_stopSince = m_clock.now();
             m_entry.startLeaving();
             Decision decision { "stop", "leaving" };
             decision.facts["in_flight"] = Json::UInt64(m_entry.inFlight());
@@ -222,7 +221,7 @@
         /// Serves on until nobody calls any more, or the grace nearly ends.
         void lookAtStop()
         {
-            const Duration gone = std::chrono::steady_clock::now() - m_stopSince;
+            const Duration gone = m_clock.now() - m_stopSince;
             const Duration grace = m_settings.stopGrace;
             const bool quiet
                 = gone >= leaveAtLeast && m_entry.inFlight() == 0 && m_entry.openConnections() == 0;
@@ -258,8 +257,7 @@
         {
             std::string text = m_entry.metrics().render();
             const auto add = [&](const char* name, double value) {
-                text += std::string("# TYPE ") + name + " gauge\n" + name + ' '
-                    + std::to_string(value) + '\n';
+                addGauge(text, name, std::to_string(value));
             };
             add("laburnum_config_number", static_cast<double>(m_client.config().number));
             add("laburnum_instances_known",
@@ -288,8 +286,7 @@
         asio::signal_set m_signals;
         asio::steady_timer m_ticker;
         asio::steady_timer m_stopTimer;
-        std::chrono::steady_clock::time_point m_tickDue;
-        std::chrono::steady_clock::time_point m_stopSince;
+        TimePoint m_stopSince;
         DatagramPort m_neighbours { m_context };
         std::map<LinkId, std::shared_ptr<FrameLink>> m_links;
         bool m_stopping = false;
--- a/src/laburnumd/seeded_node.cpp
+++ b/src/laburnumd/seeded_node.cpp
@@ -21,6 +21,11 @@
     return (std::uint64_t { device() } << 32U) | device();
 }
 
+void addGauge(std::string& text, const std::string& name, const std::string& value)
+{
+    text += "# TYPE " + name + " gauge\n" + name + ' ' + value + '\n';
+}
+
 void recordStart(const SeededSettings& settings, DecisionLog& log)
 {
     Decision decision { "start", settings.control ? "control" : "entry" };
--- a/src/laburnumd/seeded_node.h
+++ b/src/laburnumd/seeded_node.h
@@ -26,6 +26,8 @@
 std::vector<HostId> controlHostsAt(const std::vector<Endpoint>& peers);
 /// A number that differs with every start.
 std::uint64_t drawSeed();
+/// Adds a gauge without labels to `text`, in the metrics' text format.
+void addGauge(std::string& text, const std::string& name, const std::string& value);
 /// Logs a start with the settings that matter afterwards.
 void recordStart(const SeededSettings& settings, DecisionLog& log);
 
--- a/src/laburnumd/settings_watch_test.cpp
+++ b/src/laburnumd/settings_watch_test.cpp
@@ -1,37 +1,29 @@
 #include <catch2/catch.hpp>
 
 #include <csignal>
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 
+#include "fakes/temporary_folder.h"
+
 #include "settings_watch.h"
 
 using namespace laburnum;
+using namespace laburnum::fakes;
 
 namespace {
 
 /// A settings file in a folder of its own.
 class SettingsFile {
 public:
-    SettingsFile()
-    {
-        std::string pattern = (std::filesystem::temp_directory_path() / "laburnum-XXXXXX").string();
-        REQUIRE(::mkdtemp(pattern.data()) != nullptr);
-        m_folder = pattern;
-    }
-    ~SettingsFile() { std::filesystem::remove_all(m_folder); }
-    SettingsFile(const SettingsFile&) = delete;
-    SettingsFile& operator=(const SettingsFile&) = delete;
-
-    std::string path() const { return m_folder + "/settings.toml"; }
+    std::string path() const { return m_folder.path() + "/settings.toml"; }
     void write(const std::string& text) const
     {
         std::ofstream(path(), std::ios::binary | std::ios::trunc) << text;
     }
 
 private:
-    std::string m_folder;
+    TemporaryFolder m_folder;
 };
 
 class RecordingLog final : public DecisionLog {
--- a/src/libhub/hub_test.cpp
+++ b/src/libhub/hub_test.cpp
@@ -32,6 +32,20 @@
     return true;
 }
 
+/// Five control hosts and four entry hosts are dark for a second, and start again.
+void losePower(HubFleet& fleet)
+{
+    for (unsigned i = 1; i <= 5; ++i)
+        fleet.kill(c(i));
+    for (unsigned i = 1; i <= 4; ++i)
+        fleet.kill(e(i));
+    fleet.run(1s);
+    for (unsigned i = 1; i <= 5; ++i)
+        fleet.startControl(c(i));
+    for (unsigned i = 1; i <= 4; ++i)
+        fleet.startEntry(e(i));
+}
+
 PutConfigCall config(std::uint64_t number)
 {
     return { { number, "content " + std::to_string(number) } };
@@ -137,15 +151,7 @@
         REQUIRE(fleet.record(index).result->done);
         fleet.wipe(c(1 + (seed / 5) % 5));
         fleet.wipe(c(1 + (seed / 5 + 1 + seed % 4) % 5));
-        for (unsigned i = 1; i <= 5; ++i)
-            fleet.kill(c(i));
-        for (unsigned i = 1; i <= 4; ++i)
-            fleet.kill(e(i));
-        fleet.run(1s);
-        for (unsigned i = 1; i <= 5; ++i)
-            fleet.startControl(c(i));
-        for (unsigned i = 1; i <= 4; ++i)
-            fleet.startEntry(e(i));
+        losePower(fleet);
         REQUIRE(fleet.runUntil(4s, [&] { return allHold(fleet, 4, 9); }));
         REQUIRE(fleet.runUntil(6s, [&] { return voters(fleet) == 5; }));
     }
@@ -166,15 +172,7 @@
         const auto termBefore = fleet.hub(*fleet.leader())->log().term().value();
         fleet.wipe(c(1 + seed % 5));
         fleet.wipe(c(1 + (seed + 2) % 5));
-        for (unsigned i = 1; i <= 5; ++i)
-            fleet.kill(c(i));
-        for (unsigned i = 1; i <= 4; ++i)
-            fleet.kill(e(i));
-        fleet.run(1s);
-        for (unsigned i = 1; i <= 5; ++i)
-            fleet.startControl(c(i));
-        for (unsigned i = 1; i <= 4; ++i)
-            fleet.startEntry(e(i));
+        losePower(fleet);
         if (fleet.runUntil(soonEnough, [&] { return allHold(fleet, 4, 5); }))
             ++soon;
         REQUIRE(fleet.runUntil(1250ms - soonEnough, [&] { return allHold(fleet, 4, 5); }));
--- a/src/libnet/answers.cpp
+++ b/src/libnet/answers.cpp
@@ -1,14 +1,13 @@
 #include "answers_pvt.h"
 
+#include "http_status_pvt.h"
+
 #include <http_parser.h>
 
 namespace laburnum::pvt {
 
 namespace {
 
-    constexpr unsigned statusNotFound = 404;
-    constexpr unsigned statusUnavailable = 503;
-
     const char* reasonPhrase(unsigned status)
     {
         return http_status_str(static_cast<http_status>(status));
@@ -16,6 +15,13 @@
 
 } // namespace
 
+OwnAnswer malformedAnswer(const Error& error)
+{
+    OwnAnswer answer { statusBadRequest, RequestOutcome::NotRun, reasons::malformed };
+    answer.detail = error.message;
+    return answer;
+}
+
 OwnAnswer refusalAnswer(RefusalReason reason)
 {
     const unsigned status = reason == RefusalReason::NoRoute ? statusNotFound : statusUnavailable;
@@ -50,14 +56,12 @@
     HttpHead head;
     head.status = answer.status;
     head.reason = reasonPhrase(answer.status);
-    constexpr unsigned statusNoContent = 204;
-    constexpr unsigned statusNotModified = 304;
     std::vector<HeaderField> fields;
     for (const auto& field : answer.fields) {
         if (!equalNames(field.name, "content-length"))
             fields.push_back(field);
     }
-    if (answer.status != statusNoContent && answer.status != statusNotModified)
+    if (!isBodiless(answer.status))
         fields.push_back({ "Content-Length", std::to_string(answer.body.size()) });
     fields.push_back({ outcomeHeader, outcomeName(RequestOutcome::Answered) });
     fields.push_back({ reasonHeader, reasons::replayed });
--- a/src/libnet/answers_pvt.h
+++ b/src/libnet/answers_pvt.h
@@ -57,6 +57,8 @@
     bool keepAlive = false;
 };
 
+/// The answer to a request that cannot be read.
+OwnAnswer malformedAnswer(const Error& error);
 /// The answer to a request that the dispatcher refused.
 OwnAnswer refusalAnswer(RefusalReason reason);
 /// Renders an own answer, head and body.
--- a/src/libnet/datagram_port.cpp
+++ b/src/libnet/datagram_port.cpp
@@ -2,7 +2,7 @@
 
 #include <asio/buffer.hpp>
 
-#include "entry_context_pvt.h"
+#include "asio_endpoint_pvt.h"
 
 namespace laburnum {
 
--- a/src/libnet/disk_storage_test.cpp
+++ b/src/libnet/disk_storage_test.cpp
@@ -5,28 +5,10 @@
 
 #include <laburnumroute/disk_storage.h>
 
-using namespace laburnum;
-
-namespace {
+#include "fakes/temporary_folder.h"
 
-/// A folder that goes when the test ends.
-class TemporaryFolder {
-public:
-    TemporaryFolder()
-    {
-        std::string pattern = (std::filesystem::temp_directory_path() / "laburnum-XXXXXX").string();
-        m_path = ::mkdtemp(pattern.data());
-    }
-    ~TemporaryFolder() { std::filesystem::remove_all(m_path); }
-    TemporaryFolder(const TemporaryFolder&) = delete;
-    TemporaryFolder& operator=(const TemporaryFolder&) = delete;
-    const std::string& path() const { return m_path; }
-
-private:
-    std::string m_path;
-};
-
-} // namespace
+using namespace laburnum;
+using namespace laburnum::fakes;
 
 TEST_CASE("files on disk keep what was written, and a second process is kept out")
 {
--- a/src/libnet/entry_context_pvt.h
+++ b/src/libnet/entry_context_pvt.h
@@ -46,7 +46,4 @@
     std::atomic<std::size_t> inFlight { 0 };
 };
 
-/// Converts to Asio's endpoint; InvalidArgument names the address.
-Expected<asio::ip::tcp::endpoint> toAsio(const Endpoint& endpoint);
-
 } // namespace laburnum::pvt
--- a/src/libnet/entry_server.cpp
+++ b/src/libnet/entry_server.cpp
@@ -7,6 +7,7 @@
 #include <asio/detached.hpp>
 #include <asio/strand.hpp>
 
+#include "asio_endpoint_pvt.h"
 #include "session_pvt.h"
 
 namespace laburnum {
@@ -168,18 +169,8 @@
 
 Expected<void> EntryServer::listen(const Endpoint& endpoint)
 {
-    const auto address = pvt::toAsio(endpoint);
-    if (!address)
-        return tl::unexpected<Error>(address.error());
-    std::error_code code;
-    auto& acceptor = m_impl->acceptor;
-    acceptor.open(address->protocol(), code);
-    acceptor.set_option(tcp::acceptor::reuse_address(true), code);
-    acceptor.bind(*address, code);
-    if (!code)
-        acceptor.listen(tcp::acceptor::max_listen_connections, code);
-    if (code)
-        return fail(ErrorCode::Io, "listen on " + formatEndpoint(endpoint) + ": " + code.message());
+    if (auto listening = pvt::startListening(m_impl->acceptor, endpoint); !listening)
+        return listening;
     asio::co_spawn(
         m_impl->strand, [impl = m_impl] { return impl->acceptLoop(); }, asio::detached);
     m_impl->scheduleSweep();
--- a/src/libnet/exchange.cpp
+++ b/src/libnet/exchange.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "asio_endpoint_pvt.h"
+#include "http_status_pvt.h"
 #include "request_vetting_pvt.h"
 
 namespace laburnum::pvt {
@@ -11,12 +13,6 @@
 
     using asio::ip::tcp;
 
-    constexpr unsigned statusContinue = 100;
-    constexpr unsigned statusSwitchingProtocols = 101;
-    constexpr unsigned statusOk = 200;
-    constexpr unsigned statusNoContent = 204;
-    constexpr unsigned statusNotModified = 304;
-
     SteadyTime steadyNow() { return std::chrono::steady_clock::now(); }
 
     SteadyTime after(Duration d)
@@ -43,15 +39,6 @@
 
 } // namespace
 
-Expected<tcp::endpoint> toAsio(const Endpoint& endpoint)
-{
-    std::error_code code;
-    const auto address = asio::ip::make_address(endpoint.address, code);
-    if (code)
-        return fail(ErrorCode::InvalidArgument, "'" + endpoint.address + "' is not an IP address");
-    return tcp::endpoint(address, endpoint.port);
-}
-
 Exchange::Exchange(CallerSide& caller, const Assignment& assigned)
     : m_caller(caller)
     , m_assigned(assigned)
@@ -319,8 +306,7 @@
         co_return;
     }
     const std::string& stamp = m_caller.entry.options.names.stamp;
-    constexpr unsigned statusRedirect = 300;
-    if (!stamp.empty() && head->status < statusRedirect && head->field(stamp).empty()) {
+    if (!stamp.empty() && head->status < statusMultipleChoices && head->field(stamp).empty()) {
         m_outcome.end = AttemptEnd::BadAnswer;
         m_upstreamKeepAlive = false;
         co_return;
@@ -342,8 +328,7 @@
 
 BodyFraming Exchange::answerFraming(const HttpHead& head) const
 {
-    if (m_caller.request.method == "HEAD" || head.status == statusNoContent
-        || head.status == statusNotModified)
+    if (m_caller.request.method == "HEAD" || isBodiless(head.status))
         return BodyFraming::None;
     if (head.contentLength || m_caller.request.versionMinor == 0)
         return BodyFraming::Identity;
--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -4,6 +4,7 @@
 
 #include <laburnumroute/attempt_time.h>
 
+#include "http_status_pvt.h"
 #include "request_vetting_pvt.h"
 
 namespace laburnum::pvt {
@@ -12,16 +13,6 @@
 
 namespace {
 
-    constexpr unsigned statusBadRequest = 400;
-    constexpr unsigned statusNotFound = 404;
-    constexpr unsigned statusRequestTimeout = 408;
-    constexpr unsigned statusTooLarge = 413;
-    constexpr unsigned statusMisdirected = 421;
-    constexpr unsigned statusServerError = 500;
-    constexpr unsigned statusBadGateway = 502;
-    constexpr unsigned statusUnavailable = 503;
-    constexpr unsigned statusGatewayTimeout = 504;
-
     /// Answers up to this size are read whole before any of it is passed on.
     constexpr std::size_t holdBytes = std::size_t { 64 } * 1024;
     /// Places that one request asks for at the most, reached or not.
@@ -101,10 +92,8 @@
 asio::awaitable<bool> FleetRequest::run()
 {
     if (const auto vetted = vetRequest(m_request); !vetted) {
-        OwnAnswer refusal { statusBadRequest, RequestOutcome::NotRun, reasons::malformed };
-        refusal.detail = vetted.error().message;
         m_request.keepAlive = false;
-        co_return co_await answer(std::move(refusal));
+        co_return co_await answer(malformedAnswer(vetted.error()));
     }
     auto plan = co_await this->plan();
     if (!plan && plan.error() == PlanRefusal::NoRoute) {
@@ -122,8 +111,7 @@
         OwnAnswer refusal { statusTooLarge, RequestOutcome::NotRun, reasons::bodyTooLarge };
         co_return co_await answer(std::move(refusal));
     }
-    const Duration limit = std::min(
-        m_plan.timeout, callerDeadline(m_request, m_entry.options.names).value_or(m_plan.timeout));
+    const Duration limit = timeLimit(m_request, m_entry.options.names, m_plan.timeout);
     m_side.deadline = m_side.arrival + std::chrono::duration_cast<SteadyTime::duration>(limit);
     m_side.repeatable = repeatable();
     co_return co_await serve();
@@ -350,13 +338,12 @@
 {
     m_keepAlive = m_request.keepAlive && m_body.complete() && !m_entry.closing();
     auto fields = endToEndFields(held.head);
-    const bool bodyless
-        = m_request.method == "HEAD" || held.head.status == 204U || held.head.status == 304U;
-    if (!held.head.contentLength && !bodyless)
+    const bool bodiless = m_request.method == "HEAD" || isBodiless(held.head.status);
+    if (!held.head.contentLength && !bodiless)
         fields.push_back({ "Content-Length", std::to_string(held.body.size()) });
     addConnection(fields, answerContext());
     std::string bytes = renderResponseHead(held.head, fields);
-    if (!bodyless)
+    if (!bodiless)
         bytes += held.body;
     const auto sent = co_await m_stream.write(std::move(bytes));
     recordEnd(sent ? "answered" : "caller-gone", held.head.status, RequestOutcome::Answered);
@@ -399,7 +386,6 @@
     m_entry.metrics.record({ m_plan.service, outcome, status, m_sends > 0 ? m_sends - 1 : 0, whole,
         std::max(whole - m_waited, Duration::zero()), m_body.bytes(), m_placing, m_waited });
     Decision decision { "request", reason };
-    constexpr unsigned statusMultipleChoices = 300;
     decision.keep = m_sends > 1 || status == 0 || status >= statusMultipleChoices;
     decision.facts["id"] = std::string(m_request.field(m_entry.options.names.requestId));
     decision.facts["route"] = m_plan.route;
--- a/src/libnet/frame_link.cpp
+++ b/src/libnet/frame_link.cpp
@@ -6,7 +6,7 @@
 #include <asio/post.hpp>
 #include <asio/write.hpp>
 
-#include "entry_context_pvt.h"
+#include "asio_endpoint_pvt.h"
 
 namespace laburnum {
 
@@ -164,19 +164,9 @@
 Expected<void> FrameListener::listen(
     const Endpoint& endpoint, std::function<void(tcp::socket)> onAccept)
 {
-    const auto address = pvt::toAsio(endpoint);
-    if (!address)
-        return tl::unexpected<Error>(address.error());
+    if (auto listening = pvt::startListening(m_acceptor, endpoint); !listening)
+        return listening;
     m_onAccept = std::move(onAccept);
-    std::error_code code;
-    m_acceptor.open(address->protocol(), code);
-    m_acceptor.set_option(tcp::acceptor::reuse_address(true), code);
-    m_acceptor.bind(*address, code);
-    if (!code)
-        m_acceptor.listen(tcp::acceptor::max_listen_connections, code);
-    if (code)
-        return laburnum::fail(
-            ErrorCode::Io, "listen on " + formatEndpoint(endpoint) + ": " + code.message());
     accept();
     return {};
 }
--- a/src/libnet/http_decoder.cpp
+++ b/src/libnet/http_decoder.cpp
@@ -4,6 +4,8 @@
 
 #include <http_parser.h>
 
+#include "http_status_pvt.h"
+
 namespace laburnum {
 
 namespace {
@@ -172,15 +174,6 @@
         return nullptr;
     }
 
-    /// True for responses that have no body by their status (RFC 9112, section 6.3).
-    bool isBodiless(unsigned status)
-    {
-        constexpr unsigned statusOk = 200;
-        constexpr unsigned statusNoContent = 204;
-        constexpr unsigned statusNotModified = 304;
-        return status < statusOk || status == statusNoContent || status == statusNotModified;
-    }
-
     template <class State> int completeHead(http_parser* parser)
     {
         State& state = stateOf<State>(parser);
@@ -204,7 +197,7 @@
         state.headDone = true;
         state.lastWasValue = false;
         http_parser_pause(parser, 1);
-        return state.noBody || (!request && isBodiless(head.status)) ? 1 : 0;
+        return state.noBody || (!request && pvt::isBodiless(head.status)) ? 1 : 0;
     }
 
     template <class State> int completeMessage(http_parser* parser)
--- /dev/null
+++ b/src/libnet/http_status_pvt.h
@@ -0,0 +1,30 @@
+/// Status codes of HTTP (RFC 9110, section 15) that libnet gives or looks at.
+#pragma once
+
+namespace laburnum::pvt {
+
+inline constexpr unsigned statusContinue = 100;
+inline constexpr unsigned statusSwitchingProtocols = 101;
+inline constexpr unsigned statusOk = 200;
+inline constexpr unsigned statusNoContent = 204;
+inline constexpr unsigned statusMultipleChoices = 300;
+inline constexpr unsigned statusNotModified = 304;
+inline constexpr unsigned statusBadRequest = 400;
+inline constexpr unsigned statusNotFound = 404;
+inline constexpr unsigned statusRequestTimeout = 408;
+inline constexpr unsigned statusConflict = 409;
+inline constexpr unsigned statusTooLarge = 413;
+inline constexpr unsigned statusMisdirected = 421;
+inline constexpr unsigned statusHeadTooLarge = 431;
+inline constexpr unsigned statusServerError = 500;
+inline constexpr unsigned statusBadGateway = 502;
+inline constexpr unsigned statusUnavailable = 503;
+inline constexpr unsigned statusGatewayTimeout = 504;
+
+/// True for responses that have no body by their status (RFC 9112, section 6.3).
+constexpr bool isBodiless(unsigned status)
+{
+    return status < statusOk || status == statusNoContent || status == statusNotModified;
+}
+
+} // namespace laburnum::pvt
--- a/src/libnet/log_sink_test.cpp
+++ b/src/libnet/log_sink_test.cpp
@@ -1,8 +1,6 @@
 #include <catch2/catch.hpp>
 
 #include <array>
-#include <cstdlib>
-#include <filesystem>
 
 #include <fcntl.h>
 #include <sys/stat.h>
@@ -11,7 +9,10 @@
 #include <laburnumroute/json.h>
 #include <laburnumroute/log_sink.h>
 
+#include "fakes/temporary_folder.h"
+
 using namespace laburnum;
+using namespace laburnum::fakes;
 
 namespace {
 
@@ -20,22 +21,15 @@
 public:
     Pipe()
     {
-        std::string pattern = (std::filesystem::temp_directory_path() / "laburnum-XXXXXX").string();
-        REQUIRE(::mkdtemp(pattern.data()) != nullptr);
-        m_folder = pattern;
         REQUIRE(::mkfifo(path().c_str(), 0600) == 0);
         m_reader = ::open(path().c_str(), O_RDONLY | O_NONBLOCK);
         REQUIRE(m_reader >= 0);
     }
-    ~Pipe()
-    {
-        closeReader();
-        std::filesystem::remove_all(m_folder);
-    }
+    ~Pipe() { closeReader(); }
     Pipe(const Pipe&) = delete;
     Pipe& operator=(const Pipe&) = delete;
 
-    std::string path() const { return m_folder + "/log"; }
+    std::string path() const { return m_folder.path() + "/log"; }
 
     void closeReader()
     {
@@ -67,7 +61,7 @@
     }
 
 private:
-    std::string m_folder;
+    TemporaryFolder m_folder;
     int m_reader = -1;
 };
 
--- a/src/libnet/peer_listener.cpp
+++ b/src/libnet/peer_listener.cpp
@@ -10,6 +10,7 @@
 
 #include <laburnumroute/peer_transport.h>
 
+#include "asio_endpoint_pvt.h"
 #include "http_stream_pvt.h"
 
 namespace laburnum::pvt {
@@ -39,13 +40,7 @@
     std::error_code code;
     const tcp::endpoint address(asio::ip::make_address(endpoint.address, code), endpoint.port);
     if (!code)
-        m_acceptor.open(address.protocol(), code);
-    if (!code)
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), code);
-    if (!code)
-        m_acceptor.bind(address, code);
-    if (!code)
-        m_acceptor.listen(tcp::acceptor::max_listen_connections, code);
+        code = openAcceptor(m_acceptor, address);
     if (code)
         return fail(ErrorCode::Io, "listen on " + formatEndpoint(endpoint) + ": " + code.message());
     asio::co_spawn(m_strand, acceptLoop(shared_from_this()), asio::detached);
--- a/src/libnet/request_handler.cpp
+++ b/src/libnet/request_handler.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include "claim_wait_pvt.h"
+#include "http_status_pvt.h"
 #include "request_vetting_pvt.h"
 
 namespace laburnum::pvt {
@@ -12,14 +13,6 @@
     /// Bytes of a keyed request's body by which it is told from others with the same key.
     constexpr std::size_t fingerprintedBytes = std::size_t { 48 } * 1024;
 
-    constexpr unsigned statusBadRequest = 400;
-    constexpr unsigned statusRequestTimeout = 408;
-    constexpr unsigned statusConflict = 409;
-    constexpr unsigned statusServerError = 500;
-    constexpr unsigned statusBadGateway = 502;
-    constexpr unsigned statusUnavailable = 503;
-    constexpr unsigned statusGatewayTimeout = 504;
-
     AttemptResult resultOf(const AttemptOutcome& outcome)
     {
         switch (outcome.end) {
@@ -93,10 +86,8 @@
 asio::awaitable<bool> RequestHandler::run()
 {
     if (const auto vetted = vetRequest(m_request); !vetted) {
-        OwnAnswer refusal { statusBadRequest, RequestOutcome::NotRun, reasons::malformed };
-        refusal.detail = vetted.error().message;
         m_request.keepAlive = false;
-        co_await answer(std::move(refusal));
+        co_await answer(malformedAnswer(vetted.error()));
         co_return false;
     }
     auto assigned = co_await assignFirst();
@@ -105,8 +96,7 @@
         co_return m_keepAlive;
     }
     m_service = assigned->service;
-    const Duration limit = std::min(assigned->deadline,
-        callerDeadline(m_request, m_entry.options.names).value_or(assigned->deadline));
+    const Duration limit = timeLimit(m_request, m_entry.options.names, assigned->deadline);
     m_side.deadline = m_side.arrival + steady(limit);
     if (needsClaim()) {
         const auto verdict = co_await claim(assigned->service);
--- a/src/libnet/request_vetting.cpp
+++ b/src/libnet/request_vetting.cpp
@@ -85,4 +85,9 @@
     return std::chrono::milliseconds(millis);
 }
 
+Duration timeLimit(const HttpHead& request, const HeaderNames& names, Duration most)
+{
+    return std::min(most, callerDeadline(request, names).value_or(most));
+}
+
 } // namespace laburnum::pvt
--- a/src/libnet/request_vetting_pvt.h
+++ b/src/libnet/request_vetting_pvt.h
@@ -17,5 +17,7 @@
 bool expectsContinue(const HttpHead& request);
 /// The caller's own time limit, if it states a valid one.
 std::optional<Duration> callerDeadline(const HttpHead& request, const HeaderNames& names);
+/// `most`, or the caller's own time limit if that is shorter.
+Duration timeLimit(const HttpHead& request, const HeaderNames& names, Duration most);
 
 } // namespace laburnum::pvt
--- a/src/libnet/session.cpp
+++ b/src/libnet/session.cpp
@@ -3,16 +3,13 @@
 #include <asio/post.hpp>
 
 #include "fleet_request_pvt.h"
+#include "http_status_pvt.h"
 #include "request_handler_pvt.h"
 
 namespace laburnum::pvt {
 
 namespace {
 
-    constexpr unsigned statusBadRequest = 400;
-    constexpr unsigned statusRequestTimeout = 408;
-    constexpr unsigned statusHeadTooLarge = 431;
-
     /// Counts a request as in flight while it is being served.
     class InFlight {
     public:
@@ -98,8 +95,7 @@
 asio::awaitable<void> Session::refuse(const Error& error)
 {
     m_watchdog.clear();
-    OwnAnswer answer { statusBadRequest, RequestOutcome::NotRun, reasons::malformed };
-    answer.detail = error.message;
+    OwnAnswer answer = malformedAnswer(error);
     if (error.code == ErrorCode::TooLarge) {
         answer.status = statusHeadTooLarge;
         answer.reason = reasons::headTooLarge;
--- a/src/libnet/web_server.cpp
+++ b/src/libnet/web_server.cpp
@@ -5,7 +5,8 @@
 #include <asio/steady_timer.hpp>
 #include <http_parser.h>
 
-#include "entry_context_pvt.h"
+#include "asio_endpoint_pvt.h"
+#include "http_status_pvt.h"
 #include "http_stream_pvt.h"
 #include "watchdog_pvt.h"
 
@@ -22,9 +23,6 @@
     /// A call has to arrive whole within this time.
     constexpr auto arrivalLimit = std::chrono::seconds(10);
 
-    constexpr unsigned statusBadRequest = 400;
-    constexpr unsigned statusTooLarge = 413;
-
     std::string render(const WebResponse& response, bool keepAlive)
     {
         HttpHead head;
@@ -67,13 +65,13 @@
             m_watchdog.watch(Duration(arrivalLimit), [this] { m_stream.close(); });
             auto head = co_await m_stream.readHead();
             if (!head) {
-                co_await refuse(statusBadRequest);
+                co_await refuse(pvt::statusBadRequest);
                 co_return false;
             }
             WebRequest request { head->method, head->target, m_stream.takeBufferedBody() };
             while (!m_stream.messageComplete()) {
                 if (request.body.size() > WebServer::maxBodyBytes) {
-                    co_await refuse(statusTooLarge);
+                    co_await refuse(pvt::statusTooLarge);
                     co_return false;
                 }
                 const auto part = co_await m_stream.readBodyPart();
@@ -161,18 +159,8 @@
 
 Expected<void> WebServer::listen(const Endpoint& endpoint)
 {
-    const auto address = pvt::toAsio(endpoint);
-    if (!address)
-        return tl::unexpected<Error>(address.error());
-    std::error_code code;
-    auto& acceptor = m_impl->acceptor;
-    acceptor.open(address->protocol(), code);
-    acceptor.set_option(tcp::acceptor::reuse_address(true), code);
-    acceptor.bind(*address, code);
-    if (!code)
-        acceptor.listen(tcp::acceptor::max_listen_connections, code);
-    if (code)
-        return fail(ErrorCode::Io, "listen on " + formatEndpoint(endpoint) + ": " + code.message());
+    if (auto listening = pvt::startListening(m_impl->acceptor, endpoint); !listening)
+        return listening;
     asio::co_spawn(
         m_impl->io, [impl = m_impl] { return impl->acceptLoop(); }, asio::detached);
     return {};
--- a/src/libtrace/request_story.cpp
+++ b/src/libtrace/request_story.cpp
@@ -32,17 +32,18 @@
     /// Finds the cause of one request's end.
     class Explainer {
     public:
-        Explainer(const LogLines& log, const std::string& id, const std::vector<LogLine>& own)
+        Explainer(
+            const LogLines& log, const std::string& id, const std::vector<const LogLine*>& own)
             : m_log(log)
             , m_id(id)
         {
-            for (const LogLine& line : own) {
-                if (line.kind == "request") {
-                    m_end = &line;
-                } else if (line.kind == "attempt") {
-                    m_lastAttempt = &line;
-                    m_sheds += line.reason == "shed" ? 1 : 0;
-                    m_unreached += line.reason == "not-connected" ? 1 : 0;
+            for (const LogLine* line : own) {
+                if (line->kind == "request") {
+                    m_end = line;
+                } else if (line->kind == "attempt") {
+                    m_lastAttempt = line;
+                    m_sheds += line->reason == "shed" ? 1 : 0;
+                    m_unreached += line->reason == "not-connected" ? 1 : 0;
                 }
             }
         }
@@ -251,20 +252,20 @@
 RequestStory tellRequest(const LogLines& log, const std::string& id)
 {
     RequestStory story;
-    std::vector<LogLine> own;
+    std::vector<const LogLine*> own;
     for (const LogLine& line : log.lines) {
         if (!id.empty() && line.text("id") == id)
-            own.push_back(line);
+            own.push_back(&line);
     }
     Explainer(log, id, own).explain(story);
     if (own.empty())
         return story;
     // An end is written when it comes; the request began `ms` before.
-    const std::int64_t began = own.front().timeMs - own.front().number("ms") - beliefMs;
+    const std::int64_t began = own.front()->timeMs - own.front()->number("ms") - beliefMs;
     for (const LogLine& line : log.lines) {
         const bool isOwn = line.text("id") == id;
-        const bool explains = isBelief(line) && line.host == own.back().host && line.timeMs >= began
-            && line.timeMs <= own.back().timeMs;
+        const bool explains = isBelief(line) && line.host == own.back()->host
+            && line.timeMs >= began && line.timeMs <= own.back()->timeMs;
         if (isOwn || explains)
             story.lines.push_back(line);
     }
