Lines that tell a busy leader from one that is not heard

The logs could not tell the hypotheses of the incident apart. New: loop: busy (time of a control host's event loop by kind of work, longest turn, delay of its timer), log: campaign (how long the leader was silent), heartbeat-late, quorum-lost with the age of each voter's last answer, and the count of instances that the placer weighed.

--- a/src/include/laburnumroute/fleet_placer.h
+++ b/src/include/laburnumroute/fleet_placer.h
@@ -63,6 +63,8 @@
     std::vector<InstanceId> doubtful(TimePoint now) const;
     std::size_t waiting() const noexcept;
     std::size_t granted() const noexcept { return m_places.size(); }
+    /// Instances that were weighed since the start, as a measure of the work done.
+    std::uint64_t weighed() const noexcept { return m_weighed; }
 
 private:
     struct Instance {
@@ -141,6 +143,7 @@
 
     RepeatBudgetTerms m_terms;
     TimePoint m_startedAt {};
+    mutable std::uint64_t m_weighed = 0;
     std::map<InstanceId, Instance> m_instances;
     std::map<ServiceId, Service> m_services;
     std::map<AskKey, Place> m_places;
--- a/src/include/laburnumroute/hub.h
+++ b/src/include/laburnumroute/hub.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -89,6 +90,8 @@
     /// Each call ends by one result, at the latest after a limit below a second.
     void call(CallId id, FleetCall call, TimePoint now, HubActions& actions);
     void tick(TimePoint now, HubActions& actions);
+    /// What a frame asks for, in a word, for accounts of time.
+    static std::string_view workOf(std::string_view frame);
     /// Replaces the hosts that are asked for admission.
     void setSeeds(std::vector<HostId> seeds);
 
--- a/src/laburnumd/control_node.cpp
+++ b/src/laburnumd/control_node.cpp
@@ -10,6 +10,7 @@
 #include <laburnumroute/frame_link.h>
 #include <laburnumroute/hub.h>
 #include <laburnumroute/log_sink.h>
+#include <laburnumroute/loop_meter.h>
 #include <laburnumroute/web_server.h>
 
 #include "seeded_node.h"
@@ -147,21 +148,30 @@
 
         void tick()
         {
-            withHub([&](Hub& hub, TimePoint now, HubActions& actions) { hub.tick(now, actions); });
+            withHub("tick",
+                [&](Hub& hub, TimePoint now, HubActions& actions) { hub.tick(now, actions); });
+            const TimePoint due = m_clock.now() + Hub::tickInterval;
             m_ticker.expires_after(Hub::tickInterval);
-            m_ticker.async_wait([this](std::error_code code) {
-                if (!code)
-                    tick();
+            m_ticker.async_wait([this, due](std::error_code code) {
+                if (code)
+                    return;
+                const TimePoint now = m_clock.now();
+                m_meter.late(now - due);
+                if (const auto line = m_meter.report(now))
+                    m_log->record(*line);
+                tick();
             });
         }
 
-        template <class Function> void withHub(Function&& function)
+        template <class Function> void withHub(std::string_view work, Function&& function)
         {
             if (!m_hub)
                 return;
             HubActions actions;
-            function(*m_hub, m_clock.now(), actions);
+            const TimePoint begin = m_clock.now();
+            function(*m_hub, begin, actions);
             carry(actions);
+            m_meter.turn(work, begin, m_clock.now());
             if (m_hub && m_hub->log().failure()) {
                 m_hub.reset();
                 failCalls();
@@ -177,8 +187,10 @@
                 sendToPeer(host, frame);
             for (const auto& [link, frame] : actions.frames) {
                 const auto found = m_links.find(link);
-                if (found != m_links.end())
+                if (found != m_links.end()) {
                     found->second->send(frame);
+                    m_meter.sent(frame.size());
+                }
             }
             for (auto& [call, result] : actions.results)
                 answerCall(call, result);
@@ -190,7 +202,7 @@
             const LinkId id = m_lastLink;
             FrameLink::Handlers handlers;
             handlers.onFrame = [this, id](std::string_view frame) {
-                withHub([&](Hub& hub, TimePoint now, HubActions& actions) {
+                withHub(Hub::workOf(frame), [&](Hub& hub, TimePoint now, HubActions& actions) {
                     hub.receive(id, frame, now, actions);
                 });
             };
@@ -220,6 +232,7 @@
                 connectPeer(host, peer);
             }
             peer.link->send(frame);
+            m_meter.sent(frame.size());
         }
 
         void connectPeer(const HostId& host, PeerConnection& peer)
@@ -255,7 +268,7 @@
             m_lastCall = next(m_lastCall);
             const CallId id = m_lastCall;
             m_openCalls[id] = { understood, std::move(reply) };
-            withHub([&](Hub& hub, TimePoint now, HubActions& actions) {
+            withHub("own-call", [&](Hub& hub, TimePoint now, HubActions& actions) {
                 hub.call(id, std::move(understood), now, actions);
             });
         }
@@ -357,6 +370,7 @@
             add("laburnum_subscribers", m_hub->subscribers());
             add("laburnum_places_granted", m_hub->placer().granted());
             add("laburnum_asks_waiting", m_hub->placer().waiting());
+            add("laburnum_instances_weighed", m_hub->placer().weighed());
             return text;
         }
 
@@ -368,6 +382,7 @@
         SeededSettings m_settings;
         const HostId m_self;
         SteadyClock m_clock;
+        LoopMeter m_meter;
         std::unique_ptr<DecisionLog> m_log;
         asio::io_context m_context { 1 };
         std::unique_ptr<OuterInterface> m_outer;
--- a/src/libhub/hub.cpp
+++ b/src/libhub/hub.cpp
@@ -659,6 +659,32 @@
 
 void Hub::tick(TimePoint now, HubActions& actions) { m_impl->tick(now, actions); }
 
+std::string_view Hub::workOf(std::string_view frame)
+{
+    if (frame.empty())
+        return "none";
+    switch (static_cast<std::uint8_t>(frame.front())) {
+    case PeerFrame::type:
+        return "log";
+    case AskFrame::type:
+        return "ask";
+    case EndFrame::type:
+        return "end";
+    case LeaveFrame::type:
+        return "leave";
+    case AdoptFrame::type:
+        return "adopt";
+    case HelloFrame::type:
+        return "hello";
+    case CallFrame::type:
+        return "call";
+    case ResultFrame::type:
+        return "result";
+    default:
+        return "other";
+    }
+}
+
 void Hub::setSeeds(std::vector<HostId> seeds) { m_impl->log->setContacts(std::move(seeds)); }
 
 const FleetState& Hub::state() const noexcept { return m_impl->state; }
--- a/src/libplace/fleet_placer.cpp
+++ b/src/libplace/fleet_placer.cpp
@@ -243,6 +243,7 @@
     std::optional<InstanceId> best;
     double bestCost = 0.0;
     std::vector<FullInstance> full;
+    m_weighed += service->second.instances.size();
     for (const InstanceId& id : service->second.instances) {
         const Instance& instance = m_instances.at(id);
         const bool avoided
@@ -324,6 +325,7 @@
 Duration FleetPlacer::expectedWait(const Service& service, std::size_t ahead, TimePoint now) const
 {
     std::uint32_t slots = 0;
+    m_weighed += service.instances.size();
     for (const InstanceId& id : service.instances) {
         const Instance& instance = m_instances.at(id);
         if (usable(instance, now))
--- a/src/libstate/log_election.cpp
+++ b/src/libstate/log_election.cpp
@@ -25,10 +25,22 @@
         || (m_leaderHeard && now - *m_leaderHeard < options.timing.electionMin);
 }
 
+void ReplicatedLog::Impl::logCampaign(TimePoint now, Outbox& out) const
+{
+    Json::Value facts(Json::objectValue);
+    facts["leader"] = m_leader.value().empty() ? "" : m_leaderHost.value();
+    if (m_leaderHeard)
+        facts["heard_ms_ago"] = Json::Int64(toMillis(now - *m_leaderHeard));
+    facts["overdue_ms"] = Json::Int64(toMillis(now - m_electionDue));
+    logDecision("campaign", out, std::move(facts));
+}
+
 void ReplicatedLog::Impl::startPreVote(TimePoint now, Outbox& out)
 {
     if (role == LogRole::Candidate)
         logDecision("not-elected", out);
+    else if (role == LogRole::Follower)
+        logCampaign(now, out);
     role = LogRole::PreCandidate;
     m_preVoteSince = now;
     m_leader = MemberId();
@@ -145,10 +157,11 @@
     return saved(store.saveVote({ newTerm, votedFor }), out);
 }
 
-void ReplicatedLog::Impl::stepDown(const char* reason, TimePoint now, Outbox& out)
+void ReplicatedLog::Impl::stepDown(
+    const char* reason, TimePoint now, Outbox& out, Json::Value facts)
 {
     if (role == LogRole::Leader)
-        logDecision(reason, out);
+        logDecision(reason, out, std::move(facts));
     role = LogRole::Follower;
     m_leader = MemberId();
     m_proposals.clear();
--- a/src/libstate/log_replication.cpp
+++ b/src/libstate/log_replication.cpp
@@ -315,7 +315,9 @@
     const TimePoint since = now - options.timing.electionMax;
     if (m_leaderSince < since
         && votersSince(&FollowerProgress::lastHeard, since) < memberships.current().quorum()) {
-        stepDown("quorum-lost", now, out);
+        Json::Value facts(Json::objectValue);
+        facts["heard_ms_ago"] = votersHeard(now);
+        stepDown("quorum-lost", now, out, std::move(facts));
         return;
     }
     if (!flushProposals(now, out))
@@ -323,6 +325,11 @@
     admitJoining(now, out);
     if (failure || role != LogRole::Leader || now < m_heartbeatDue)
         return;
+    if (now - m_heartbeatDue >= options.timing.heartbeat) {
+        Json::Value facts(Json::objectValue);
+        facts["late_ms"] = Json::Int64(toMillis(now - m_heartbeatDue));
+        logDecision("heartbeat-late", out, std::move(facts));
+    }
     m_heartbeatDue = now + options.timing.heartbeat;
     broadcast(true, now, out);
 }
--- a/src/libstate/replicated_log.cpp
+++ b/src/libstate/replicated_log.cpp
@@ -74,9 +74,22 @@
     return result ? true : halt(result.error(), out);
 }
 
-void ReplicatedLog::Impl::logDecision(const char* reason, Outbox& out) const
+Json::Value ReplicatedLog::Impl::votersHeard(TimePoint now) const
+{
+    Json::Value heard(Json::objectValue);
+    for (const Member& member : memberships.current().members()) {
+        const auto found = m_followers.find(member.id);
+        if (member.voter && found != m_followers.end())
+            heard[member.host.value()] = Json::Int64(toMillis(now - found->second.lastHeard));
+    }
+    return heard;
+}
+
+void ReplicatedLog::Impl::logDecision(const char* reason, Outbox& out, Json::Value facts) const
 {
     Decision decision { "log", reason };
+    if (facts.isObject())
+        decision.facts = std::move(facts);
     decision.facts["term"] = Json::UInt64(term().value());
     decision.facts["member"] = self().value();
     decision.facts["last"] = Json::UInt64(store.lastIndex().value());
--- a/src/libstate/replicated_log_pvt.h
+++ b/src/libstate/replicated_log_pvt.h
@@ -97,12 +97,16 @@
     /// Stops taking part; returns false, so that callers can return its result.
     bool halt(const Error& error, Outbox& out);
     bool saved(const Expected<void>& result, Outbox& out);
-    void logDecision(const char* reason, Outbox& out) const;
+    /// `facts` are added to those that every line of the log has.
+    void logDecision(const char* reason, Outbox& out, Json::Value facts = {}) const;
+    /// How long ago each other voter was heard, for a leader that is not followed any more.
+    Json::Value votersHeard(TimePoint now) const;
 
     // Election.
     void scheduleElection(TimePoint now);
     void scheduleElection(TimePoint now, Duration least, Duration most);
     void startPreVote(TimePoint now, Outbox& out);
+    void logCampaign(TimePoint now, Outbox& out) const;
     /// True when this member began its own pre-vote just now and its log, or else its id, is ahead
     /// of the sender's.
     bool outranks(const pvt::VoteRequest& request, TimePoint now) const;
@@ -116,7 +120,7 @@
     bool hearsLeader(TimePoint now) const;
     /// Takes up a higher term; `votedFor` may be empty. False when that could not be saved.
     bool enterTerm(Term newTerm, const MemberId& votedFor, Outbox& out);
-    void stepDown(const char* reason, TimePoint now, Outbox& out);
+    void stepDown(const char* reason, TimePoint now, Outbox& out, Json::Value facts = {});
     void becomeLeader(TimePoint now, Outbox& out);
     /// Takes up the term of a request from a leader. False when it is to be ignored.
     bool followLeader(const pvt::LogHeader& from, const HostId& host, TimePoint now, Outbox& out);
