Log messages go before placement work, which is done in slices; an old leader drops its waiters

What callers saw: after one freeze of the leader most requests were placed by hosts alone, with next to no budget of repeats, and ended 502 (LOST after a SIGTERM).

Cause, the class being a metastable failure kept up by the work of recovery: a control host handled frames in order of arrival. Under a heap of ends of attempts (1.5 ms each) its timer was 1.5 s late though no turn took over 21 ms; followers' patience is 450 to 650 ms, so they elected the next one, which met the same heap. A host that lost the lead kept its waiters and went on placing for nobody, 1.55 s of 1.6.

Now messages of the log and calls are handled on arrival, all else waits in a backlog worked off in slices of 64 frames or 15,000 instances weighed, posted one by one. Asks older than 225 ms are void (their hosts choose alone at 250 ms). Configuration and instance frames are made once for hosts that hold the same; neighbours are told with the pulse (126 joins made 5,300 frames at once); addresses are looked up in a map.

Ruled out: joins themselves (119 in 12 ms), configurations (0.5 s of a second in syncs at 25 in 1.5 s, longest turn 15 ms).

Tests: asks in a heap delay no heartbeat; a leader that is not followed drops what waited (fails without the restart of the placer).

--- a/src/include/laburnumroute/fleet_state.h
+++ b/src/include/laburnumroute/fleet_state.h
@@ -72,6 +72,7 @@
     bool isStale(const InstanceRecord& record) const;
     bool hasDeparted(const InstanceId& id, std::uint64_t incarnation) const;
     const InstanceRecord* atEndpoint(const Endpoint& endpoint) const;
+    void hold(const InstanceRecord& record);
     void putRecord(LogIndex index, const InstanceRecord& record);
     void depart(LogIndex index, const Departure& departure);
     void noteChange(LogIndex index, const InstanceId& id);
@@ -79,6 +80,8 @@
     NumberedConfig m_config;
     std::deque<NumberedConfig> m_earlier;
     std::map<InstanceId, InstanceRecord> m_instances;
+    /// An address belongs to one instance.
+    std::map<Endpoint, InstanceId> m_byEndpoint;
     std::map<InstanceId, std::uint64_t> m_departed;
     std::deque<InstanceId> m_departureOrder;
     LogIndex m_instancesIndex;
--- a/src/laburnumd/control_node.cpp
+++ b/src/laburnumd/control_node.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 
 #include <asio/io_context.hpp>
+#include <asio/post.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
@@ -172,6 +173,7 @@
             function(*m_hub, begin, actions);
             carry(actions);
             m_meter.turn(work, begin, m_clock.now());
+            workLater();
             if (m_hub && m_hub->log().failure()) {
                 m_hub.reset();
                 failCalls();
@@ -179,6 +181,19 @@
             }
         }
 
+        /// Slices of the backlog are posted one by one: connections and timers come in between.
+        void workLater()
+        {
+            if (m_workPosted || !m_hub || !m_hub->hasBacklog())
+                return;
+            m_workPosted = true;
+            asio::post(m_context, [this] {
+                m_workPosted = false;
+                withHub("place",
+                    [](Hub& hub, TimePoint now, HubActions& actions) { hub.work(now, actions); });
+            });
+        }
+
         void carry(HubActions& actions)
         {
             for (const auto& decision : actions.decisions)
@@ -383,6 +398,7 @@
         const HostId m_self;
         SteadyClock m_clock;
         LoopMeter m_meter;
+        bool m_workPosted = false;
         std::unique_ptr<DecisionLog> m_log;
         asio::io_context m_context { 1 };
         std::unique_ptr<OuterInterface> m_outer;
--- a/src/libhub/codec_pvt.h
+++ b/src/libhub/codec_pvt.h
@@ -42,10 +42,16 @@
     return { buffer.data(), buffer.size() };
 }
 
+/// Whether `bytes` is what pack() makes of a Message, by its type.
+template <class Message> bool isFrame(std::string_view bytes)
+{
+    return !bytes.empty() && static_cast<std::uint8_t>(bytes.front()) == Message::type;
+}
+
 /// Reads what pack() wrote; nothing when `bytes` is something else.
 template <class Message> std::optional<Message> unpack(std::string_view bytes)
 {
-    if (bytes.empty() || static_cast<std::uint8_t>(bytes.front()) != Message::type)
+    if (!isFrame<Message>(bytes))
         return std::nullopt;
     try {
         const auto handle = msgpack::unpack(bytes.data() + 1, bytes.size() - 1);
--- a/src/libhub/fleet_state.cpp
+++ b/src/libhub/fleet_state.cpp
@@ -106,11 +106,8 @@
 
 const InstanceRecord* FleetState::atEndpoint(const Endpoint& endpoint) const
 {
-    for (const auto& [id, record] : m_instances) {
-        if (record.endpoint == endpoint)
-            return &record;
-    }
-    return nullptr;
+    const auto found = m_byEndpoint.find(endpoint);
+    return found == m_byEndpoint.end() ? nullptr : &m_instances.at(found->second);
 }
 
 /// What was said by an incarnation that has ended, or before what is held.
@@ -161,15 +158,26 @@
     const InstanceRecord* holder = atEndpoint(record.endpoint);
     if (holder != nullptr && holder->id != record.id)
         depart(index, { holder->id, holder->incarnation });
-    m_instances[record.id] = record;
+    hold(record);
     noteChange(index, record.id);
 }
 
+void FleetState::hold(const InstanceRecord& record)
+{
+    const auto former = m_instances.find(record.id);
+    if (former != m_instances.end())
+        m_byEndpoint.erase(former->second.endpoint);
+    m_instances[record.id] = record;
+    m_byEndpoint[record.endpoint] = record.id;
+}
+
 void FleetState::depart(LogIndex index, const Departure& departure)
 {
     const auto known = m_instances.find(departure.id);
-    if (known != m_instances.end() && known->second.incarnation <= departure.incarnation)
+    if (known != m_instances.end() && known->second.incarnation <= departure.incarnation) {
+        m_byEndpoint.erase(known->second.endpoint);
         m_instances.erase(known);
+    }
     auto& last = m_departed[departure.id];
     last = std::max(last, departure.incarnation);
     m_departureOrder.push_back(departure.id);
@@ -202,10 +210,8 @@
     if (!image)
         return fail(ErrorCode::Corrupt, "the snapshot of the fleet's state cannot be read");
     m_config = { image->number, image->content };
-    for (const auto& row : image->instances) {
-        const InstanceRecord record = pvt::fromRow(row);
-        m_instances[record.id] = record;
-    }
+    for (const auto& row : image->instances)
+        hold(pvt::fromRow(row));
     for (const auto& [id, incarnation] : image->departures) {
         m_departed[InstanceId(id)] = incarnation;
         m_departureOrder.emplace_back(id);
--- a/src/libhub/hub.cpp
+++ b/src/libhub/hub.cpp
@@ -1,6 +1,7 @@
 #include <laburnumroute/hub.h>
 
 #include <algorithm>
+#include <deque>
 
 #include <laburnumroute/json.h>
 
@@ -23,6 +24,16 @@
     /// The list of doubtful instances is told at most this often: hosts need it only when alone.
     constexpr auto doubtfulInterval = milliseconds(2000);
 
+    /// A slice of the backlog ends after so many frames, or so many instances weighed: 5 ms of a
+    /// control host, a fortieth of a leader's lease.
+    constexpr std::size_t sliceFrames = 64;
+    constexpr std::uint64_t sliceWeighed = 15'000;
+    /// Entry hosts choose alone when they hear nothing for 250 ms; an ask that waited so long is
+    /// void before its answer arrives.
+    constexpr auto askLimit = milliseconds(225);
+    /// Asks beyond this are void at once; ten times what a site of 126 hosts asks in a second.
+    constexpr std::size_t backlogLimit = 16'384;
+
     /// A round trip between regions takes 40 ms, a lost packet a fifth of a second more.
     constexpr LogTiming logTiming { .heartbeat = milliseconds(175),
         .electionMin = milliseconds(450),
@@ -128,25 +139,34 @@
             if (params)
                 toLog({ HostId(peer->from), options.host, peer->method, std::move(*params) }, now,
                     actions);
-        } else if (const auto ask = unpack<AskFrame>(frame)) {
-            onAsk(link, *ask, now, actions);
-        } else if (const auto end = unpack<EndFrame>(frame)) {
-            onEnd(link, *end, now, actions);
-        } else if (const auto leave = unpack<LeaveFrame>(frame)) {
-            m_replies.clear();
-            placer.leave({ link, AskId(leave->ask) }, now, m_replies);
-            sendReplies(actions);
-        } else if (const auto adopted = unpack<AdoptFrame>(frame)) {
-            onAdopt(link, *adopted, now, actions);
-        } else if (const auto hello = unpack<HelloFrame>(frame)) {
-            onHello(link, *hello, now, actions);
         } else if (const auto call = unpack<CallFrame>(frame)) {
             execute({ HostId(call->from), CallId(call->call) }, fromFrame(*call), now, actions);
         } else if (const auto result = unpack<ResultFrame>(frame)) {
             onResult(*result, actions);
+        } else if (isPlacement(frame)) {
+            const bool isVoid
+                = !m_leads || (m_backlog.size() >= backlogLimit && isFrame<AskFrame>(frame));
+            if (!isVoid)
+                m_backlog.push_back({ link, std::string(frame), now });
+        } else if (isFrame<HelloFrame>(frame)) {
+            m_backlog.push_back({ link, std::string(frame), now });
         }
     }
 
+    void work(TimePoint now, HubActions& actions)
+    {
+        const std::uint64_t weighed = placer.weighed();
+        for (std::size_t i = 0;
+             i < sliceFrames && !m_backlog.empty() && placer.weighed() - weighed < sliceWeighed;
+             ++i) {
+            const Waiting waiting = std::move(m_backlog.front());
+            m_backlog.pop_front();
+            workOff(waiting, now, actions);
+        }
+    }
+
+    bool hasBacklog() const { return !m_backlog.empty(); }
+
     void call(CallId id, FleetCall call, TimePoint now, HubActions& actions)
     {
         m_calls[id] = { std::move(call), now + callLimit, now };
@@ -180,6 +200,10 @@
     void closeLink(LinkId link, TimePoint now)
     {
         m_sessions.erase(link);
+        // What ended at instances counts all the same.
+        std::erase_if(m_backlog, [&](const Waiting& waiting) {
+            return waiting.link == link && !isFrame<EndFrame>(waiting.frame);
+        });
         placer.dropLink(link, now);
     }
 
@@ -200,6 +224,39 @@
     std::map<LinkId, Session> m_sessions;
 
 private:
+    /// A frame of an entry host that was not looked at yet.
+    struct Waiting {
+        LinkId link;
+        std::string frame;
+        TimePoint since;
+    };
+
+    static bool isPlacement(std::string_view frame)
+    {
+        return isFrame<AskFrame>(frame) || isFrame<EndFrame>(frame) || isFrame<LeaveFrame>(frame)
+            || isFrame<AdoptFrame>(frame);
+    }
+
+    void workOff(const Waiting& waiting, TimePoint now, HubActions& actions)
+    {
+        if (const auto hello = unpack<HelloFrame>(waiting.frame))
+            return onHello(waiting.link, *hello, now, actions);
+        if (!m_leads)
+            return;
+        if (const auto ask = unpack<AskFrame>(waiting.frame)) {
+            if (now - waiting.since < askLimit)
+                onAsk(waiting.link, *ask, now, actions);
+        } else if (const auto end = unpack<EndFrame>(waiting.frame)) {
+            onEnd(waiting.link, *end, now, actions);
+        } else if (const auto leave = unpack<LeaveFrame>(waiting.frame)) {
+            m_replies.clear();
+            placer.leave({ waiting.link, AskId(leave->ask) }, now, m_replies);
+            sendReplies(actions);
+        } else if (const auto adopted = unpack<AdoptFrame>(waiting.frame)) {
+            onAdopt(waiting.link, *adopted, now, actions);
+        }
+    }
+
     struct Origin {
         HostId host;
         CallId call;
@@ -255,7 +312,7 @@
         if (leads && !m_leads)
             startLeading(now, actions);
         else if (!leads && m_leads)
-            stopLeading(actions);
+            stopLeading(now, actions);
         if (log->appliedIndex() != m_seenApplied) {
             m_seenApplied = log->appliedIndex();
             if (m_leads) {
@@ -275,6 +332,7 @@
         m_placedIndex = LogIndex(0);
         placer.restart(now);
         m_introduced.clear();
+        m_newNeighbours.clear();
         syncPlacer(now);
         decide("lead", "started", actions);
         for (auto& [link, session] : m_sessions)
@@ -282,10 +340,11 @@
         m_pulseDue = now;
     }
 
-    void stopLeading(HubActions& actions)
+    void stopLeading(TimePoint now, HubActions& actions)
     {
         m_leads = false;
         m_commits.clear();
+        placer.restart(now);
         decide("lead", "stopped", actions);
         for (auto& [link, session] : m_sessions) {
             session.welcomed = false;
@@ -355,23 +414,33 @@
         actions.frames.emplace_back(link, fullPulse(now));
     }
 
-    /// Tells the entry hosts of a region of each other.
+    /// Tells an entry host of the others of its region. They hear of it with the next pulse, of all
+    /// that are new at once: after a change of leader every host is.
     void introduce(LinkId link, const Session& session, HubActions& actions)
     {
         const std::string& address = session.hello.neighbour;
         if (address.empty())
             return;
-        const bool isNew = m_introduced.insert(address).second;
         NeighboursFrame all;
         for (const auto& [otherLink, other] : m_sessions) {
-            if (otherLink == link || !other.welcomed || other.hello.neighbour.empty()
-                || other.hello.region != session.hello.region)
-                continue;
-            all.addresses.push_back(other.hello.neighbour);
-            if (isNew)
-                actions.frames.emplace_back(otherLink, pack(NeighboursFrame { { address } }));
+            if (otherLink != link && other.welcomed && !other.hello.neighbour.empty()
+                && other.hello.region == session.hello.region)
+                all.addresses.push_back(other.hello.neighbour);
         }
         actions.frames.emplace_back(link, pack(all));
+        if (m_introduced.insert(address).second)
+            m_newNeighbours[session.hello.region].addresses.push_back(address);
+    }
+
+    void sendNewNeighbours(HubActions& actions)
+    {
+        for (const auto& [region, frame] : std::exchange(m_newNeighbours, {})) {
+            const std::string bytes = pack(frame);
+            for (const auto& [link, session] : m_sessions) {
+                if (session.welcomed && session.hello.region == region)
+                    actions.frames.emplace_back(link, bytes);
+            }
+        }
     }
 
     void adopt(LinkId link, const OpenPlaceRow& row, TimePoint now)
@@ -393,23 +462,49 @@
         }
     }
 
-    /// Tells an entry host what it does not hold yet.
-    void update(LinkId link, Session& session, HubActions& actions) const
+    /// Tells an entry host what it does not hold yet. Hosts that hold the same get the same bytes,
+    /// which are made once.
+    void update(LinkId link, Session& session, HubActions& actions)
     {
-        const NumberedConfig& config = state.config();
-        if (config.number > session.configNumber) {
-            const NumberedConfig* base = state.configNumbered(session.configNumber);
-            actions.frames.emplace_back(link,
-                pack(ConfigFrame { config.number, base != nullptr ? base->number : 0,
-                    deflateText(config.content, base != nullptr ? base->content : "") }));
-            session.configNumber = config.number;
+        const std::uint64_t number = state.config().number;
+        if (number > session.configNumber) {
+            actions.frames.emplace_back(link, configFrame(session.configNumber));
+            session.configNumber = number;
         }
         if (session.holdsInstances && session.instancesIndex == state.instancesIndex())
             return;
+        actions.frames.emplace_back(link,
+            instancesFrame(
+                session.holdsInstances ? std::optional(session.instancesIndex) : std::nullopt));
+        session.instancesIndex = state.instancesIndex();
+        session.holdsInstances = true;
+    }
+
+    /// The configuration for a host that holds the one with number `held`.
+    const std::string& configFrame(std::uint64_t held)
+    {
+        const NumberedConfig& config = state.config();
+        if (std::exchange(m_configFramesOf, config.number) != config.number)
+            m_configFrames.clear();
+        const NumberedConfig* base = state.configNumbered(held);
+        std::string& bytes = m_configFrames[base != nullptr ? base->number : 0];
+        if (bytes.empty())
+            bytes = pack(ConfigFrame { config.number, base != nullptr ? base->number : 0,
+                deflateText(config.content, base != nullptr ? base->content : "") });
+        return bytes;
+    }
+
+    /// What changed since `held`, or all instances.
+    const std::string& instancesFrame(std::optional<LogIndex> held)
+    {
+        if (std::exchange(m_instanceFramesOf, state.instancesIndex()) != state.instancesIndex())
+            m_instanceFrames.clear();
+        std::string& bytes = m_instanceFrames[held];
+        if (!bytes.empty())
+            return bytes;
         InstancesFrame frame;
         frame.index = state.instancesIndex().value();
-        const auto changed
-            = session.holdsInstances ? state.changedSince(session.instancesIndex) : std::nullopt;
+        const auto changed = held ? state.changedSince(*held) : std::nullopt;
         frame.whole = !changed;
         for (const auto& [id, record] : state.instances()) {
             if (!changed || changed->contains(id))
@@ -421,9 +516,8 @@
                     frame.gone.push_back(id.value());
             }
         }
-        actions.frames.emplace_back(link, pack(frame));
-        session.instancesIndex = state.instancesIndex();
-        session.holdsInstances = true;
+        bytes = pack(frame);
+        return bytes;
     }
 
     std::string fullPulse(TimePoint now) const
@@ -437,6 +531,7 @@
     void sendPulse(TimePoint now, HubActions& actions)
     {
         m_pulseDue = now + pulseInterval;
+        sendNewNeighbours(actions);
         auto doubtful = placer.doubtful(now);
         const bool tells = now >= m_doubtfulDue && doubtful != m_toldDoubtful;
         const std::string frame = tells ? fullPulse(now) : pack(PulseFrame {});
@@ -458,7 +553,7 @@
     void onAsk(LinkId link, const AskFrame& frame, TimePoint now, HubActions& actions)
     {
         const auto session = m_sessions.find(link);
-        if (!m_leads || session == m_sessions.end())
+        if (session == m_sessions.end())
             return;
         PlaceDemand demand;
         demand.key = { link, AskId(frame.ask) };
@@ -494,8 +589,7 @@
         m_replies.clear();
         placer.leave({ link, AskId(frame.place.ask) }, now, m_replies);
         sendReplies(actions);
-        if (m_leads)
-            adopt(link, frame.place, now);
+        adopt(link, frame.place, now);
     }
 
     void sendReplies(HubActions& actions)
@@ -625,7 +719,15 @@
     std::map<CallId, PendingCall> m_calls;
     std::vector<Commit> m_commits;
     std::vector<PlaceReply> m_replies;
+    std::deque<Waiting> m_backlog;
     std::set<std::string> m_introduced;
+    /// By region.
+    std::map<std::string, NeighboursFrame> m_newNeighbours;
+    /// Bytes of the configuration and of the instances, by what the receiver holds.
+    std::map<std::uint64_t, std::string> m_configFrames;
+    std::uint64_t m_configFramesOf = 0;
+    std::map<std::optional<LogIndex>, std::string> m_instanceFrames;
+    LogIndex m_instanceFramesOf;
     TimePoint m_doubtfulDue {};
     std::vector<InstanceId> m_toldDoubtful;
 };
@@ -652,6 +754,10 @@
     m_impl->receive(link, frame, now, actions);
 }
 
+void Hub::work(TimePoint now, HubActions& actions) { m_impl->work(now, actions); }
+
+bool Hub::hasBacklog() const noexcept { return m_impl->hasBacklog(); }
+
 void Hub::call(CallId id, FleetCall call, TimePoint now, HubActions& actions)
 {
     m_impl->call(id, std::move(call), now, actions);
@@ -661,28 +767,11 @@
 
 std::string_view Hub::workOf(std::string_view frame)
 {
-    if (frame.empty())
-        return "none";
-    switch (static_cast<std::uint8_t>(frame.front())) {
-    case PeerFrame::type:
+    if (isFrame<PeerFrame>(frame))
         return "log";
-    case AskFrame::type:
-        return "ask";
-    case EndFrame::type:
-        return "end";
-    case LeaveFrame::type:
-        return "leave";
-    case AdoptFrame::type:
-        return "adopt";
-    case HelloFrame::type:
-        return "hello";
-    case CallFrame::type:
+    if (isFrame<CallFrame>(frame))
         return "call";
-    case ResultFrame::type:
-        return "result";
-    default:
-        return "other";
-    }
+    return isFrame<ResultFrame>(frame) ? "result" : "take-in";
 }
 
 void Hub::setSeeds(std::vector<HostId> seeds) { m_impl->log->setContacts(std::move(seeds)); }
--- a/src/libhub/hub_client.cpp
+++ b/src/libhub/hub_client.cpp
@@ -271,7 +271,7 @@
 {
     for (const auto& text : addresses) {
         const auto address = parseEndpoint(text);
-        if (address && m_neighbours.size() < neighbourLimit)
+        if (address && *address != m_neighbour && m_neighbours.size() < neighbourLimit)
             m_neighbours.insert(*address);
     }
 }
--- a/src/libhub/hub_test.cpp
+++ b/src/libhub/hub_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "fakes/hub_fleet.h"
+#include "hub_messages_pvt.h"
 
 using namespace laburnum;
 using namespace laburnum::fakes;
@@ -298,3 +299,56 @@
         5s, [&] { return fleet.leader() && fleet.hub(*fleet.leader())->subscribers() == 4; }));
     REQUIRE(fleet.hub(*fleet.leader())->placer().granted() == 2);
 }
+
+TEST_CASE("asks in a heap delay no heartbeat, and are void when their hosts have chosen alone")
+{
+    HubFleet fleet({ .seed = 11 });
+    found(fleet);
+    for (unsigned i = 0; i < 100; ++i)
+        REQUIRE(fleet.callAnywhere(AnnounceCall {
+            instanceRecord("i" + std::to_string(i), "s", static_cast<std::uint16_t>(100 + i)),
+            {} }));
+    Hub& leader = *fleet.hub(*fleet.leader());
+    const LinkId link(9999);
+    const TimePoint now = fleet.now();
+    HubActions actions;
+    leader.receive(link, pvt::pack(pvt::HelloFrame { "e9", "d", "r" }), now, actions);
+    while (leader.hasBacklog())
+        leader.work(now, actions);
+    const std::uint64_t weighed = leader.placer().weighed();
+    for (std::uint32_t ask = 1; ask <= 10'000; ++ask)
+        leader.receive(link,
+            pvt::pack(pvt::AskFrame { ask, "s", 0, 0, 0, 4000, 2000, false, false, {} }), now,
+            actions);
+    // Taking asks in costs nothing; they are worked off in slices.
+    REQUIRE(leader.placer().weighed() == weighed);
+    HubActions slice;
+    leader.work(now, slice);
+    REQUIRE(leader.hasBacklog());
+    REQUIRE(leader.placer().weighed() - weighed < 20'000);
+    HubActions heartbeats;
+    leader.tick(now + 200ms, heartbeats);
+    REQUIRE(heartbeats.peerFrames.size() >= 4);
+    HubActions late;
+    while (leader.hasBacklog())
+        leader.work(now + 300ms, late);
+    REQUIRE(late.frames.empty());
+}
+
+TEST_CASE("a leader that is not followed any more drops what waited for a place")
+{
+    HubFleet fleet({ .seed = 12 });
+    found(fleet);
+    REQUIRE(fleet.callAnywhere(AnnounceCall { instanceRecord("i1", "s", 101), {} }));
+    const HostId old = *fleet.leader();
+    for (unsigned i = 0; i < 20; ++i)
+        fleet.ask(e(1), demand("s"));
+    REQUIRE(fleet.runUntil(200ms, [&] { return fleet.hub(old)->placer().waiting() > 0; }));
+    for (unsigned i = 1; i <= 5; ++i) {
+        if (c(i) != old)
+            fleet.cut(old, c(i));
+    }
+    REQUIRE(fleet.runUntil(3s, [&] { return !fleet.hub(old)->leads(); }));
+    REQUIRE(fleet.hub(old)->placer().waiting() == 0);
+    REQUIRE(fleet.hub(old)->placer().granted() == 0);
+}
--- a/testsuite/fakes/hub_fleet.cpp
+++ b/testsuite/fakes/hub_fleet.cpp
@@ -170,6 +170,8 @@
         return;
     HubActions actions;
     function(*running, actions);
+    while (running->hasBacklog())
+        running->work(m_now, actions);
     carry(host, actions);
 }
 
