Nobody waits for an instance because it is due

What callers saw: in the second after an election, and whenever an instance hung with all its places taken, requests waited by the hundred for a quarter of their time (1.03 to 1.05 s) although almost all instances had room. Those waiters are what made each `end` cost 1.5 ms on the grown sites.

Cause: an instance that got no work for some time is due, which lowers its cost by 30 s so that it goes first. An instance whose places are all taken gets no work and becomes due too (0.7 to 1.9 s; at once under a new view, where attempts that hosts placed alone fill it before the view's first grant).

Now the bonus counts only for an instance that has room.

The pace of the start phase itself (50 ms for each instance) holds nobody longer than that.

--- a/src/libplace/fleet_placer.cpp
+++ b/src/libplace/fleet_placer.cpp
@@ -238,9 +238,10 @@
     double chance = health.failureChance;
     if (now - instance.heard > unheardAfter && now - instance.judge.lastSuccess() > workCountsFor)
         chance = std::max(chance, unheardFailureChance);
-    double total = work + pvt::failureCost(demand.kind, chance)
+    const double total = work + pvt::failureCost(demand.kind, chance)
         + pvt::distanceCost(instance.record, demand.dataCentre, demand.region, demand.kibibytes);
-    return isDue(instance, demand, now) ? total - dueBonusMs : total;
+    // Nobody waits for an instance because it is due: its places are at work.
+    return hasRoom(instance, now) && isDue(instance, demand, now) ? total - dueBonusMs : total;
 }
 
 bool FleetPlacer::isDue(const Instance& instance, const PlaceDemand& demand, TimePoint now) const
--- a/src/libplace/fleet_placer_test.cpp
+++ b/src/libplace/fleet_placer_test.cpp
@@ -348,6 +348,62 @@
     }
 }
 
+TEST_CASE("load pattern: an instance that was full before the view began holds up nobody")
+{
+    for (const RequestKind kind : { RequestKind::Safe, RequestKind::Unsafe, RequestKind::Upload }) {
+        Replay replay(35, 1);
+        for (unsigned open = 0; open < 6; ++open)
+            replay.placer.adopt(
+                { { LinkId(2), AskId(open) }, record(0).id, service, 0s, 6s }, TimePoint(100s));
+        const Tally tally = replay.run(
+            4s, [](Duration) { return 119.0; },
+            [&](std::uint32_t ask) { return demand(ask, kind); });
+        REQUIRE(tally.refused == 0);
+        REQUIRE(tally.longestHold < 300ms);
+    }
+}
+
+TEST_CASE("load pattern: the callers of a grown site meet a view that has just begun")
+{
+    struct Part {
+        unsigned instances;
+        double perSecond;
+        std::uint32_t kibibytes;
+    };
+    const auto part
+        = GENERATE(Part { 176, 640.0, 2 }, Part { 93, 340.0, 2 }, Part { 35, 119.0, 60 });
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        CAPTURE(part.instances, seed);
+        Replay replay(part.instances, seed);
+        for (unsigned i = 0; i < part.instances; ++i) {
+            InstanceRecord spread = record(i);
+            spread.dataCentre = DataCentreId("d" + std::to_string(i % 6));
+            spread.region = RegionId("r" + std::to_string(i % 6 / 2));
+            replay.placer.upsert(spread, TimePoint(100s));
+        }
+        // What hosts placed alone for as long as a service's work takes.
+        Random random(seed);
+        for (unsigned open = 0; open < part.perSecond / 2; ++open) {
+            const auto at = static_cast<unsigned>(uniformReal(random) * part.instances);
+            replay.placer.adopt(
+                { { LinkId(2), AskId(open) }, record(at).id, service, 0s, 1s }, TimePoint(100s));
+        }
+        const Tally tally = replay.run(
+            2s, [&](Duration at) { return at < 50ms ? 8 * part.perSecond : part.perSecond; },
+            [&](std::uint32_t ask) {
+                PlaceDemand wanted
+                    = demand(ask, ask % 2 == 0 ? RequestKind::Safe : RequestKind::Unsafe);
+                wanted.kibibytes = part.kibibytes;
+                wanted.dataCentre = DataCentreId("d" + std::to_string(ask % 6));
+                wanted.region = RegionId("r" + std::to_string(ask % 6 / 2));
+                return wanted;
+            });
+        REQUIRE(tally.refused == 0);
+        REQUIRE(tally.longestHold < 300ms);
+        REQUIRE(tally.mostWaiting < part.perSecond / 4);
+    }
+}
+
 TEST_CASE("load pattern: the near instances are full, and those far away have room")
 {
     const auto [kibibytes, mostWaiting] = GENERATE(table<std::uint32_t, unsigned>({
