An attempt that this host gave up is told from one that its instance failed

After a request ended `no-budget`, `laburnumctl trace` said "i-... answered 0, an error of its own", although the host itself had closed the attempt at 85 % of the objective while the instance was at work.

Cause: AttemptEnd::TimedOut stood for the caller's deadline and for the host's own limit, and the trace took every attempt before `no-budget` for an answer.

Now the second is AttemptEnd::GivenUp, `attempt: given-up`, with the limit and the caller's time that was left; the reason of the refusal stands in the `request` line. `trace` has a cause of that name, says "gave no answer in time" of an attempt without an answer, and no longer counts attempts given up among an instance's failures.

The two new tests failed before (causes instance-gray and instance-error, "answered 0"); the timeline's test has two more lines. The reasons in the answers to callers are as they were.

--- a/src/include/laburnumroute/request_story.h
+++ b/src/include/laburnumroute/request_story.h
@@ -29,6 +29,8 @@
     InstanceGone,
     /// This host could not reach an instance that others reached.
     PathCut,
+    /// The host left an instance that had not answered yet, and got no place for a repeat.
+    GivenUp,
     /// Instances declined the request, and no repeat was left.
     Shed,
     /// Most of the time went by waiting for a place.
--- a/src/libnet/exchange.cpp
+++ b/src/libnet/exchange.cpp
@@ -202,7 +202,10 @@
                                                                     : AttemptEnd::CallerMalformed;
     if (m_timedOut) {
         const bool callerSlow = m_uploader && m_uploader->phase() == Uploader::Phase::ReadingCaller;
-        return callerSlow ? AttemptEnd::CallerSlow : AttemptEnd::TimedOut;
+        if (callerSlow)
+            return AttemptEnd::CallerSlow;
+        return m_caller.attemptLimit < m_caller.deadline ? AttemptEnd::GivenUp
+                                                         : AttemptEnd::TimedOut;
     }
     return error.code == ErrorCode::Closed ? AttemptEnd::NoAnswer : AttemptEnd::BadAnswer;
 }
--- a/src/libnet/exchange_pvt.h
+++ b/src/libnet/exchange_pvt.h
@@ -25,6 +25,9 @@
     BadAnswer,
     /// The deadline passed.
     TimedOut,
+    /// This host closed the connection while the instance had said nothing and the deadline had
+    /// not passed.
+    GivenUp,
     /// The deadline passed while the caller was still sending.
     CallerSlow,
     /// The caller's body is malformed.
--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -59,6 +59,8 @@
             return reasons::badAnswer;
         case AttemptEnd::TimedOut:
             return reasons::deadline;
+        case AttemptEnd::GivenUp:
+            return "given-up";
         case AttemptEnd::CallerSlow:
             return reasons::slowBody;
         case AttemptEnd::CallerMalformed:
@@ -255,6 +257,7 @@
         report.end = outcome.refused ? PlacedEnd::Refused : PlacedEnd::Unreachable;
         break;
     case AttemptEnd::TimedOut:
+    case AttemptEnd::GivenUp:
         report.end = PlacedEnd::Silence;
         break;
     case AttemptEnd::Cut:
@@ -284,6 +287,7 @@
     case AttemptEnd::NoAnswer:
     case AttemptEnd::BadAnswer:
     case AttemptEnd::TimedOut:
+    case AttemptEnd::GivenUp:
         return m_side.repeatable && m_runs < m_plan.attempts;
     case AttemptEnd::Held:
         return outcome.status >= statusServerError && m_side.repeatable && m_runs < m_plan.attempts;
@@ -294,7 +298,8 @@
 
 asio::awaitable<bool> FleetRequest::conclude(AttemptOutcome outcome)
 {
-    const char* reason = endName(outcome.end);
+    const char* reason
+        = outcome.end == AttemptEnd::GivenUp ? reasons::deadline : endName(outcome.end);
     if (outcome.end == AttemptEnd::Passed) {
         recordEnd(reason, outcome.status, RequestOutcome::Answered);
         co_return outcome.keepAlive;
@@ -313,7 +318,8 @@
         ran ? RequestOutcome::Unknown : RequestOutcome::NotRun, reason };
     own.retryAfter = outcome.retryAfter.empty() ? retryAfterText(retryAfterStart)
                                                 : std::move(outcome.retryAfter);
-    if (outcome.end == AttemptEnd::TimedOut && ran)
+    const bool late = outcome.end == AttemptEnd::TimedOut || outcome.end == AttemptEnd::GivenUp;
+    if (late && ran)
         own.status = statusGatewayTimeout;
     else if (outcome.end == AttemptEnd::CallerSlow && !ran)
         own.status = statusRequestTimeout;
@@ -377,6 +383,11 @@
         toMillis(std::chrono::steady_clock::now() - m_side.arrival - outcome.latency));
     decision.facts["ms"] = Json::Int64(toMillis(outcome.latency));
     decision.facts["may_have_run"] = outcome.mayHaveRun;
+    if (outcome.end == AttemptEnd::GivenUp) {
+        decision.facts["limit_ms"] = Json::Int64(toMillis(attemptTime(m_plan.objective)));
+        decision.facts["left_ms"]
+            = Json::Int64(toMillis(m_side.deadline - std::chrono::steady_clock::now()));
+    }
     m_entry.log->record(decision);
 }
 
--- a/src/libnet/request_handler.cpp
+++ b/src/libnet/request_handler.cpp
@@ -24,6 +24,7 @@
         case AttemptEnd::Shed:
             return AttemptResult::Shed;
         case AttemptEnd::TimedOut:
+        case AttemptEnd::GivenUp:
             return AttemptResult::TimedOut;
         case AttemptEnd::CallerSlow:
         case AttemptEnd::CallerMalformed:
--- a/src/libtrace/instance_record.cpp
+++ b/src/libtrace/instance_record.cpp
@@ -36,7 +36,8 @@
             ++record.served;
         else if (line.kind == "attempt" && line.reason == "not-connected")
             ++record.unreached;
-        else if (line.kind == "attempt" && line.reason != "caller-gone")
+        else if (line.kind == "attempt" && line.reason != "caller-gone"
+            && line.reason != "given-up")
             ++record.failed;
     }
     return record;
--- a/src/libtrace/instance_record_pvt.h
+++ b/src/libtrace/instance_record_pvt.h
@@ -14,7 +14,7 @@
 struct InstanceRecord {
     /// Requests that the instance answered well.
     unsigned served = 0;
-    /// Other requests that it failed, shed or left without an answer.
+    /// Other requests that it failed, shed or left without an answer; none given up.
     unsigned failed = 0;
     /// Tries of other requests that found no connection to it.
     unsigned unreached = 0;
--- a/src/libtrace/request_story.cpp
+++ b/src/libtrace/request_story.cpp
@@ -15,10 +15,10 @@
     constexpr std::int64_t statusMisdirected = 421;
     constexpr std::int64_t statusGatewayTimeout = 504;
 
-    constexpr std::array<const char*, 17> causeNames { "never-seen", "host-died", "served",
+    constexpr std::array<const char*, 18> causeNames { "never-seen", "host-died", "served",
         "instance-gray", "instance-error", "instance-slow", "instance-silent", "answer-broken",
-        "instance-gone", "path-cut", "shed", "no-place", "no-instance", "no-configuration",
-        "no-route", "caller-left", "refused" };
+        "instance-gone", "path-cut", "given-up", "shed", "no-place", "no-instance",
+        "no-configuration", "no-route", "caller-left", "refused" };
 
     std::string ms(std::int64_t value) { return std::to_string(value) + " ms"; }
 
@@ -60,7 +60,7 @@
             else if (reason == "deadline")
                 explainDeadline(story);
             else if (reason == "no-answer" || reason == "bad-answer" || reason == "cut")
-                explainBroken(story);
+                explainBroken(story, *m_end);
             else if (reason == "caller-gone")
                 explainLeft(story);
             else
@@ -142,18 +142,32 @@
                 return;
             }
             const std::string instance = instanceOf(*m_end);
+            tellSilence(story, instance, ms(whole - placing) + " of " + ms(whole));
+        }
+
+        void tellSilence(
+            RequestStory& story, const std::string& instance, const std::string& time) const
+        {
             const auto record = recordOf(instance);
-            const std::string head = instance + " gave no answer in time (" + ms(whole - placing)
-                + " of " + ms(whole) + ")";
             tell(story, record.isGray() ? EndCause::InstanceSilent : EndCause::InstanceSlow,
-                head + ": " + recordText(record));
+                instance + " gave no answer in time (" + time + "): " + recordText(record));
         }
 
-        void explainBroken(RequestStory& story) const
+        void explainBroken(RequestStory& story, const LogLine& line) const
         {
-            const std::string instance = instanceOf(*m_end);
+            const std::string instance = instanceOf(line);
             tell(story, EndCause::AnswerBroken,
-                instance + " broke off or sent what is no answer (" + m_end->reason
+                instance + " broke off or sent what is no answer (" + line.reason
+                    + "): " + recordText(recordOf(instance)));
+        }
+
+        void explainGivenUp(RequestStory& story) const
+        {
+            const std::string instance = m_lastAttempt->text("instance");
+            tell(story, EndCause::GivenUp,
+                m_end->host + " gave up " + instance + " after " + ms(m_lastAttempt->number("ms"))
+                    + " without an answer, with " + ms(m_lastAttempt->number("left_ms"))
+                    + " left, and got no place for a repeat (" + m_end->reason
                     + "): " + recordText(recordOf(instance)));
         }
 
@@ -171,6 +185,8 @@
         void explainRefusal(RequestStory& story) const
         {
             const std::string& reason = m_end->reason;
+            if (m_lastAttempt && m_lastAttempt->reason == "given-up")
+                return explainGivenUp(story);
             if (reason == "no-budget" || reason == "shed")
                 return explainNoRepeat(story);
             if (reason == "not-connected")
@@ -207,7 +223,14 @@
             }
             if (m_lastAttempt->reason == "not-connected")
                 return explainUnreached(story, m_lastAttempt->text("instance"));
-            explainFailure(story, *m_lastAttempt);
+            const std::string& how = m_lastAttempt->reason;
+            if (how == "deadline")
+                tellSilence(
+                    story, m_lastAttempt->text("instance"), ms(m_lastAttempt->number("ms")));
+            else if (how == "no-answer" || how == "bad-answer")
+                explainBroken(story, *m_lastAttempt);
+            else
+                explainFailure(story, *m_lastAttempt);
             story.sentence += "; the fleet's budget of repeats was used up";
         }
 
--- a/src/libtrace/request_story_test.cpp
+++ b/src/libtrace/request_story_test.cpp
@@ -21,11 +21,11 @@
     }
 
     Log& attempt(int ms, const std::string& id, const std::string& reason, int status,
-        const std::string& instance, const std::string& host = "h1")
+        const std::string& instance, const std::string& host = "h1", const std::string& more = {})
     {
         return add(ms, "attempt", reason,
             R"("host":")" + host + R"(","id":")" + id + R"(","instance":")" + instance
-                + R"(","status":)" + std::to_string(status) + R"(,"service":"s")");
+                + R"(","status":)" + std::to_string(status) + R"(,"service":"s")" + more);
     }
 
     Log& add(int ms, const std::string& kind, const std::string& reason, const std::string& facts)
@@ -116,6 +116,40 @@
     REQUIRE(log.cause("e") == EndCause::AnswerBroken);
 }
 
+TEST_CASE("an attempt that this host gave up is not told as an error of its instance")
+{
+    Log log;
+    log.attempt(
+        100, "a", "given-up", 0, "i1", "h1", R"(,"ms":1700,"limit_ms":1700,"left_ms":2200)");
+    log.end(150, "a", "no-budget", 502, "i1");
+    log.attempt(
+        100, "b", "given-up", 0, "i1", "h1", R"(,"ms":1700,"limit_ms":1700,"left_ms":2200)");
+    log.end(900, "b", "busy", 502, "i1");
+    for (const char* id : { "a", "b" }) {
+        const auto story = tellRequest(log.lines(), id);
+        CAPTURE(story.sentence);
+        REQUIRE(story.cause == EndCause::GivenUp);
+        REQUIRE(story.sentence.starts_with("h1 gave up i1 after 1700 ms without an answer, with "
+                                           "2200 ms left, and got no place for a repeat ("));
+    }
+    REQUIRE(endCauseName(EndCause::GivenUp) == std::string("given-up"));
+}
+
+TEST_CASE("an instance that never answered is not told to have answered 0")
+{
+    Log log;
+    log.attempt(100, "a", "no-answer", 0, "i1").end(101, "a", "no-budget", 502, "i1");
+    log.attempt(100, "b", "deadline", 0, "i2").end(101, "b", "no-budget", 502, "i2");
+    REQUIRE(log.cause("a") == EndCause::AnswerBroken);
+    REQUIRE(log.cause("b") == EndCause::InstanceSlow);
+    for (const char* id : { "a", "b" }) {
+        const auto story = tellRequest(log.lines(), id);
+        CAPTURE(story.sentence);
+        REQUIRE(story.sentence.find("answered 0") == std::string::npos);
+        REQUIRE(story.sentence.ends_with("the fleet's budget of repeats was used up"));
+    }
+}
+
 TEST_CASE("what no host ended is said so")
 {
     Log log;
@@ -144,12 +178,15 @@
     log.end(0, "a", "answered", 200, "i1").attempt(100, "b", "shed", 503, "i2");
     log.attempt(1200, "c", "deadline", 0, "i2").attempt(1300, "d", "answered", 500, "i1");
     log.add(1400, "judge", "doubtful", R"("host":"c1","instances":["i1","other"])");
+    // Given up after an attempt's time counts as silence, before it does not count.
+    log.attempt(1500, "e", "given-up", 0, "i2", "h1", R"(,"ms":1700,"limit_ms":1700)");
+    log.attempt(1600, "f", "given-up", 0, "i1", "h1", R"(,"ms":20,"limit_ms":1700)");
     const Timeline timeline = tellTimeline(log.lines(), "s");
-    REQUIRE(timeline.events.size() == 5);
+    REQUIRE(timeline.events.size() == 6);
     REQUIRE(renderTimeline(timeline)
         == "seconds from 1000000 ms, instance, counts\n0 i1 served=1\n0 i2 shed=1\n"
-           "1 i1 failed=1 doubted=1\n1 i2 silent=1\n");
-    REQUIRE(tellTimeline(log.lines(), "i2").events.size() == 2);
+           "1 i1 failed=1 doubted=1\n1 i2 silent=2\n");
+    REQUIRE(tellTimeline(log.lines(), "i2").events.size() == 3);
     const std::string picture = drawTimeline(timeline, "a<b");
     REQUIRE(picture.find("a&lt;b") != std::string::npos);
     REQUIRE(picture.find("</svg>") != std::string::npos);
--- a/src/libtrace/timeline.cpp
+++ b/src/libtrace/timeline.cpp
@@ -35,15 +35,22 @@
     constexpr int top = 40;
     constexpr int halfMark = 2;
 
+    /// An attempt that its host gave up before the instance had had an attempt's time.
+    bool isEarly(const LogLine& line)
+    {
+        return line.reason == "given-up"
+            && (line.number("status") != 0 || line.number("ms") < line.number("limit_ms"));
+    }
+
     std::optional<EventKind> kindOf(const LogLine& line)
     {
         if (pvt::isServed(line))
             return EventKind::Served;
-        if (line.kind != "attempt" || line.reason == "caller-gone")
+        if (line.kind != "attempt" || line.reason == "caller-gone" || isEarly(line))
             return std::nullopt;
         if (line.reason == "shed")
             return EventKind::Shed;
-        if (line.reason == "deadline")
+        if (line.reason == "deadline" || line.reason == "given-up")
             return EventKind::Silent;
         if (line.reason == "not-connected")
             return EventKind::NotConnected;
