--- a/src/libnet/fleet_request_test.cpp
+++ b/src/libnet/fleet_request_test.cpp
@@ -31,6 +31,8 @@
     {
         m_last = AskId(m_last.value() + 1);
         demands.push_back(demand);
+        if (demands.size() > 1)
+            askedAgain.set();
         PlacedAttempt placed { m_last, std::nullopt, PlaceRefusal::Busy, 300ms };
         if (!instances.empty()) {
             placed.instance = InstanceRecord {};
@@ -58,6 +60,8 @@
     /// Asks get no answer.
     bool silent = false;
     Signal left;
+    /// A place was asked for that is not the first.
+    Signal askedAgain;
 
 private:
     AskId m_last;
@@ -260,6 +264,30 @@
     CHECK(got.ends_with("\r\n\r\nno"));
 }
 
+TEST_CASE("fleet: an attempt at work is not given up before its replacement answers")
+{
+    ScriptedDesk desk;
+    desk.route.objective = 1s;
+    std::string head;
+    ScriptedUpstream slow([&](Connection& connection, int) {
+        head = connection.readHead();
+        // No place is left for another attempt.
+        desk.askedAgain.wait();
+        connection.send(answer("ok"));
+    });
+    desk.instances = { slow.endpoint() };
+    FleetRig rig(desk);
+    const std::string got = rig.exchange(request("GET", "Laburnum-Deadline-Ms: 3900\r\n"));
+    rig.stop();
+    CHECK(got.starts_with("HTTP/1.1 200 OK\r\n"));
+    CHECK(got.ends_with("\r\n\r\nok"));
+    CHECK(desk.reports == std::vector<PlacedEnd> { PlacedEnd::Success });
+    // The instance may work for as long as the caller waits.
+    const auto at = head.find("Laburnum-Deadline-Ms: ");
+    REQUIRE(at != std::string::npos);
+    CHECK(std::stoi(head.substr(at + 22)) > 2500);
+}
+
 TEST_CASE("fleet: a late answer to another request is passed over")
 {
     ScriptedUpstream upstream([](Connection& connection, int) {
