An attempt is not given up before another one has answered

Cause: FleetRequest bounded each attempt that might be repeated by attemptTime(). At that limit the Exchange closed the connection, the instance had even been told the shorter time, and only then was a place for the repeat asked for. Where it was refused (`no-budget`, `busy`) nothing was left. The host gave up what it held before it held what was to replace it.

Now the request asks for a second place while its attempt goes on. Refused, nothing happens; granted, the second runs beside the first, and the first whole answer that is no server error is the caller's; the other is closed. An attempt ends by its own end, by the other's answer or by the caller's leaving or deadline, and its instance is told the caller's whole time. A failure waits for the attempt that is still at work. Each attempt has its own view of the caller's side (HedgeSide: the kept body from its start, a watchdog); long answers wait for their turn, so that there is one writer to the caller at any time. At most two run at once, never more than the route's attempts. Requests that must not run twice, and the last attempt that a request has, take the same way as before.

`hedge: granted|refused` logs the decision with the limit, the time left and the refusal; `trace` names the refusal where a request ran into its deadline.

Further tests: either attempt answers first (short and over 64 KiB, on a connection that carries another request after it); two long answers at once; failures of one and of both; the caller leaves; planned stop; places that are still waited for; the body sent again; requests that must not run twice.

--- a/src/include/laburnumroute/attempt_time.h
+++ b/src/include/laburnumroute/attempt_time.h
@@ -1,16 +1,16 @@
-/// How long a request that can be repeated stays at an instance that says nothing. No I/O.
+/// How long an instance may say nothing before a request that can be repeated asks for a second
+/// place. No I/O.
 ///
 /// Load pattern: work that is spread widely, so that one sound answer in twenty takes over twice
-/// the mean. Leaving such an instance early throws its work away, takes a place elsewhere and
-/// starts anew; staying too long leaves no time for a repeat when the instance hangs.
+/// the mean. Asking early spends places and repeats on requests that would have been answered;
+/// asking late leaves no time for a repeat when the instance hangs. The first attempt goes on.
 #pragma once
 
 #include <laburnumroute/clock.h>
 
 namespace laburnum {
 
-/// The time for one attempt of a request with this `objective`; the last attempt that a request has
-/// is not bounded by it.
+/// That time for a request with this `objective`.
 Duration attemptTime(Duration objective);
 
 } // namespace laburnum
--- a/src/libnet/exchange.cpp
+++ b/src/libnet/exchange.cpp
@@ -50,8 +50,11 @@
 {
     bool mayReuse = true;
     while (true) {
-        if (!co_await connect(mayReuse)) {
-            m_outcome.end = AttemptEnd::NotConnected;
+        bool connected = false;
+        if (!m_abandonedAs)
+            connected = co_await connect(mayReuse);
+        if (!connected) {
+            m_outcome.end = m_abandonedAs.value_or(AttemptEnd::NotConnected);
             break;
         }
         co_await sendRequest();
@@ -71,6 +74,21 @@
     co_return std::move(m_outcome);
 }
 
+void Exchange::abandon(AttemptEnd end)
+{
+    m_abandonedAs = end;
+    if (m_upstream)
+        m_upstream->close();
+    else
+        m_caller.watchdog.expire();
+}
+
+bool Exchange::sent() const
+{
+    return m_uploader ? m_uploader->phase() == Uploader::Phase::Sent
+                      : m_outcome.mayHaveRun && m_caller.body.finished();
+}
+
 asio::awaitable<bool> Exchange::connect(bool mayReuse)
 {
     m_uploader = nullptr;
@@ -87,8 +105,7 @@
     if (!endpoint)
         co_return false;
     auto socket = std::make_shared<tcp::socket>(m_caller.entry.io);
-    const auto limit = std::min(
-        { m_caller.deadline, m_caller.attemptLimit, after(m_caller.entry.options.connectTimeout) });
+    const auto limit = std::min(m_caller.deadline, after(m_caller.entry.options.connectTimeout));
     m_caller.watchdog.watch(limit, [socket] {
         std::error_code ignored;
         socket->close(ignored);
@@ -117,8 +134,7 @@
     if (request.chunked)
         fields.push_back({ "Transfer-Encoding", "chunked" });
     const HeaderNames& names = m_caller.entry.options.names;
-    const auto limit = std::min(m_caller.deadline, m_caller.attemptLimit);
-    const auto remaining = std::max(limit - steadyNow(), SteadyTime::duration::zero());
+    const auto remaining = std::max(m_caller.deadline - steadyNow(), SteadyTime::duration::zero());
     eraseFields(fields, names.deadline);
     fields.push_back({ names.deadline, std::to_string(toMillis(remaining)) });
     if (!names.expectedInstance.empty()) {
@@ -170,7 +186,7 @@
 
 void Exchange::watchDeadline()
 {
-    m_caller.watchdog.watch(std::min(m_caller.deadline, m_caller.attemptLimit), [this] {
+    m_caller.watchdog.watch(m_caller.deadline, [this] {
         m_timedOut = true;
         m_upstream->close();
     });
@@ -190,6 +206,8 @@
     m_caller.stream.watchPeer([this] {
         m_callerGone = true;
         m_upstream->close();
+        if (m_caller.onCallerGone)
+            m_caller.onCallerGone();
     });
 }
 
@@ -197,15 +215,14 @@
 {
     if (m_callerGone)
         return AttemptEnd::CallerGone;
+    if (m_abandonedAs)
+        return *m_abandonedAs;
     if (m_uploader && m_uploader->phase() == Uploader::Phase::CallerFailed)
         return m_uploader->callerError()->code == ErrorCode::Closed ? AttemptEnd::CallerGone
                                                                     : AttemptEnd::CallerMalformed;
     if (m_timedOut) {
         const bool callerSlow = m_uploader && m_uploader->phase() == Uploader::Phase::ReadingCaller;
-        if (callerSlow)
-            return AttemptEnd::CallerSlow;
-        return m_caller.attemptLimit < m_caller.deadline ? AttemptEnd::GivenUp
-                                                         : AttemptEnd::TimedOut;
+        return callerSlow ? AttemptEnd::CallerSlow : AttemptEnd::TimedOut;
     }
     return error.code == ErrorCode::Closed ? AttemptEnd::NoAnswer : AttemptEnd::BadAnswer;
 }
@@ -226,7 +243,8 @@
         }
         if (head->status == statusSwitchingProtocols)
             co_return fail(ErrorCode::InvalidArgument, "the instance switches protocols unasked");
-        if (head->status == statusContinue || m_caller.request.versionMinor == 0)
+        if (head->status == statusContinue || m_caller.request.versionMinor == 0
+            || !m_caller.passesInterim)
             continue;
         co_await m_caller.stream.write(renderResponseHead(*head, endToEndFields(*head)));
     }
@@ -353,6 +371,16 @@
 
 asio::awaitable<void> Exchange::relayAnswer(HttpHead head)
 {
+    if (m_caller.awaitTurn) {
+        const bool mine = co_await m_caller.awaitTurn(head.status);
+        if (!mine || m_timedOut || m_callerGone) {
+            m_outcome.end = endFor({ ErrorCode::Closed, "not this attempt's turn" });
+            co_return;
+        }
+        // Another attempt that ended meanwhile has ended the watch.
+        if (sent())
+            watchCaller();
+    }
     const BodyFraming framing = answerFraming(head);
     const bool untilClose = framing == BodyFraming::Identity && !head.contentLength;
     const bool uploaded = m_caller.body.complete();
--- a/src/libnet/exchange_pvt.h
+++ b/src/libnet/exchange_pvt.h
@@ -25,8 +25,7 @@
     BadAnswer,
     /// The deadline passed.
     TimedOut,
-    /// This host closed the connection while the instance had said nothing and the deadline had
-    /// not passed.
+    /// This host closed the connection because another attempt's answer is the caller's.
     GivenUp,
     /// The deadline passed while the caller was still sending.
     CallerSlow,
@@ -68,11 +67,16 @@
     std::function<bool()> replacesError;
     /// The request may run more than once.
     bool repeatable = false;
-    /// The attempt is given up then; never later than the deadline.
-    SteadyTime attemptLimit = SteadyTime::max();
     /// Answers up to this many bytes are read whole before any of it is passed on, so that one that
     /// breaks off can be replaced.
     std::size_t holdBytes = 0;
+    /// Set when another attempt may run at the same time. Asked before the first byte of an answer
+    /// with this status goes to the caller: false ends the attempt without a word to it.
+    std::function<asio::awaitable<bool>(unsigned status)> awaitTurn;
+    /// Called when the caller has left.
+    std::function<void()> onCallerGone;
+    /// Interim answers (1xx) of the instance go to the caller.
+    bool passesInterim = true;
 };
 
 /// What became of an attempt.
@@ -106,6 +110,11 @@
     Exchange(CallerSide& caller, const Assignment& assigned);
 
     asio::awaitable<AttemptOutcome> run();
+    /// Closes the connection while run() is under way, which ends as `end` unless an answer is
+    /// there already.
+    void abandon(AttemptEnd end);
+    /// The request has been sent whole.
+    bool sent() const;
 
 private:
     /// Takes an idle connection if the request may be repeated, else opens one.
@@ -142,6 +151,7 @@
     bool m_reused = false;
     bool m_timedOut = false;
     bool m_callerGone = false;
+    std::optional<AttemptEnd> m_abandonedAs;
     bool m_upstreamKeepAlive = false;
 };
 
--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -1,5 +1,7 @@
 #include "fleet_request_pvt.h"
 
+#include <algorithm>
+#include <array>
 #include <cstdio>
 
 #include <laburnumroute/attempt_time.h>
@@ -20,23 +22,16 @@
     /// With less time left a further attempt cannot be answered.
     constexpr auto shortestAttempt = milliseconds(100);
     constexpr auto retryAfterStart = milliseconds(500);
+    /// A refused second attempt is asked for again so often, less one.
+    constexpr unsigned hedgeRefusalLimit = 2;
+    /// Until a request is sent whole its second attempt waits, looking so often.
+    constexpr auto sentCheck = milliseconds(100);
     /// A host that starts hears its first configuration within a second, as a rule, later when
     /// votes split; a caller waits for it so long, and no longer than this part of its time.
     constexpr auto startPatience = milliseconds(1250);
     constexpr int patienceDivisor = 4;
     constexpr std::uint64_t bytesPerKibibyte = 1024;
 
-    /// Wakes the coroutine that waits for a place.
-    struct PlaceWait {
-        explicit PlaceWait(const asio::any_io_executor& executor)
-            : event(executor, std::chrono::steady_clock::time_point::max())
-        {
-        }
-        asio::steady_timer event;
-        std::optional<PlacedAttempt> placed;
-        bool callerGone = false;
-    };
-
     /// Seconds with three decimals.
     std::string retryAfterText(Duration delay)
     {
@@ -87,6 +82,7 @@
     , m_request(std::move(request))
     , m_body(caller, entry.options.replayBytes)
     , m_side { entry, caller, m_body, watchdog, m_request, std::chrono::steady_clock::now(), {} }
+    , m_wake(std::make_shared<WakeUp>(caller.socket().get_executor()))
 {
     m_side.holdBytes = holdBytes;
 }
@@ -116,6 +112,7 @@
     const Duration limit = timeLimit(m_request, m_entry.options.names, m_plan.timeout);
     m_side.deadline = m_side.arrival + std::chrono::duration_cast<SteadyTime::duration>(limit);
     m_side.repeatable = repeatable();
+    m_side.onCallerGone = [this] { callerLeft(); };
     co_return co_await serve();
 }
 
@@ -130,12 +127,12 @@
         co_return result;
     const Duration remaining
         = callerDeadline(m_request, m_entry.options.names).value_or(startPatience);
-    auto wait = std::make_shared<PlaceWait>(m_stream.socket().get_executor());
-    wait->event.expires_after(std::chrono::duration_cast<SteadyTime::duration>(
-        std::min<Duration>(startPatience, remaining / patienceDivisor)));
-    const auto waiter = m_entry.desk->awaitConfiguration([wait] { wait->event.cancel(); });
-    m_stream.watchPeer([wait] { wait->event.cancel(); });
-    co_await wait->event.async_wait(useTuple);
+    const SteadyTime limit = std::chrono::steady_clock::now()
+        + std::chrono::duration_cast<SteadyTime::duration>(
+            std::min<Duration>(startPatience, remaining / patienceDivisor));
+    const auto waiter = m_entry.desk->awaitConfiguration([wake = m_wake] { wake->raise(); });
+    m_stream.watchPeer([wake = m_wake] { wake->raise(); });
+    co_await m_wake->wait(limit);
     m_stream.unwatchPeer();
     m_entry.desk->stopWaiting(waiter);
     co_return planNow();
@@ -145,29 +142,51 @@
 {
     bool repeat = false;
     while (true) {
-        auto placed = co_await place(repeat);
-        if (!placed) {
-            recordEnd("caller-gone", 0, RequestOutcome::NotRun);
-            m_stream.close();
-            co_return false;
+        if (m_working.empty()) {
+            const auto placed = co_await place(repeat);
+            if (!placed) {
+                recordEnd("caller-gone", 0, RequestOutcome::NotRun);
+                m_stream.close();
+                co_return false;
+            }
+            if (!placed->instance)
+                co_return co_await concludeRefused(*placed);
+            start(*placed);
         }
-        if (!placed->instance)
-            co_return co_await concludeRefused(*placed);
-        AttemptOutcome outcome = co_await attempt(*placed);
-        const PlacedReport report = reportOf(outcome);
-        m_entry.desk->end(placed->ask, report);
-        if (report.end != PlacedEnd::Success)
-            recordAttempt(outcome);
-        if (!goesOn(outcome))
+        const auto ended = co_await nextEnd();
+        AttemptOutcome outcome = std::move(*ended->outcome());
+        noteEnd(*ended, outcome);
+        if (m_working.empty())
+            m_stream.unwatchPeer();
+        // The answer that was let go first is the caller's, whatever else has come.
+        if (m_winner && m_winner != ended)
+            continue;
+        m_winner = nullptr;
+        // The attempt that it was closed for missed the deadline.
+        if (outcome.end == AttemptEnd::GivenUp)
+            outcome.end = AttemptEnd::TimedOut;
+        if (decides(outcome) || (m_working.empty() && !goesOn(outcome))) {
+            co_await closeAll(outcome.end == AttemptEnd::CallerGone ? AttemptEnd::CallerGone
+                                                                    : AttemptEnd::GivenUp);
+            m_instance = ended->instance();
             co_return co_await conclude(std::move(outcome));
-        m_tried.push_back(m_instance);
+        }
+        m_tried.push_back(ended->instance());
         if (outcome.held)
             m_held = std::move(outcome.held);
         repeat = outcome.end != AttemptEnd::NotConnected;
-        m_body.rewind();
+        if (!m_working.empty())
+            goOnBeside();
     }
 }
 
+bool FleetRequest::decides(const AttemptOutcome& outcome)
+{
+    return outcome.end == AttemptEnd::Passed || outcome.end == AttemptEnd::Cut
+        || outcome.end == AttemptEnd::CallerGone
+        || (outcome.end == AttemptEnd::Held && outcome.status < statusServerError);
+}
+
 bool FleetRequest::repeatable() const
 {
     return m_plan.kind == RequestKind::Safe
@@ -187,58 +206,214 @@
     demand.repeat = repeat;
     demand.again = m_asks > 0;
     demand.avoid = m_tried;
+    for (const auto& attempt : m_working)
+        demand.avoid.push_back(attempt->instance());
     return demand;
 }
 
+void FleetRequest::askForPlace(bool repeat)
+{
+    const auto wait = std::make_shared<PlaceWait>();
+    m_ask = wait;
+    wait->ask
+        = m_entry.desk->ask(demandFor(repeat), [wait, wake = m_wake](const PlacedAttempt& placed) {
+              wait->placed = placed;
+              wake->raise();
+          });
+    ++m_asks;
+}
+
+std::optional<PlacedAttempt> FleetRequest::takePlace()
+{
+    if (!m_ask || !m_ask->placed)
+        return std::nullopt;
+    return std::move(std::exchange(m_ask, nullptr)->placed);
+}
+
+void FleetRequest::dropPlace()
+{
+    if (!m_ask)
+        return;
+    const auto dropped = std::exchange(m_ask, nullptr);
+    if (!dropped->placed)
+        m_entry.desk->leave(dropped->ask);
+    else if (dropped->placed->instance)
+        m_entry.desk->end(dropped->ask, {});
+}
+
 asio::awaitable<std::optional<PlacedAttempt>> FleetRequest::place(bool repeat)
 {
     const SteadyTime before = std::chrono::steady_clock::now();
-    auto wait = std::make_shared<PlaceWait>(m_stream.socket().get_executor());
-    const AskId ask = m_entry.desk->ask(demandFor(repeat), [wait](const PlacedAttempt& placed) {
-        wait->placed = placed;
-        wait->event.cancel();
-    });
-    ++m_asks;
-    if (!wait->placed) {
-        m_stream.watchPeer([wait] {
-            wait->callerGone = true;
-            wait->event.cancel();
-        });
-        co_await wait->event.async_wait(useTuple);
+    if (!m_ask)
+        askForPlace(repeat);
+    if (!m_ask->placed) {
+        m_stream.watchPeer([this] { callerLeft(); });
+        while (!m_ask->placed && !m_callerGone)
+            co_await m_wake->wait();
         m_stream.unwatchPeer();
     }
     m_placing += std::chrono::steady_clock::now() - before;
-    if (wait->placed && !wait->callerGone)
-        co_return std::move(wait->placed);
-    if (wait->placed && wait->placed->instance)
-        m_entry.desk->end(ask, {});
-    else
-        m_entry.desk->leave(ask);
-    co_return std::nullopt;
+    if (m_callerGone)
+        dropPlace();
+    co_return takePlace();
 }
 
-SteadyTime FleetRequest::attemptLimit() const
+void FleetRequest::start(const PlacedAttempt& placed)
 {
-    if (!m_side.repeatable || m_runs + 1 >= m_plan.attempts || !m_body.replayable())
-        return SteadyTime::max();
-    return std::chrono::steady_clock::now()
+    m_body.rewind();
+    m_alone = m_alone || placed.alone;
+    ++m_sends;
+    const auto attempt = std::make_shared<FleetAttempt>(placed, m_plan, m_side, nullptr, m_wake);
+    m_working.push_back(attempt);
+    m_hedgeFrom = attempt->start()
         + std::chrono::duration_cast<SteadyTime::duration>(attemptTime(m_plan.objective));
+    if (m_side.repeatable && m_runs + 1 < m_plan.attempts)
+        attempt->spawn();
 }
 
-asio::awaitable<AttemptOutcome> FleetRequest::attempt(const PlacedAttempt& placed)
+void FleetRequest::startHedge(const PlacedAttempt& placed)
 {
-    const InstanceRecord& record = *placed.instance;
-    m_instance = record.id;
     m_alone = m_alone || placed.alone;
     ++m_sends;
-    m_side.attemptLimit = attemptLimit();
-    const Assignment assigned { AttemptId(placed.ask.value()), m_plan.service, record.id,
-        record.endpoint, m_plan.timeout };
-    Exchange exchange(m_side, assigned);
-    AttemptOutcome outcome = co_await exchange.run();
-    m_waited += outcome.waited;
+    const SteadyTime now = std::chrono::steady_clock::now();
+    m_raceStart = m_working.front()->start();
+    const auto attempt = std::make_shared<FleetAttempt>(
+        placed, m_plan, m_side, std::make_unique<HedgeSide>(m_side), m_wake);
+    m_working.push_back(attempt);
+    m_hedgeFrom
+        = now + std::chrono::duration_cast<SteadyTime::duration>(attemptTime(m_plan.objective));
+    attempt->spawn();
+}
+
+bool FleetRequest::mayHedge() const
+{
+    const auto left = m_side.deadline - std::chrono::steady_clock::now();
+    return m_working.size() == 1 && m_working.front()->spawned() && !m_ending && !m_winner
+        && !m_callerGone && m_runs + 1 < m_plan.attempts && m_body.replayable()
+        && left >= shortestAttempt;
+}
+
+SteadyTime FleetRequest::hedge()
+{
+    if (const auto placed = takePlace()) {
+        if (placed->instance && mayHedge()) {
+            recordHedge("granted", *placed);
+            startHedge(*placed);
+        } else if (placed->instance) {
+            m_entry.desk->end(placed->ask, {});
+        } else {
+            recordHedge("refused", *placed);
+            ++m_hedgeRefusals;
+            m_hedgeFrom = std::chrono::steady_clock::now()
+                + std::chrono::duration_cast<SteadyTime::duration>(
+                    std::max<Duration>(placed->delay, retryAfterStart));
+        }
+    }
+    // One ask stays for a failure of the attempt at work.
+    if (m_ask || !mayHedge() || m_asks + 1 >= askLimit || m_hedgeRefusals >= hedgeRefusalLimit)
+        return SteadyTime::max();
+    const SteadyTime now = std::chrono::steady_clock::now();
+    if (now < m_hedgeFrom)
+        return m_hedgeFrom;
+    if (!m_working.front()->sent())
+        return now + sentCheck;
+    askForPlace(true);
+    return SteadyTime::max();
+}
+
+void FleetRequest::giveTurn()
+{
+    for (const auto& attempt : m_working) {
+        const auto status = attempt->waitingAnswer();
+        if (!status)
+            continue;
+        if (m_working.size() == 1) {
+            m_winner = attempt;
+            dropPlace();
+            attempt->giveTurn();
+        } else if (!m_winner && (*status < statusServerError || othersFailed(*attempt))) {
+            m_winner = attempt;
+            for (const auto& other : m_working) {
+                if (other != attempt)
+                    other->close(AttemptEnd::GivenUp);
+            }
+        }
+    }
+}
+
+bool FleetRequest::othersFailed(const FleetAttempt& attempt) const
+{
+    return std::all_of(m_working.begin(), m_working.end(), [&](const auto& other) {
+        return other.get() == &attempt || other->waitingAnswer().value_or(0) >= statusServerError;
+    });
+}
+
+asio::awaitable<std::shared_ptr<FleetAttempt>> FleetRequest::nextEnd()
+{
+    const auto first = m_working.front();
+    if (!first->spawned()) {
+        co_await first->run();
+        m_working.clear();
+        co_return first;
+    }
+    while (true) {
+        const auto ended = std::find_if(m_working.begin(), m_working.end(),
+            [](const auto& attempt) { return attempt->outcome().has_value(); });
+        if (ended != m_working.end()) {
+            auto result = *ended;
+            m_working.erase(ended);
+            co_return result;
+        }
+        if (m_callerGone) {
+            for (const auto& attempt : m_working)
+                attempt->close(AttemptEnd::CallerGone);
+        }
+        giveTurn();
+        const SteadyTime next = hedge();
+        co_await m_wake->wait(next);
+    }
+}
+
+asio::awaitable<void> FleetRequest::closeAll(AttemptEnd end)
+{
+    m_ending = true;
+    dropPlace();
+    for (const auto& attempt : m_working)
+        attempt->close(end);
+    while (!m_working.empty()) {
+        const auto ended = co_await nextEnd();
+        noteEnd(*ended, *ended->outcome());
+    }
+    m_stream.unwatchPeer();
+}
+
+void FleetRequest::goOnBeside()
+{
+    // The attempt that ended took its watch along.
+    m_stream.watchPeer([this] { callerLeft(); });
+    m_hedgeFrom = m_working.front()->start()
+        + std::chrono::duration_cast<SteadyTime::duration>(attemptTime(m_plan.objective));
+}
+
+void FleetRequest::callerLeft()
+{
+    m_callerGone = true;
+    m_wake->raise();
+}
+
+void FleetRequest::noteEnd(const FleetAttempt& attempt, const AttemptOutcome& outcome)
+{
+    m_instance = attempt.instance();
+    const PlacedReport report = reportOf(outcome);
+    m_entry.desk->end(attempt.ask(), report);
+    // Of attempts that ran side by side the time counts once.
+    if (!m_raceStart)
+        m_waited += outcome.waited;
+    else if (m_working.empty())
+        m_waited += std::chrono::steady_clock::now() - *std::exchange(m_raceStart, std::nullopt);
     m_runs += outcome.mayHaveRun ? 1 : 0;
-    co_return outcome;
+    if (report.end != PlacedEnd::Success)
+        recordAttempt(attempt, outcome);
 }
 
 PlacedReport FleetRequest::reportOf(const AttemptOutcome& outcome) const
@@ -257,9 +432,14 @@
         report.end = outcome.refused ? PlacedEnd::Refused : PlacedEnd::Unreachable;
         break;
     case AttemptEnd::TimedOut:
-    case AttemptEnd::GivenUp:
         report.end = PlacedEnd::Silence;
         break;
+    case AttemptEnd::GivenUp:
+        // An instance that was at work for less than an attempt's time did nothing unusual.
+        report.end = outcome.status == 0 && outcome.latency >= attemptTime(m_plan.objective)
+            ? PlacedEnd::Silence
+            : PlacedEnd::Unused;
+        break;
     case AttemptEnd::Cut:
         report.end = outcome.callerBroke ? PlacedEnd::Unused : PlacedEnd::Failure;
         break;
@@ -287,7 +467,6 @@
     case AttemptEnd::NoAnswer:
     case AttemptEnd::BadAnswer:
     case AttemptEnd::TimedOut:
-    case AttemptEnd::GivenUp:
         return m_side.repeatable && m_runs < m_plan.attempts;
     case AttemptEnd::Held:
         return outcome.status >= statusServerError && m_side.repeatable && m_runs < m_plan.attempts;
@@ -298,8 +477,7 @@
 
 asio::awaitable<bool> FleetRequest::conclude(AttemptOutcome outcome)
 {
-    const char* reason
-        = outcome.end == AttemptEnd::GivenUp ? reasons::deadline : endName(outcome.end);
+    const char* reason = endName(outcome.end);
     if (outcome.end == AttemptEnd::Passed) {
         recordEnd(reason, outcome.status, RequestOutcome::Answered);
         co_return outcome.keepAlive;
@@ -318,8 +496,7 @@
         ran ? RequestOutcome::Unknown : RequestOutcome::NotRun, reason };
     own.retryAfter = outcome.retryAfter.empty() ? retryAfterText(retryAfterStart)
                                                 : std::move(outcome.retryAfter);
-    const bool late = outcome.end == AttemptEnd::TimedOut || outcome.end == AttemptEnd::GivenUp;
-    if (late && ran)
+    if (outcome.end == AttemptEnd::TimedOut && ran)
         own.status = statusGatewayTimeout;
     else if (outcome.end == AttemptEnd::CallerSlow && !ran)
         own.status = statusRequestTimeout;
@@ -369,12 +546,34 @@
     co_return sent&& m_keepAlive;
 }
 
-void FleetRequest::recordAttempt(const AttemptOutcome& outcome) const
+void FleetRequest::recordHedge(const char* reason, const PlacedAttempt& placed) const
+{
+    const FleetAttempt& working = *m_working.front();
+    const SteadyTime now = std::chrono::steady_clock::now();
+    Decision decision { "hedge", reason };
+    decision.keep = true;
+    decision.facts["id"] = std::string(m_request.field(m_entry.options.names.requestId));
+    decision.facts["service"] = m_plan.service.value();
+    decision.facts["instance"] = working.instance().value();
+    decision.facts["limit_ms"] = Json::Int64(toMillis(attemptTime(m_plan.objective)));
+    decision.facts["ms"] = Json::Int64(toMillis(now - working.start()));
+    decision.facts["left_ms"] = Json::Int64(toMillis(m_side.deadline - now));
+    decision.facts["alone"] = placed.alone;
+    if (placed.instance) {
+        decision.facts["second"] = placed.instance->id.value();
+    } else {
+        decision.facts["refusal"] = placeRefusalName(placed.refusal);
+        decision.facts["delay_ms"] = Json::Int64(toMillis(placed.delay));
+    }
+    m_entry.log->record(decision);
+}
+
+void FleetRequest::recordAttempt(const FleetAttempt& attempt, const AttemptOutcome& outcome) const
 {
     Decision decision { "attempt", endName(outcome.end) };
     decision.keep = true;
     decision.facts["id"] = std::string(m_request.field(m_entry.options.names.requestId));
-    decision.facts["instance"] = m_instance.value();
+    decision.facts["instance"] = attempt.instance().value();
     decision.facts["status"] = outcome.status;
     decision.facts["service"] = m_plan.service.value();
     decision.facts["send"] = m_sends;
--- a/src/libnet/fleet_request_pvt.h
+++ b/src/libnet/fleet_request_pvt.h
@@ -2,10 +2,16 @@
 /// answer.
 #pragma once
 
-#include "exchange_pvt.h"
+#include "fleet_request_attempt_pvt.h"
 
 namespace laburnum::pvt {
 
+/// An ask for a place and its answer.
+struct PlaceWait {
+    AskId ask;
+    std::optional<PlacedAttempt> placed;
+};
+
 /// Lives as long as its request. Use from the io_context's one thread.
 class FleetRequest {
 public:
@@ -20,20 +26,46 @@
     asio::awaitable<tl::expected<RequestPlan, PlanRefusal>> plan();
     /// Waits for a place; nothing when the caller left meanwhile.
     asio::awaitable<std::optional<PlacedAttempt>> place(bool repeat);
-    asio::awaitable<AttemptOutcome> attempt(const PlacedAttempt& placed);
+    /// Waits until an attempt has ended, and takes it from those at work. Meanwhile a second one
+    /// may be started beside the first.
+    asio::awaitable<std::shared_ptr<FleetAttempt>> nextEnd();
+    /// Closes the attempts at work and waits until they have ended.
+    asio::awaitable<void> closeAll(AttemptEnd end);
     asio::awaitable<bool> conclude(AttemptOutcome outcome);
     asio::awaitable<bool> concludeRefused(const PlacedAttempt& refused);
     asio::awaitable<bool> passHeld(const HeldAnswer& held);
     asio::awaitable<bool> answer(OwnAnswer answer);
 
+    void askForPlace(bool repeat);
+    /// Takes the answer to the ask that is under way, if it has come.
+    std::optional<PlacedAttempt> takePlace();
+    /// Gives the ask that is under way up, and its place back.
+    void dropPlace();
+    void start(const PlacedAttempt& placed);
+    void startHedge(const PlacedAttempt& placed);
+    bool mayHedge() const;
+    /// Asks for a place beside the attempt at work once that one has had its time, and uses it.
+    /// Returns when to look again.
+    SteadyTime hedge();
+    /// Lets a long answer go to the caller once no other attempt can answer.
+    void giveTurn();
+    /// Whether all other attempts at work wait to pass on a server error.
+    bool othersFailed(const FleetAttempt& attempt) const;
+    /// After the end of an attempt, for the one that is still at work.
+    void goOnBeside();
+    void callerLeft();
+    void noteEnd(const FleetAttempt& attempt, const AttemptOutcome& outcome);
+    /// Whether the request ends with `outcome`, whatever another attempt may do.
+    static bool decides(const AttemptOutcome& outcome);
+
     PlaceDemand demandFor(bool repeat) const;
     bool repeatable() const;
     /// Whether the request goes to another instance after `outcome`.
     bool goesOn(const AttemptOutcome& outcome) const;
     PlacedReport reportOf(const AttemptOutcome& outcome) const;
-    SteadyTime attemptLimit() const;
     AnswerContext answerContext() const;
-    void recordAttempt(const AttemptOutcome& outcome) const;
+    void recordAttempt(const FleetAttempt& attempt, const AttemptOutcome& outcome) const;
+    void recordHedge(const char* reason, const PlacedAttempt& placed) const;
     void recordEnd(const char* reason, unsigned status, RequestOutcome outcome);
 
     EntryContext& m_entry;
@@ -42,6 +74,22 @@
     RequestBody m_body;
     CallerSide m_side;
     RequestPlan m_plan;
+    /// Raised by whatever serve() waits for.
+    std::shared_ptr<WakeUp> m_wake;
+    /// The ask for a place that is under way.
+    std::shared_ptr<PlaceWait> m_ask;
+    /// Attempts at work.
+    std::vector<std::shared_ptr<FleetAttempt>> m_working;
+    /// The attempt whose long answer goes to the caller.
+    std::shared_ptr<FleetAttempt> m_winner;
+    /// No second attempt is asked for before.
+    SteadyTime m_hedgeFrom;
+    unsigned m_hedgeRefusals = 0;
+    /// While attempts run side by side: the start of the first.
+    std::optional<SteadyTime> m_raceStart;
+    /// No attempt may be started any more.
+    bool m_ending = false;
+    bool m_callerGone = false;
     /// Instances that this request was sent to, or could not reach.
     std::vector<InstanceId> m_tried;
     InstanceId m_instance;
--- a/src/libnet/fleet_request_test.cpp
+++ b/src/libnet/fleet_request_test.cpp
@@ -2,9 +2,13 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <array>
 #include <atomic>
 #include <deque>
 
+#include <asio/post.hpp>
+
 #include "loopback_test.h"
 
 using namespace laburnum;
@@ -40,13 +44,45 @@
             placed.instance->endpoint = instances.front();
             instances.pop_front();
         }
-        if (!silent)
+        if (placed.instance)
+            m_granted.push_back(m_last);
+        if (!silent && demands.size() < silentFrom)
             done(placed);
+        else
+            m_waiting = std::move(done);
         return m_last;
     }
 
     void leave(AskId) override { left.set(); }
-    void end(AskId, const PlacedReport& report) override { reports.push_back(report.end); }
+    void end(AskId ask, const PlacedReport& report) override
+    {
+        reports.push_back(report.end);
+        m_ended.push_back(ask);
+        if (m_ended.size() == m_granted.size())
+            allEnded.set();
+    }
+    /// Answers the ask that waits.
+    void grant(const Endpoint& endpoint)
+    {
+        PlacedAttempt placed { m_last, InstanceRecord {} };
+        placed.instance->id = InstanceId("i" + std::to_string(demands.size()));
+        placed.instance->endpoint = endpoint;
+        m_granted.push_back(m_last);
+        m_waiting(placed);
+    }
+    /// How the place of the ask with this number was reported.
+    PlacedEnd endOf(unsigned ask) const
+    {
+        const auto found = std::find(m_ended.begin(), m_ended.end(), AskId(ask));
+        REQUIRE(found != m_ended.end());
+        return reports.at(static_cast<std::size_t>(found - m_ended.begin()));
+    }
+    /// Whether each place granted was ended once, and no other.
+    bool endsOnce() const
+    {
+        return std::is_permutation(
+            m_ended.begin(), m_ended.end(), m_granted.begin(), m_granted.end());
+    }
     std::uint64_t awaitConfiguration(std::function<void()>) override { return 1; }
     void stopWaiting(std::uint64_t) override { }
     CallerLimits limits() const override { return callerLimits; }
@@ -59,12 +95,19 @@
     bool hasConfiguration = true;
     /// Asks get no answer.
     bool silent = false;
+    /// Asks from this one on, counted from 1, get none.
+    std::size_t silentFrom = SIZE_MAX;
     Signal left;
     /// A place was asked for that is not the first.
     Signal askedAgain;
+    /// As many places were ended as granted.
+    Signal allEnded;
 
 private:
     AskId m_last;
+    Done m_waiting;
+    std::vector<AskId> m_granted;
+    std::vector<AskId> m_ended;
 };
 
 EntryOptions options()
@@ -99,6 +142,10 @@
             m_thread.join();
     }
 
+    EntryServer& server() { return m_server; }
+    /// Runs `work` on the server's thread.
+    void post(std::function<void()> work) { asio::post(m_context, std::move(work)); }
+
     Connection connect()
     {
         const Endpoint endpoint = m_server.localEndpoint();
@@ -288,6 +335,266 @@
     CHECK(std::stoi(head.substr(at + 22)) > 2500);
 }
 
+TEST_CASE("fleet: while two attempts are at work the first whole answer is the caller's, once")
+{
+    const bool firstWins = GENERATE(true, false);
+    const std::size_t bytes = GENERATE(std::size_t { 2 }, std::size_t { 300 } * 1024);
+    CAPTURE(firstWins, bytes);
+    const std::string body(bytes, 'a');
+    Signal secondBegan;
+    Signal loserClosed;
+    const auto serve = [&](Connection& connection, bool wins) {
+        connection.readHead();
+        if (!wins) {
+            if (connection.peerCloses())
+                loserClosed.set();
+            return;
+        }
+        secondBegan.wait();
+        connection.send(answer(body));
+        connection.peerCloses();
+    };
+    ScriptedUpstream first([&](Connection& connection, int) { serve(connection, firstWins); });
+    ScriptedUpstream second([&](Connection& connection, int) {
+        secondBegan.set();
+        serve(connection, !firstWins);
+    });
+    ScriptedDesk desk;
+    desk.route.objective = 1s;
+    Upstream next(answer("next"));
+    desk.instances = { first.endpoint(), second.endpoint(), next.scripted.endpoint() };
+    FleetRig rig(desk);
+    Connection caller = rig.connect();
+    caller.send(request());
+    CHECK(caller.readMessage().ends_with("\r\n\r\n" + body));
+    CHECK(loserClosed.wait());
+    caller.send(request());
+    CHECK(caller.readMessage().ends_with("\r\n\r\nnext"));
+    rig.stop();
+    const PlacedEnd lost = firstWins ? PlacedEnd::Unused : PlacedEnd::Silence;
+    CHECK(desk.endOf(firstWins ? 2 : 1) == lost);
+    CHECK(desk.endOf(firstWins ? 1 : 2) == PlacedEnd::Success);
+    CHECK(desk.endsOnce());
+}
+
+TEST_CASE("fleet: two long answers that come at once are not mixed")
+{
+    const std::string body(std::size_t { 300 } * 1024, 'b');
+    Signal secondBegan;
+    const auto serve = [&](Connection& connection, int) {
+        connection.readHead();
+        secondBegan.wait();
+        connection.send(answer(body));
+        connection.peerCloses();
+    };
+    ScriptedUpstream first(serve);
+    ScriptedUpstream second([&](Connection& connection, int index) {
+        secondBegan.set();
+        serve(connection, index);
+    });
+    ScriptedDesk desk;
+    desk.route.objective = 1s;
+    desk.instances = { first.endpoint(), second.endpoint() };
+    FleetRig rig(desk);
+    Connection caller = rig.connect();
+    caller.send(request("GET", "Connection: close\r\n"));
+    const std::string got = caller.readAll();
+    CHECK(got.starts_with("HTTP/1.1 200 OK\r\n"));
+    CHECK(got.substr(got.find("\r\n\r\n") + 4) == body);
+    rig.stop();
+    CHECK(desk.endsOnce());
+}
+
+TEST_CASE("fleet: the failure of one of two attempts at work waits for the other")
+{
+    const auto [firstFails, bytes, otherAnswers]
+        = GENERATE(table<bool, std::size_t, bool>({ { true, 2, true }, { false, 300 * 1024, true },
+            { true, 300 * 1024, false }, { false, 2, false } }));
+    const std::string failure = answer(std::string(bytes, 'n'), "500 Oops");
+    CAPTURE(firstFails, bytes, otherAnswers);
+    Signal secondBegan;
+    Signal failed;
+    const std::string lastWord = otherAnswers ? answer("ok") : failure;
+    const auto serve = [&](Connection& connection, bool fails) {
+        connection.readHead();
+        secondBegan.wait();
+        if (!fails) {
+            failed.wait();
+            // Long enough for the host to read the failure first.
+            std::this_thread::sleep_for(100ms);
+        }
+        connection.send(fails ? failure : lastWord);
+        failed.set();
+        connection.peerCloses();
+    };
+    ScriptedUpstream first([&](Connection& connection, int) { serve(connection, firstFails); });
+    ScriptedUpstream second([&](Connection& connection, int) {
+        secondBegan.set();
+        serve(connection, !firstFails);
+    });
+    ScriptedDesk desk;
+    desk.route.objective = 1s;
+    desk.instances = { first.endpoint(), second.endpoint() };
+    FleetRig rig(desk);
+    Connection caller = rig.connect();
+    caller.send(request("GET", "Connection: close\r\n"));
+    const std::string got = caller.readAll();
+    CHECK(got.starts_with(otherAnswers ? "HTTP/1.1 200 OK\r\n" : "HTTP/1.1 500 Oops\r\n"));
+    CHECK(got.substr(got.find("\r\n\r\n")) == lastWord.substr(lastWord.find("\r\n\r\n")));
+    rig.stop();
+    CHECK(desk.demands.size() == 2);
+    CHECK(desk.endsOnce());
+}
+
+TEST_CASE("fleet: a caller that leaves two attempts at work closes both")
+{
+    std::array<Signal, 2> closed;
+    Signal bothAtWork;
+    const auto serve = [&](Connection& connection, Signal& end) {
+        connection.readHead();
+        if (connection.peerCloses())
+            end.set();
+    };
+    ScriptedUpstream first([&](Connection& connection, int) { serve(connection, closed[0]); });
+    ScriptedUpstream second([&](Connection& connection, int) {
+        bothAtWork.set();
+        serve(connection, closed[1]);
+    });
+    ScriptedDesk desk;
+    desk.route.objective = 1s;
+    desk.instances = { first.endpoint(), second.endpoint() };
+    FleetRig rig(desk);
+    {
+        Connection caller = rig.connect();
+        caller.send(request());
+        CHECK(bothAtWork.wait());
+        caller.close();
+    }
+    CHECK(closed[0].wait());
+    CHECK(closed[1].wait());
+    CHECK(desk.allEnded.wait());
+    rig.stop();
+    CHECK(desk.endOf(1) == PlacedEnd::Unused);
+    CHECK(desk.endOf(2) == PlacedEnd::Unused);
+    CHECK(desk.endsOnce());
+}
+
+TEST_CASE("fleet: a planned stop ends with the slow instance's answer")
+{
+    ScriptedDesk desk;
+    desk.route.objective = 1s;
+    Signal atWork;
+    ScriptedUpstream slow([&](Connection& connection, int) {
+        connection.readHead();
+        atWork.set();
+        desk.askedAgain.wait();
+        connection.send(answer("ok"));
+    });
+    desk.instances = { slow.endpoint() };
+    FleetRig rig(desk);
+    Connection caller = rig.connect();
+    caller.send(request());
+    REQUIRE(atWork.wait());
+    Signal drained;
+    std::size_t cut = 1;
+    rig.server().drain([&](DrainReport report) {
+        cut = report.cut;
+        drained.set();
+    });
+    CHECK(caller.readMessage().ends_with("\r\n\r\nok"));
+    CHECK(drained.wait());
+    CHECK(cut == 0);
+}
+
+TEST_CASE("fleet: a place that is still waited for is given back when the attempt at work answers")
+{
+    ScriptedDesk desk;
+    desk.route.objective = 1s;
+    desk.silentFrom = 2;
+    ScriptedUpstream slow([&](Connection& connection, int) {
+        connection.readHead();
+        desk.askedAgain.wait();
+        connection.send(answer("ok"));
+    });
+    desk.instances = { slow.endpoint() };
+    FleetRig rig(desk);
+    CHECK(rig.exchange(request()).ends_with("\r\n\r\nok"));
+    CHECK(desk.left.wait());
+}
+
+TEST_CASE("fleet: a place granted after the attempt at work failed is used")
+{
+    ScriptedDesk desk;
+    desk.route.objective = 1s;
+    desk.silentFrom = 2;
+    Signal closed;
+    ScriptedUpstream bad([&](Connection& connection, int) {
+        connection.readHead();
+        desk.askedAgain.wait();
+        connection.send(answer("no", "500 Oops"));
+        connection.closeSending();
+        closed.set();
+    });
+    Upstream good(answer("ok"));
+    desk.instances = { bad.endpoint() };
+    FleetRig rig(desk);
+    Connection caller = rig.connect();
+    caller.send(request());
+    REQUIRE(closed.wait());
+    std::this_thread::sleep_for(100ms);
+    rig.post([&] { desk.grant(good.scripted.endpoint()); });
+    CHECK(caller.readMessage().ends_with("\r\n\r\nok"));
+    rig.stop();
+    CHECK(desk.demands.size() == 2);
+    CHECK(desk.endsOnce());
+}
+
+TEST_CASE("fleet: the second attempt sends the whole body again")
+{
+    const std::string body(std::size_t { 20 } * 1024, 'x');
+    std::string seen;
+    ScriptedDesk desk;
+    desk.route.objective = 1s;
+    desk.route.kind = RequestKind::ByMethod;
+    ScriptedUpstream silent([&](Connection& connection, int) {
+        connection.readHead();
+        connection.readBytes(body.size());
+        connection.peerCloses();
+    });
+    ScriptedUpstream good([&](Connection& connection, int) {
+        connection.readHead();
+        seen = connection.readBytes(body.size());
+        connection.send(answer("ok"));
+        connection.peerCloses();
+    });
+    desk.instances = { silent.endpoint(), good.endpoint() };
+    FleetRig rig(desk);
+    Connection caller = rig.connect();
+    caller.send(request("PUT", "Content-Length: " + std::to_string(body.size()) + "\r\n"));
+    caller.send(body);
+    CHECK(caller.readMessage().ends_with("\r\n\r\nok"));
+    rig.stop();
+    CHECK(seen == body);
+}
+
+TEST_CASE("fleet: a request that must not run twice has no second attempt beside the first")
+{
+    ScriptedUpstream slow([](Connection& connection, int) {
+        connection.readHead();
+        std::this_thread::sleep_for(1300ms);
+        connection.send(answer("ok"));
+    });
+    ScriptedDesk desk;
+    desk.route.objective = 1s;
+    desk.route.kind = RequestKind::Unsafe;
+    desk.instances = { slow.endpoint(), slow.endpoint() };
+    FleetRig rig(desk);
+    CHECK(rig.exchange(request("POST", "Content-Length: 0\r\n")).ends_with("\r\n\r\nok"));
+    rig.stop();
+    CHECK(desk.demands.size() == 1);
+    CHECK(slow.accepted() == 1);
+}
+
 TEST_CASE("fleet: a late answer to another request is passed over")
 {
     ScriptedUpstream upstream([](Connection& connection, int) {
--- a/src/libnet/watchdog.cpp
+++ b/src/libnet/watchdog.cpp
@@ -63,4 +63,10 @@
 
 void Watchdog::clear() { m_state->onExpiry = nullptr; }
 
+void Watchdog::expire()
+{
+    if (m_state->onExpiry)
+        std::exchange(m_state->onExpiry, nullptr)();
+}
+
 } // namespace laburnum::pvt
--- a/src/libnet/watchdog_pvt.h
+++ b/src/libnet/watchdog_pvt.h
@@ -26,6 +26,8 @@
     void watch(SteadyTime limit, std::function<void()> onExpiry);
     void watch(Duration limit, std::function<void()> onExpiry);
     void clear();
+    /// Runs the action now, as if its limit had passed.
+    void expire();
 
 private:
     struct State;
--- a/src/libplace/attempt_time.cpp
+++ b/src/libplace/attempt_time.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-    /// Of the objective: with work of a third of it, spread by half, staying so long answers more
-    /// requests in time than leaving at two thirds, and a repeat still fits twice the objective.
+    /// Of the objective: with work of a third of it, spread by half, few sound answers come later,
+    /// and a repeat still fits twice the objective.
     constexpr double attemptShare = 0.85;
     /// Short objectives would send a request from instance to instance.
     constexpr auto attemptFloor = std::chrono::milliseconds(1000);
--- a/src/libplace/attempt_time_test.cpp
+++ b/src/libplace/attempt_time_test.cpp
@@ -18,9 +18,10 @@
     return 0.5 * std::erfc(-z / std::sqrt(2.0));
 }
 
-/// Chance of an answer within `limit` when the instance is left after `stay`. A repeat waits 300 ms
-/// for its place (nine of ten wait up to 378 ms on a quiet day), and one of ten fails. The first
-/// instance hangs with chance `hangs`.
+/// Chance of an answer within `limit` when a second attempt is asked for after `stay`, without what
+/// the first, which goes on, may still answer. A repeat waits 300 ms for its place (nine of ten
+/// wait up to 378 ms on a quiet day), and one of ten fails. The first instance hangs with chance
+/// `hangs`.
 double answeredWithin(double limit, double stay, double hangs)
 {
     const double first = (1.0 - hangs) * doneWithin(stay);
--- a/src/libtrace/request_story.cpp
+++ b/src/libtrace/request_story.cpp
@@ -40,6 +40,8 @@
             for (const LogLine* line : own) {
                 if (line->kind == "request") {
                     m_end = line;
+                } else if (line->kind == "hedge") {
+                    m_hedge = line;
                 } else if (line->kind == "attempt") {
                     m_lastAttempt = line;
                     m_sheds += line->reason == "shed" ? 1 : 0;
@@ -150,7 +152,15 @@
         {
             const auto record = recordOf(instance);
             tell(story, record.isGray() ? EndCause::InstanceSilent : EndCause::InstanceSlow,
-                instance + " gave no answer in time (" + time + "): " + recordText(record));
+                instance + " gave no answer in time (" + time + "): " + recordText(record)
+                    + hedgeText());
+        }
+
+        std::string hedgeText() const
+        {
+            if (m_hedge == nullptr || m_hedge->reason != "refused")
+                return {};
+            return "; no second attempt beside it was placed (" + m_hedge->text("refusal") + ")";
         }
 
         void explainBroken(RequestStory& story, const LogLine& line) const
@@ -261,6 +271,7 @@
         const std::string& m_id;
         const LogLine* m_end = nullptr;
         const LogLine* m_lastAttempt = nullptr;
+        const LogLine* m_hedge = nullptr;
         unsigned m_sheds = 0;
         unsigned m_unreached = 0;
     };
--- a/src/libtrace/request_story_test.cpp
+++ b/src/libtrace/request_story_test.cpp
@@ -114,6 +114,11 @@
     log.attempt(150, "f", "answered", 504, "i1").end(150, "f", "answered", 504, "i1");
     REQUIRE(log.cause("f") == EndCause::InstanceSlow);
     REQUIRE(log.cause("e") == EndCause::AnswerBroken);
+    log.add(
+        160, "hedge", "refused", R"("host":"h1","id":"g","instance":"i1","refusal":"no-budget")");
+    log.end(170, "g", "deadline", 504, "i1", R"(,"ms":4000,"placing_ms":50)");
+    REQUIRE(tellRequest(log.lines(), "g")
+                .sentence.ends_with("; no second attempt beside it was placed (no-budget)"));
 }
 
 TEST_CASE("an attempt that this host gave up is not told as an error of its instance")
