--- a/src/include/laburnumroute/hub_client.h
+++ b/src/include/laburnumroute/hub_client.h
@@ -102,6 +102,7 @@
     bool isContacted(const HostId& host) const;
     std::vector<HostId> contacts() const;
     void loseLeader(const char* reason, TimePoint now, HubClientActions& actions);
+    void sendAsk(AskId id, const Ask& ask, TimePoint now, HubClientActions& actions) const;
     void placeAlone(AskId ask, TimePoint now, HubClientActions& actions);
     void granted(AskId ask, const InstanceId& instance, TimePoint now, HubClientActions& actions);
     void answer(PlaceAnswer answer, HubClientActions& actions);
--- a/src/libhub/hub_client.cpp
+++ b/src/libhub/hub_client.cpp
@@ -171,6 +171,11 @@
     }
     for (const LinkId id : others)
         close(id, actions);
+    // What waited at the leader before is asked of this one.
+    for (auto& [id, ask] : m_asks) {
+        ask.answerBy = now + answerLimit;
+        sendAsk(id, ask, now, actions);
+    }
 }
 
 void HubClient::onRedirect(LinkId link, const std::string& leader,
@@ -315,19 +320,25 @@
         m_lone.onRequest(demand.service, now);
     for (const InstanceId& broken : m_lone.brokenPaths(now))
         demand.avoid.push_back(broken);
-    AskFrame frame { id.value(), demand.service.value(), static_cast<std::uint8_t>(demand.kind),
-        demand.priority, demand.kibibytes, wireMs(demand.remaining), wireMs(demand.objective),
-        demand.repeat, demand.again, {} };
-    for (const InstanceId& avoided : demand.avoid)
-        frame.avoid.push_back(avoided.value());
     m_asks[id] = { std::move(demand), now, now + answerLimit };
     if (m_leader && !m_leaderDoubted)
-        actions.frames.emplace_back(*m_leader, pack(frame));
+        sendAsk(id, m_asks[id], now, actions);
     else
         placeAlone(id, now, actions);
     return id;
 }
 
+void HubClient::sendAsk(AskId id, const Ask& ask, TimePoint now, HubClientActions& actions) const
+{
+    const PlaceDemand& demand = ask.demand;
+    AskFrame frame { id.value(), demand.service.value(), static_cast<std::uint8_t>(demand.kind),
+        demand.priority, demand.kibibytes, wireMs(demand.remaining - (now - ask.since)),
+        wireMs(demand.objective), demand.repeat, demand.again, {} };
+    for (const InstanceId& avoided : demand.avoid)
+        frame.avoid.push_back(avoided.value());
+    actions.frames.emplace_back(*m_leader, pack(frame));
+}
+
 void HubClient::answer(PlaceAnswer answer, HubClientActions& actions)
 {
     m_asks.erase(answer.ask);
--- a/src/libhub/hub_test.cpp
+++ b/src/libhub/hub_test.cpp
@@ -352,3 +352,33 @@
     REQUIRE(fleet.hub(old)->placer().waiting() == 0);
     REQUIRE(fleet.hub(old)->placer().granted() == 0);
 }
+
+TEST_CASE("what waits at a silent leader is asked of the next one")
+{
+    const HostPlace place { e(1), DataCentreId("d"), RegionId("r") };
+    HubClient client(place, { c(1), c(2) }, 1);
+    const TimePoint start { 10s };
+    HubClientActions joined;
+    client.tick(start, joined);
+    const auto [first, leader] = joined.opens.front();
+    client.linkOpened(first, start, joined);
+    client.receive(first, pvt::pack(pvt::WelcomeFrame {}), start, joined);
+    HubClientActions asked;
+    client.ask(demand("s"), start, asked);
+    const AskId waits = client.ask(demand("s"), start + 200ms, asked);
+    // The first ask is late: the host doubts the leader and looks for another one.
+    HubClientActions doubting;
+    client.tick(start + 260ms, doubting);
+    REQUIRE(doubting.answers.size() == 1);
+    client.tick(start + 280ms, doubting);
+    REQUIRE(doubting.opens.size() == 1);
+    const LinkId second = doubting.opens.front().first;
+    HubClientActions moved;
+    client.linkOpened(second, start + 300ms, moved);
+    client.receive(second, pvt::pack(pvt::WelcomeFrame {}), start + 320ms, moved);
+    REQUIRE(moved.answers.empty());
+    const auto& [link, frame] = moved.frames.back();
+    REQUIRE(link == second);
+    REQUIRE(pvt::unpack<pvt::AskFrame>(frame)->ask == waits.value());
+    REQUIRE(pvt::unpack<pvt::AskFrame>(frame)->remainingMs == 3880);
+}
