Hosts alone keep sound instances at work while many requests fail

Cause: a host alone draws by cost with a spread of 150 ms. One failure, its own or a neighbour's, costs an upload 7 to 10 s and fades with a constant of 4 s, so one error in a hundred keeps an instance out of a region's draw for over ten seconds, and hosts hear of failures only. What is left narrows to a few instances. Distance adds to it: a data centre without callers gets nothing.

Now 0.4 of a host's requests, but not the last try of one, are spread over all instances by distance (1, 0.5, 0.2), whatever they cost, but not within three seconds of a failure that the host knows of. No host needs to know of another: what counts is the rate of all.

Tried and left: neighbours also tell of successes at doubted instances. Then those draw all requests: idle shares of 0.7 to 1.0.

--- a/src/include/laburnumroute/lone_placer.h
+++ b/src/include/laburnumroute/lone_placer.h
@@ -5,6 +5,11 @@
 /// turn gray. Each judges instances by its own outcomes and those that its neighbours tell it, and
 /// draws among the good ones at random, so that hosts that believe the same do not all choose the
 /// same.
+///
+/// Load pattern: requests fail everywhere while all hosts are alone (answers lost on their way,
+/// instances that fail by turns). Hosts hear of failures only, leave most of a service as doubtful
+/// and meet on what is left, and what is well again idles. A part of each host's requests goes to
+/// all instances whatever they cost, but not within three seconds of a failure.
 #pragma once
 
 #include <map>
@@ -51,6 +56,8 @@
     void judge(const InstanceId& id, const PlacedReport& report, TimePoint now);
     double cost(const InstanceRecord& record, const PlaceDemand& demand, TimePoint now) const;
     std::uint32_t busy(const InstanceId& id) const;
+    bool isBroken(const InstanceId& id, TimePoint now) const;
+    double spreadWeight(const InstanceRecord& record, TimePoint now) const;
 
     HostPlace m_place;
     Random m_random;
@@ -58,6 +65,7 @@
     std::map<InstanceId, std::uint32_t> m_busy;
     std::map<InstanceId, InstanceJudge> m_judges;
     std::map<InstanceId, TimePoint> m_brokenUntil;
+    std::map<InstanceId, TimePoint> m_failedAt;
     std::set<InstanceId> m_doubtful;
     TimePoint m_doubtfulAt {};
     std::map<ServiceId, RepeatWindow> m_repeats;
--- a/src/libplace/lone_placer.cpp
+++ b/src/libplace/lone_placer.cpp
@@ -1,7 +1,10 @@
 #include <laburnumroute/lone_placer.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <limits>
+#include <numeric>
 
 #include "placement_cost_pvt.h"
 
@@ -26,6 +29,16 @@
     constexpr double busyMs = 60.0;
     /// Costs that differ by this are told apart at random, three to one.
     constexpr double spreadMs = 150.0;
+    /// Part of a host's requests that goes to the instances whatever they cost, so that all hosts
+    /// together keep each at work without knowing of one another: with 3.4 requests a second for
+    /// each instance, an instance that no host would choose gets 2.7 in the two seconds of a floor.
+    constexpr double spreadShare = 0.4;
+    /// How that part is divided: in the host's data centre, its region, another region. Large
+    /// bodies should not travel far, and a data centre may have no callers of its own.
+    constexpr std::array<double, 3> spreadByDistance { 1.0, 0.5, 0.2 };
+    /// An instance that failed gets none of that part for so long: two seconds after a failure it
+    /// may be sound, and has two more until it must have got work.
+    constexpr auto restAfterFailure = std::chrono::milliseconds(3000);
 
 } // namespace
 
@@ -47,6 +60,7 @@
 {
     m_records.erase(id);
     m_judges.erase(id);
+    m_failedAt.erase(id);
     m_brokenUntil.erase(id);
 }
 
@@ -64,8 +78,11 @@
 
 void LonePlacer::judge(const InstanceId& id, const PlacedReport& report, TimePoint now)
 {
-    if (m_records.contains(id))
-        pvt::tellJudge(m_judges[id], report, assumedLatency, now);
+    if (!m_records.contains(id))
+        return;
+    pvt::tellJudge(m_judges[id], report, assumedLatency, now);
+    if (report.end != PlacedEnd::Success && report.end != PlacedEnd::Unused)
+        m_failedAt[id] = now;
 }
 
 void LonePlacer::end(const InstanceId& id, const PlacedReport& report, TimePoint now)
@@ -116,38 +133,70 @@
         const double age = std::chrono::duration<double>(now - m_doubtfulAt).count();
         chance = std::max(chance, doubtfulChance * std::exp(-age / doubtfulFadeSeconds));
     }
-    const auto broken = m_brokenUntil.find(record.id);
-    if (broken != m_brokenUntil.end() && now < broken->second)
+    if (isBroken(record.id, now))
         chance = std::max(chance, brokenChance);
     return pvt::failureCost(demand.kind, chance)
         + pvt::distanceCost(record, m_place.dataCentre, m_place.region, demand.kibibytes)
         + busyMs * busy(record.id);
 }
 
+bool LonePlacer::isBroken(const InstanceId& id, TimePoint now) const
+{
+    const auto broken = m_brokenUntil.find(id);
+    return broken != m_brokenUntil.end() && now < broken->second;
+}
+
+/// The weight with which an instance gets work whatever it costs.
+double LonePlacer::spreadWeight(const InstanceRecord& record, TimePoint now) const
+{
+    const auto failed = m_failedAt.find(record.id);
+    if (isBroken(record.id, now)
+        || (failed != m_failedAt.end() && now - failed->second < restAfterFailure))
+        return 0.0;
+    if (record.dataCentre == m_place.dataCentre)
+        return spreadByDistance[0];
+    return record.region == m_place.region ? spreadByDistance[1] : spreadByDistance[2];
+}
+
 std::optional<InstanceId> LonePlacer::choose(const PlaceDemand& demand, TimePoint now)
 {
-    std::vector<std::pair<double, InstanceId>> costs;
+    struct Candidate {
+        const InstanceRecord* record = nullptr;
+        double cost = 0.0;
+        double spread = 0.0;
+    };
+    std::vector<Candidate> candidates;
+    double least = std::numeric_limits<double>::infinity();
+    double spreadSum = 0.0;
     for (const auto& [id, record] : m_records) {
         const bool fits = record.service == demand.service && record.phase == InstancePhase::Serving
             && std::find(demand.avoid.begin(), demand.avoid.end(), id) == demand.avoid.end();
-        if (fits)
-            costs.emplace_back(cost(record, demand, now), id);
+        if (!fits)
+            continue;
+        // The last try of a request is no try of an instance.
+        const double spread = demand.again ? 0.0 : spreadWeight(record, now);
+        candidates.push_back({ &record, cost(record, demand, now), spread });
+        least = std::min(least, candidates.back().cost);
+        spreadSum += candidates.back().spread;
     }
-    if (costs.empty())
+    if (candidates.empty())
         return std::nullopt;
-    const double least = std::min_element(costs.begin(), costs.end())->first;
     double sum = 0.0;
-    for (auto& [weight, id] : costs) {
-        weight = std::exp((least - weight) / spreadMs);
-        sum += weight;
+    for (const Candidate& each : candidates)
+        sum += std::exp((least - each.cost) / spreadMs);
+    std::vector<double> weights;
+    for (const Candidate& each : candidates) {
+        const double byCost = std::exp((least - each.cost) / spreadMs) / sum;
+        const double floor = spreadSum > 0 ? spreadShare * each.spread / spreadSum : 0.0;
+        weights.push_back(std::max(byCost, floor));
     }
-    double position = uniformReal(m_random) * sum;
-    for (const auto& [weight, id] : costs) {
-        position -= weight;
+    double position = uniformReal(m_random) * std::accumulate(weights.begin(), weights.end(), 0.0);
+    for (std::size_t i = 0; i < weights.size(); ++i) {
+        position -= weights[i];
         if (position < 0)
-            return id;
+            return candidates[i].record->id;
     }
-    return costs.back().second;
+    return candidates.back().record->id;
 }
 
 bool LonePlacer::takeRepeat(const ServiceId& service, TimePoint now)
