Bytes that are no answer come without end: one budget an attempt, and no more time

The users say that servers in trouble may send bytes that are no answer without end, in a head or a body, until the caller closes.

What callers saw before: an attempt at an instance that sent 100s, early hints, or answers to other requests lasted to its deadline while the host read all of it (more than 16 MiB in 5 s; early hints went on to the caller); an error without the stamp and without an end was passed on without end, also to a request that could have gone elsewhere; an answer in chunks of one byte with long extensions never ended; an upload that made progress put an idle time in place of the deadline of an answer that was still being held; a claimed answer that trickled was read for ever after its caller.

Now: the stream counts the bytes of an attempt until the answer is known to be the instance's own, against one budget of 256 KiB, whatever they are; an error without stamp stays within it and is read whole first. The decoder bounds what frames a body by the body itself. The idle time replaces the deadline only while the answer is passed on, and is not moved any more once a stored answer's caller left. A caller that leaves within an answer is not reported as a failure of the instance. A caller that takes no interim head ends its own request (not tested: the budget fits into the buffers).

--- a/src/include/laburnumroute/http_decoder.h
+++ b/src/include/laburnumroute/http_decoder.h
@@ -1,6 +1,7 @@
 /// Incremental HTTP/1.1 decoder for one direction of one connection, over http_parser.
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -18,6 +19,9 @@
 public:
     /// Heads larger than this many bytes are refused with TooLarge, unless another limit is set.
     static constexpr std::size_t maxHeadBytes = std::size_t { 32 } * 1024;
+    /// Bytes that frame a body (sizes and extensions of chunks, trailers) may exceed it by this
+    /// factor, besides maxHeadBytes of them.
+    static constexpr std::uint64_t maxFramingFactor = 16;
 
     explicit HttpDecoder(MessageKind kind);
     ~HttpDecoder();
@@ -25,7 +29,8 @@
     HttpDecoder& operator=(HttpDecoder&&) noexcept;
 
     /// Reads from `bytes` up to the end of the head, or of the message; returns how many bytes it
-    /// took. InvalidArgument: the bytes are not a valid message. TooLarge: the head is too big.
+    /// took. InvalidArgument: the bytes are not a valid message. TooLarge: the head or the framing
+    /// of the body is too big.
     Expected<std::size_t> feed(std::string_view bytes);
     /// Tells that the peer closed its side. Closed when that cuts a message short.
     Expected<void> feedEnd();
--- a/src/libnet/exchange.cpp
+++ b/src/libnet/exchange.cpp
@@ -13,6 +13,10 @@
 
     using asio::ip::tcp;
 
+    /// Bytes of an attempt that belong to no answer of its instance: interim heads, answers to
+    /// other requests, errors that no instance made.
+    constexpr std::size_t strayBytes = std::size_t { 256 } * 1024;
+
     SteadyTime steadyNow() { return std::chrono::steady_clock::now(); }
 
     SteadyTime after(Duration d)
@@ -132,6 +136,7 @@
 {
     m_outcome.mayHaveRun = true;
     m_upstream->setExpectNoBody(m_caller.request.method == "HEAD");
+    m_upstream->limitBytes(strayBytes);
     watchDeadline();
     const auto framing = m_caller.request.chunked ? BodyFraming::Chunked : BodyFraming::Identity;
     std::string bytes = renderRequest();
@@ -157,7 +162,7 @@
     m_uploader = std::make_shared<Uploader>(m_caller.stream, m_caller.body, m_upstream, framing);
     m_uploader->start(
         [this] {
-            if (m_outcome.status != 0)
+            if (m_relaying)
                 watchProgress();
         },
         [this] {
@@ -225,10 +230,22 @@
             co_return fail(ErrorCode::InvalidArgument, "the instance switches protocols unasked");
         if (head->status == statusContinue || m_caller.request.versionMinor == 0)
             continue;
-        co_await m_caller.stream.write(renderResponseHead(*head, endToEndFields(*head)));
+        co_await passInterim(*head);
     }
 }
 
+/// A caller that takes no interim head does not hold the attempt beyond its time.
+asio::awaitable<void> Exchange::passInterim(const HttpHead& head)
+{
+    m_caller.watchdog.watch(std::min(m_caller.deadline, m_caller.attemptLimit), [this] {
+        m_callerGone = true;
+        m_upstream->close();
+        m_caller.stream.reset();
+    });
+    co_await m_caller.stream.write(renderResponseHead(head, endToEndFields(head)));
+    watchDeadline();
+}
+
 /// An answer that names another request is a late one of an earlier request.
 bool Exchange::isForeign(const HttpHead& head) const
 {
@@ -306,12 +323,15 @@
         co_return;
     }
     const std::string& stamp = m_caller.entry.options.names.stamp;
-    if (!stamp.empty() && head->status < statusMultipleChoices && head->field(stamp).empty()) {
+    const bool proven = stamp.empty() || !head->field(stamp).empty();
+    if (!proven && head->status < statusMultipleChoices) {
         m_outcome.end = AttemptEnd::BadAnswer;
         m_upstreamKeepAlive = false;
         co_return;
     }
-    if (m_upstream->messageComplete()
+    if (proven)
+        m_upstream->unlimitBytes();
+    if (m_upstream->messageComplete() || !proven
         || head->contentLength.value_or(SIZE_MAX) <= m_caller.holdBytes) {
         if (m_caller.holdBytes > 0) {
             co_await holdAnswer(std::move(*head));
@@ -360,6 +380,7 @@
         m_outcome.captured = StoredAnswer { head.status, endToEndFields(head), {} };
     }
     addConnection(fields, { false, m_caller.request.versionMinor, m_outcome.keepAlive });
+    m_relaying = true;
     watchProgress();
     if (m_caller.capture)
         m_caller.stream.unwatchPeer();
@@ -388,12 +409,15 @@
         // An answer that is stored is read to its end even when its caller went away.
         if (last || (m_outcome.end == AttemptEnd::Cut && !m_outcome.captured))
             co_return;
-        watchProgress();
+        // Once the caller went away the rest must come within the time of one part.
+        if (m_outcome.end == AttemptEnd::Passed)
+            watchProgress();
         const SteadyTime before = steadyNow();
         auto next = co_await m_upstream->readBodyPart();
         m_outcome.waited += steadyNow() - before;
         if (!next) {
             m_outcome.end = AttemptEnd::Cut;
+            m_outcome.callerBroke = m_outcome.callerBroke || callerBroke();
             m_outcome.captured.reset();
             co_return;
         }
@@ -402,6 +426,11 @@
     }
 }
 
+bool Exchange::callerBroke() const
+{
+    return m_callerGone || (m_uploader && m_uploader->phase() == Uploader::Phase::CallerFailed);
+}
+
 void Exchange::capturePart(const std::string& part)
 {
     m_outcome.answerBytes += part.size();
--- a/src/libnet/exchange_pvt.h
+++ b/src/libnet/exchange_pvt.h
@@ -110,6 +110,7 @@
     asio::awaitable<void> sendRequest();
     asio::awaitable<void> passAnswer();
     asio::awaitable<Expected<HttpHead>> readFinalHead();
+    asio::awaitable<void> passInterim(const HttpHead& head);
     /// Reads past an answer that belongs to another request.
     asio::awaitable<Expected<void>> skipAnswer();
     asio::awaitable<void> holdAnswer(HttpHead head);
@@ -129,6 +130,8 @@
     bool saysNotRun(const HttpHead& head) const;
     void noteAnswer(const HttpHead& head);
     void capturePart(const std::string& part);
+    /// The caller left, or its body is malformed.
+    bool callerBroke() const;
 
     CallerSide& m_caller;
     const Assignment& m_assigned;
@@ -139,6 +142,7 @@
     bool m_reused = false;
     bool m_timedOut = false;
     bool m_callerGone = false;
+    bool m_relaying = false;
     bool m_upstreamKeepAlive = false;
 };
 
--- a/src/libnet/http_decoder.cpp
+++ b/src/libnet/http_decoder.cpp
@@ -84,6 +84,7 @@
         body.clear();
         problem = nullptr;
         headBytes = 0;
+        bodyBytes = framingBytes = 0;
         started = headDone = messageDone = lastWasValue = false;
     }
 
@@ -100,6 +101,9 @@
     const char* problem = nullptr;
     std::size_t headBytes = 0;
     std::size_t headLimit = maxHeadBytes;
+    std::uint64_t bodyBytes = 0;
+    /// Bytes after the head that are not the body's own.
+    std::uint64_t framingBytes = 0;
     bool started = false;
     bool headDone = false;
     bool messageDone = false;
@@ -277,6 +281,13 @@
         return fail(code == HPE_HEADER_OVERFLOW ? ErrorCode::TooLarge : ErrorCode::InvalidArgument,
             std::string("malformed HTTP: ")
                 + (state.problem != nullptr ? state.problem : http_errno_description(code)));
+    if (headWasDone) {
+        const std::size_t part = state.body.size() - bodyBefore;
+        state.bodyBytes += part;
+        state.framingBytes += taken - part;
+        if (state.framingBytes > maxHeadBytes + maxFramingFactor * state.bodyBytes)
+            return fail(ErrorCode::TooLarge, "the framing of a body is larger than allowed");
+    }
     if (headWasDone && state.body.size() == bodyBefore && !state.trailers.empty()) {
         state.headBytes += taken;
         if (state.headBytes > state.headLimit)
--- a/src/libnet/http_decoder_test.cpp
+++ b/src/libnet/http_decoder_test.cpp
@@ -56,3 +56,25 @@
         decodeBody(decoder, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", 7).value() == "abc");
     REQUIRE(decoder.feedEnd().error().code == ErrorCode::Closed);
 }
+
+TEST_CASE("a body whose framing outgrows it is refused, one of small chunks is not")
+{
+    constexpr std::size_t chunks = 10000;
+    const auto [chunk, fine] = GENERATE(table<std::string, bool>({ { "1\r\na\r\n", true },
+        { "1;n=v\r\na\r\n", true }, { "1;" + std::string(1000, 'x') + "\r\na\r\n", false } }));
+    HttpDecoder decoder(MessageKind::Response);
+    std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    Expected<std::size_t> taken = 0;
+    for (; taken && !head.empty(); head.erase(0, *taken))
+        taken = decoder.feed(head);
+    std::string body;
+    for (std::size_t i = 0; i < chunks && taken; ++i) {
+        taken = decoder.feed(chunk);
+        body += decoder.takeBody();
+    }
+    CAPTURE(chunk.substr(0, 10));
+    CHECK(taken.has_value() == fine);
+    CHECK((body.size() == chunks) == fine);
+    if (!taken)
+        CHECK(taken.error().code == ErrorCode::TooLarge);
+}
--- a/src/libnet/http_stream.cpp
+++ b/src/libnet/http_stream.cpp
@@ -34,6 +34,11 @@
     if (!taken)
         return tl::unexpected<Error>(taken.error());
     m_begin += *taken;
+    if (!m_bytesLeft)
+        return {};
+    if (*taken > *m_bytesLeft)
+        return fail(ErrorCode::TooLarge, "more bytes than allowed");
+    *m_bytesLeft -= *taken;
     return {};
 }
 
--- a/src/libnet/http_stream_pvt.h
+++ b/src/libnet/http_stream_pvt.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include <asio/awaitable.hpp>
 #include <asio/experimental/as_tuple.hpp>
@@ -43,6 +44,9 @@
     void setExpectNoBody(bool noBody) { m_decoder.setExpectNoBody(noBody); }
     /// Heads larger than this are refused.
     void setHeadLimit(std::size_t bytes) { m_decoder.setHeadLimit(bytes); }
+    /// Bounds what is read from now on: reads fail with TooLarge beyond so many bytes.
+    void limitBytes(std::size_t bytes) { m_bytesLeft = bytes; }
+    void unlimitBytes() { m_bytesLeft.reset(); }
     /// True once the message being read is complete.
     bool messageComplete() const { return m_decoder.messageComplete(); }
     /// True once a byte of the message being read has come.
@@ -79,6 +83,7 @@
     std::unique_ptr<std::array<char, readBytes>> m_buffer;
     std::size_t m_begin = 0;
     std::size_t m_end = 0;
+    std::optional<std::size_t> m_bytesLeft;
     std::shared_ptr<PeerWatch> m_watch;
 };
 
--- a/src/libnet/loopback_test.cpp
+++ b/src/libnet/loopback_test.cpp
@@ -27,10 +27,13 @@
 {
 }
 
-void Connection::send(std::string_view text)
+void Connection::send(std::string_view text) { trySend(text); }
+
+bool Connection::trySend(std::string_view text)
 {
-    std::error_code ignored;
-    asio::write(m_socket, asio::buffer(text), ignored);
+    std::error_code code;
+    asio::write(m_socket, asio::buffer(text), code);
+    return !code;
 }
 
 bool Connection::fill()
--- a/src/libnet/loopback_test.h
+++ b/src/libnet/loopback_test.h
@@ -24,6 +24,8 @@
 
     /// Sends all of `text`; errors are ignored, the peer may be gone.
     void send(std::string_view text);
+    /// Sends all of `text`; false when the peer is gone.
+    bool trySend(std::string_view text);
     /// Reads up to and including `marker`, or to the end.
     std::string readUntil(std::string_view marker);
     /// Reads a message's head, up to and including the empty line.
