The caller is watched from before the connection is opened; nothing is sent for one that left

Cause, confirmed by a test: a caller was watched while it waited for a place and from the end of its request's writing on, not while a connection was opened; a place that is granted at once has no wait. With two instances that take no connection (700 ms each) the third got the request 1.4 s after its caller had left, and three places were asked for. Besides: a byte that came early (the start of the next request) ended the watch for good, so that the instance went on to the deadline; an upload that its instance did not read hid a caller that broke its connection; a claim granted after its caller left was run.

Now the exchange watches the caller in one place, from before it opens a connection to its end, and looks once more right before the first byte leaves. The stream asks the socket for the peer's close (POLLRDHUP), which bytes that came early do not hide; while such bytes wait it looks every 100 ms. A caller that shuts down its sending side counts as gone before the answer, as before. The place ends as unused, nothing else is asked for, a claim is given back as not run.

--- a/src/libnet/exchange.cpp
+++ b/src/libnet/exchange.cpp
@@ -54,8 +54,13 @@
 {
     bool mayReuse = true;
     while (true) {
-        if (!co_await connect(mayReuse)) {
-            m_outcome.end = AttemptEnd::NotConnected;
+        watchCaller();
+        const bool connected = co_await connect(mayReuse);
+        if (!connected || callerLeft()) {
+            m_caller.stream.unwatchPeer();
+            if (connected)
+                m_upstream->close();
+            m_outcome.end = callerLeft() ? AttemptEnd::CallerGone : AttemptEnd::NotConnected;
             break;
         }
         co_await sendRequest();
@@ -97,7 +102,9 @@
         std::error_code ignored;
         socket->close(ignored);
     });
+    m_connecting = socket;
     const auto [code] = co_await socket->async_connect(*endpoint, useTuple);
+    m_connecting = nullptr;
     m_caller.watchdog.clear();
     m_outcome.refused = code == asio::error::connection_refused;
     if (code || !socket->is_open())
@@ -146,10 +153,8 @@
         bytes += frameBodyEnd(framing, m_caller.body.trailers());
     // A failed write is no verdict: the instance may have answered before it closed.
     co_await m_upstream->write(std::move(bytes));
-    if (whole) {
-        watchCaller();
+    if (whole)
         co_return;
-    }
     if (expectsContinue(m_caller.request) && !m_caller.continued && m_caller.body.bytes() == 0) {
         m_caller.continued = true;
         co_await m_caller.stream.write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -168,8 +173,6 @@
         [this] {
             if (m_uploader->phase() == Uploader::Phase::CallerFailed)
                 m_upstream->close();
-            if (m_uploader->phase() == Uploader::Phase::Sent)
-                watchCaller();
         });
 }
 
@@ -194,10 +197,20 @@
 {
     m_caller.stream.watchPeer([this] {
         m_callerGone = true;
-        m_upstream->close();
+        std::error_code ignored;
+        if (m_connecting)
+            m_connecting->close(ignored);
+        if (m_upstream)
+            m_upstream->close();
     });
 }
 
+bool Exchange::callerLeft()
+{
+    m_callerGone = m_callerGone || m_caller.stream.peerLeft();
+    return m_callerGone;
+}
+
 AttemptEnd Exchange::endFor(const Error& error) const
 {
     if (m_callerGone)
--- a/src/libnet/exchange_pvt.h
+++ b/src/libnet/exchange_pvt.h
@@ -124,7 +124,10 @@
     std::vector<HeaderField> answerFields(const HttpHead& head, BodyFraming framing) const;
     void watchDeadline();
     void watchProgress();
+    /// Ends the attempt when the caller leaves, from before its connection is opened.
     void watchCaller();
+    /// Asked before the request's first byte leaves.
+    bool callerLeft();
     AttemptEnd endFor(const Error& error) const;
     bool isForeign(const HttpHead& head) const;
     bool saysNotRun(const HttpHead& head) const;
@@ -135,6 +138,8 @@
 
     CallerSide& m_caller;
     const Assignment& m_assigned;
+    /// While a connection is being opened.
+    std::shared_ptr<asio::ip::tcp::socket> m_connecting;
     std::shared_ptr<HttpStream> m_upstream;
     std::shared_ptr<Uploader> m_uploader;
     AttemptOutcome m_outcome;
--- a/src/libnet/http_stream.cpp
+++ b/src/libnet/http_stream.cpp
@@ -1,15 +1,53 @@
 #include "http_stream_pvt.h"
 
+#include <poll.h>
+
 #include <asio/buffer.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
 namespace laburnum::pvt {
 
 using asio::ip::tcp;
 
-/// Outlives the stream while the socket's wait operation is pending.
-struct HttpStream::PeerWatch {
-    HttpStream* stream = nullptr;
+namespace {
+
+    /// Bytes that came early leave the socket readable: then the peer is looked at so often.
+    constexpr auto peerCheckInterval = std::chrono::milliseconds(100);
+
+} // namespace
+
+/// Outlives the stream while an operation of the watch is pending.
+struct HttpStream::PeerWatch : std::enable_shared_from_this<PeerWatch> {
+    PeerWatch(HttpStream& watched, const asio::any_io_executor& executor)
+        : stream(&watched)
+        , pause(executor)
+    {
+    }
+
+    void start()
+    {
+        pending = true;
+        stream->m_socket.async_wait(tcp::socket::wait_read,
+            [self = shared_from_this()](std::error_code) { self->look(false); });
+    }
+
+    void look(bool afterPause)
+    {
+        pending = false;
+        if (stream == nullptr || !onGone)
+            return;
+        if (stream->peerLeft())
+            return std::exchange(onGone, nullptr)();
+        if (afterPause)
+            return start();
+        pending = true;
+        pause.expires_after(peerCheckInterval);
+        pause.async_wait([self = shared_from_this()](std::error_code) { self->look(true); });
+    }
+
+    HttpStream* stream;
+    asio::steady_timer pause;
     std::function<void()> onGone;
     bool pending = false;
 };
@@ -18,15 +56,18 @@
     : m_socket(std::move(socket))
     , m_decoder(incoming)
     , m_buffer(std::make_unique<std::array<char, readBytes>>())
-    , m_watch(std::make_shared<PeerWatch>())
+    , m_watch(std::make_shared<PeerWatch>(*this, m_socket.get_executor()))
 {
-    m_watch->stream = this;
     std::error_code ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
     m_socket.non_blocking(true, ignored);
 }
 
-HttpStream::~HttpStream() { m_watch->stream = nullptr; }
+HttpStream::~HttpStream()
+{
+    m_watch->stream = nullptr;
+    m_watch->pause.cancel();
+}
 
 Expected<void> HttpStream::feedPending()
 {
@@ -122,21 +163,16 @@
 void HttpStream::watchPeer(std::function<void()> onGone)
 {
     m_watch->onGone = std::move(onGone);
-    if (m_watch->pending)
-        return;
-    m_watch->pending = true;
-    m_socket.async_wait(tcp::socket::wait_read, [watch = m_watch](std::error_code code) {
-        watch->pending = false;
-        if (watch->stream == nullptr || !watch->onGone)
-            return;
-        char byte = 0;
-        std::error_code peeked = code;
-        if (!code)
-            watch->stream->m_socket.receive(
-                asio::buffer(&byte, 1), tcp::socket::message_peek, peeked);
-        if (peeked && peeked != asio::error::would_block)
-            std::exchange(watch->onGone, nullptr)();
-    });
+    if (!m_watch->pending)
+        m_watch->start();
+}
+
+bool HttpStream::peerLeft()
+{
+    if (!m_socket.is_open())
+        return true;
+    pollfd state { m_socket.native_handle(), POLLRDHUP, 0 };
+    return ::poll(&state, 1, 0) == 1;
 }
 
 void HttpStream::unwatchPeer() { m_watch->onGone = nullptr; }
--- a/src/libnet/http_stream_pvt.h
+++ b/src/libnet/http_stream_pvt.h
@@ -53,10 +53,13 @@
     bool messageStarted() const { return m_decoder.started(); }
     const std::vector<HeaderField>& trailers() const { return m_decoder.trailers(); }
 
-    /// Calls `onGone` once if the peer closes or this side closes the stream, until unwatchPeer().
-    /// Data from the peer end the watch.
+    /// Calls `onGone` once if the peer closes, shuts down its sending side, or this side closes the
+    /// stream, until unwatchPeer(). Bytes that come early do not hide it.
     void watchPeer(std::function<void()> onGone);
     void unwatchPeer();
+    /// True when the peer closed or shut down its sending side, read or not what it sent before, or
+    /// this side closed the stream.
+    bool peerLeft();
     /// True when nothing can be read now: no data, no close.
     bool isQuiet();
     /// True when no byte waits that belongs to no message.
