--- a/src/libnet/exchange.cpp
+++ b/src/libnet/exchange.cpp
@@ -13,6 +13,10 @@
 
     using asio::ip::tcp;
 
+    /// Bytes of an attempt that belong to no answer of its instance: interim heads, answers to
+    /// other requests, errors that no instance made.
+    constexpr std::size_t strayBytes = std::size_t { 256 } * 1024;
+
     SteadyTime steadyNow() { return std::chrono::steady_clock::now(); }
 
     SteadyTime after(Duration d)
@@ -50,11 +54,16 @@
 {
     bool mayReuse = true;
     while (true) {
+        watchCaller();
         bool connected = false;
         if (!m_abandonedAs)
             connected = co_await connect(mayReuse);
-        if (!connected) {
-            m_outcome.end = m_abandonedAs.value_or(AttemptEnd::NotConnected);
+        if (!connected || callerLeft()) {
+            m_caller.stream.unwatchPeer();
+            if (connected)
+                m_upstream->close();
+            m_outcome.end = callerLeft() ? AttemptEnd::CallerGone
+                                         : m_abandonedAs.value_or(AttemptEnd::NotConnected);
             break;
         }
         co_await sendRequest();
@@ -110,7 +119,9 @@
         std::error_code ignored;
         socket->close(ignored);
     });
+    m_connecting = socket;
     const auto [code] = co_await socket->async_connect(*endpoint, useTuple);
+    m_connecting = nullptr;
     m_caller.watchdog.clear();
     m_outcome.refused = code == asio::error::connection_refused;
     if (code || !socket->is_open())
@@ -148,6 +159,7 @@
 {
     m_outcome.mayHaveRun = true;
     m_upstream->setExpectNoBody(m_caller.request.method == "HEAD");
+    m_upstream->limitBytes(strayBytes);
     watchDeadline();
     const auto framing = m_caller.request.chunked ? BodyFraming::Chunked : BodyFraming::Identity;
     std::string bytes = renderRequest();
@@ -157,10 +169,8 @@
         bytes += frameBodyEnd(framing, m_caller.body.trailers());
     // A failed write is no verdict: the instance may have answered before it closed.
     co_await m_upstream->write(std::move(bytes));
-    if (whole) {
-        watchCaller();
+    if (whole)
         co_return;
-    }
     if (expectsContinue(m_caller.request) && !m_caller.continued && m_caller.body.bytes() == 0) {
         m_caller.continued = true;
         co_await m_caller.stream.write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -173,14 +183,12 @@
     m_uploader = std::make_shared<Uploader>(m_caller.stream, m_caller.body, m_upstream, framing);
     m_uploader->start(
         [this] {
-            if (m_outcome.status != 0)
+            if (m_relaying)
                 watchProgress();
         },
         [this] {
             if (m_uploader->phase() == Uploader::Phase::CallerFailed)
                 m_upstream->close();
-            if (m_uploader->phase() == Uploader::Phase::Sent)
-                watchCaller();
         });
 }
 
@@ -205,12 +213,22 @@
 {
     m_caller.stream.watchPeer([this] {
         m_callerGone = true;
-        m_upstream->close();
+        std::error_code ignored;
+        if (m_connecting)
+            m_connecting->close(ignored);
+        if (m_upstream)
+            m_upstream->close();
         if (m_caller.onCallerGone)
             m_caller.onCallerGone();
     });
 }
 
+bool Exchange::callerLeft()
+{
+    m_callerGone = m_callerGone || m_caller.stream.peerLeft();
+    return m_callerGone;
+}
+
 AttemptEnd Exchange::endFor(const Error& error) const
 {
     if (m_callerGone)
@@ -246,10 +264,22 @@
         if (head->status == statusContinue || m_caller.request.versionMinor == 0
             || !m_caller.passesInterim)
             continue;
-        co_await m_caller.stream.write(renderResponseHead(*head, endToEndFields(*head)));
+        co_await passInterim(*head);
     }
 }
 
+/// A caller that takes no interim head does not hold the attempt beyond its time.
+asio::awaitable<void> Exchange::passInterim(const HttpHead& head)
+{
+    m_caller.watchdog.watch(std::min(m_caller.deadline, m_caller.attemptLimit), [this] {
+        m_callerGone = true;
+        m_upstream->close();
+        m_caller.stream.reset();
+    });
+    co_await m_caller.stream.write(renderResponseHead(head, endToEndFields(head)));
+    watchDeadline();
+}
+
 /// An answer that names another request is a late one of an earlier request.
 bool Exchange::isForeign(const HttpHead& head) const
 {
@@ -327,12 +357,15 @@
         co_return;
     }
     const std::string& stamp = m_caller.entry.options.names.stamp;
-    if (!stamp.empty() && head->status < statusMultipleChoices && head->field(stamp).empty()) {
+    const bool proven = stamp.empty() || !head->field(stamp).empty();
+    if (!proven && head->status < statusMultipleChoices) {
         m_outcome.end = AttemptEnd::BadAnswer;
         m_upstreamKeepAlive = false;
         co_return;
     }
-    if (m_upstream->messageComplete()
+    if (proven)
+        m_upstream->unlimitBytes();
+    if (m_upstream->messageComplete() || !proven
         || head->contentLength.value_or(SIZE_MAX) <= m_caller.holdBytes) {
         if (m_caller.holdBytes > 0) {
             co_await holdAnswer(std::move(*head));
@@ -391,6 +424,7 @@
         m_outcome.captured = StoredAnswer { head.status, endToEndFields(head), {} };
     }
     addConnection(fields, { false, m_caller.request.versionMinor, m_outcome.keepAlive });
+    m_relaying = true;
     watchProgress();
     if (m_caller.capture)
         m_caller.stream.unwatchPeer();
@@ -419,12 +453,15 @@
         // An answer that is stored is read to its end even when its caller went away.
         if (last || (m_outcome.end == AttemptEnd::Cut && !m_outcome.captured))
             co_return;
-        watchProgress();
+        // Once the caller went away the rest must come within the time of one part.
+        if (m_outcome.end == AttemptEnd::Passed)
+            watchProgress();
         const SteadyTime before = steadyNow();
         auto next = co_await m_upstream->readBodyPart();
         m_outcome.waited += steadyNow() - before;
         if (!next) {
             m_outcome.end = AttemptEnd::Cut;
+            m_outcome.callerBroke = m_outcome.callerBroke || callerBroke();
             m_outcome.captured.reset();
             co_return;
         }
@@ -433,6 +470,11 @@
     }
 }
 
+bool Exchange::callerBroke() const
+{
+    return m_callerGone || (m_uploader && m_uploader->phase() == Uploader::Phase::CallerFailed);
+}
+
 void Exchange::capturePart(const std::string& part)
 {
     m_outcome.answerBytes += part.size();
--- a/src/libnet/exchange_pvt.h
+++ b/src/libnet/exchange_pvt.h
@@ -122,6 +122,7 @@
     asio::awaitable<void> sendRequest();
     asio::awaitable<void> passAnswer();
     asio::awaitable<Expected<HttpHead>> readFinalHead();
+    asio::awaitable<void> passInterim(const HttpHead& head);
     /// Reads past an answer that belongs to another request.
     asio::awaitable<Expected<void>> skipAnswer();
     asio::awaitable<void> holdAnswer(HttpHead head);
@@ -135,15 +136,22 @@
     std::vector<HeaderField> answerFields(const HttpHead& head, BodyFraming framing) const;
     void watchDeadline();
     void watchProgress();
+    /// Ends the attempt when the caller leaves, from before its connection is opened.
     void watchCaller();
+    /// Asked before the request's first byte leaves.
+    bool callerLeft();
     AttemptEnd endFor(const Error& error) const;
     bool isForeign(const HttpHead& head) const;
     bool saysNotRun(const HttpHead& head) const;
     void noteAnswer(const HttpHead& head);
     void capturePart(const std::string& part);
+    /// The caller left, or its body is malformed.
+    bool callerBroke() const;
 
     CallerSide& m_caller;
     const Assignment& m_assigned;
+    /// While a connection is being opened.
+    std::shared_ptr<asio::ip::tcp::socket> m_connecting;
     std::shared_ptr<HttpStream> m_upstream;
     std::shared_ptr<Uploader> m_uploader;
     AttemptOutcome m_outcome;
@@ -152,6 +160,7 @@
     bool m_timedOut = false;
     bool m_callerGone = false;
     std::optional<AttemptEnd> m_abandonedAs;
+    bool m_relaying = false;
     bool m_upstreamKeepAlive = false;
 };
 
--- a/src/libnet/http_stream_pvt.h
+++ b/src/libnet/http_stream_pvt.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include <asio/awaitable.hpp>
 #include <asio/experimental/as_tuple.hpp>
@@ -43,16 +44,22 @@
     void setExpectNoBody(bool noBody) { m_decoder.setExpectNoBody(noBody); }
     /// Heads larger than this are refused.
     void setHeadLimit(std::size_t bytes) { m_decoder.setHeadLimit(bytes); }
+    /// Bounds what is read from now on: reads fail with TooLarge beyond so many bytes.
+    void limitBytes(std::size_t bytes) { m_bytesLeft = bytes; }
+    void unlimitBytes() { m_bytesLeft.reset(); }
     /// True once the message being read is complete.
     bool messageComplete() const { return m_decoder.messageComplete(); }
     /// True once a byte of the message being read has come.
     bool messageStarted() const { return m_decoder.started(); }
     const std::vector<HeaderField>& trailers() const { return m_decoder.trailers(); }
 
-    /// Calls `onGone` once if the peer closes or this side closes the stream, until unwatchPeer().
-    /// Data from the peer end the watch.
+    /// Calls `onGone` once if the peer closes, shuts down its sending side, or this side closes the
+    /// stream, until unwatchPeer(). Bytes that come early do not hide it.
     void watchPeer(std::function<void()> onGone);
     void unwatchPeer();
+    /// True when the peer closed or shut down its sending side, read or not what it sent before, or
+    /// this side closed the stream.
+    bool peerLeft();
     /// True when nothing can be read now: no data, no close.
     bool isQuiet();
     /// True when no byte waits that belongs to no message.
@@ -79,6 +86,7 @@
     std::unique_ptr<std::array<char, readBytes>> m_buffer;
     std::size_t m_begin = 0;
     std::size_t m_end = 0;
+    std::optional<std::size_t> m_bytesLeft;
     std::shared_ptr<PeerWatch> m_watch;
 };
 
