Tests: the scripted desk forgets an ask that was left

It kept the waiting ask's callback, and with it a timer of the io_context, until after the io_context's end; valgrind saw the timer's executor read freed memory. With the change the tests "fleet:*" run under valgrind without a finding (frames of coroutines freed by another operator than allocated left out: that is Asio).

--- a/src/libnet/fleet_request_test.cpp
+++ b/src/libnet/fleet_request_test.cpp
@@ -53,7 +53,11 @@
         return m_last;
     }
 
-    void leave(AskId) override { left.set(); }
+    void leave(AskId) override
+    {
+        m_waiting = nullptr;
+        left.set();
+    }
     void end(AskId ask, const PlacedReport& report) override
     {
         reports.push_back(report.end);
@@ -68,7 +72,7 @@
         placed.instance->id = InstanceId("i" + std::to_string(demands.size()));
         placed.instance->endpoint = endpoint;
         m_granted.push_back(m_last);
-        m_waiting(placed);
+        std::exchange(m_waiting, nullptr)(placed);
     }
     /// How the place of the ask with this number was reported.
     PlacedEnd endOf(unsigned ask) const
