--- a/src/libplace/fleet_placer_test.cpp
+++ b/src/libplace/fleet_placer_test.cpp
@@ -3,6 +3,7 @@
 #include <cmath>
 #include <deque>
 #include <queue>
+#include <utility>
 
 #include <laburnumroute/fleet_placer.h>
 #include <laburnumroute/random.h>
@@ -57,6 +58,11 @@
     /// The same, of the moments at which over a tenth of the last two seconds' requests was lost:
     /// then a floor binds.
     unsigned mostIdleAtLoss = 0;
+    std::size_t mostWaiting = 0;
+    /// Instances weighed for each ask and each end, ticks included.
+    double weighedPerEvent = 0.0;
+    /// The same by one ask, end or tick.
+    std::uint64_t mostWeighedAtOnce = 0;
 };
 
 /// Two seconds of rest after a failure, two in which an instance has to get work.
@@ -122,6 +128,8 @@
             if (losesMoreThanATenth(now))
                 tally.mostIdleAtLoss = std::max(tally.mostIdleAtLoss, static_cast<unsigned>(idle));
         }
+        tally.weighedPerEvent
+            = static_cast<double>(placer.weighed()) / (tally.asked + tally.served + tally.failed);
         return tally;
     }
 
@@ -139,6 +147,9 @@
 
     void take(const std::vector<PlaceReply>& replies, TimePoint now, Tally& tally)
     {
+        tally.mostWaiting = std::max(tally.mostWaiting, placer.waiting());
+        tally.mostWeighedAtOnce = std::max(
+            tally.mostWeighedAtOnce, placer.weighed() - std::exchange(m_weighed, placer.weighed()));
         for (const auto& reply : replies) {
             if (reply.kind == PlaceReplyKind::Waiting)
                 continue;
@@ -203,6 +214,7 @@
     std::vector<Instance> m_instances;
     std::map<AskKey, TimePoint> m_asked;
     std::uint32_t m_ask = 0;
+    std::uint64_t m_weighed = 0;
     std::deque<Lately> m_lately;
     std::priority_queue<Running, std::vector<Running>, std::greater<>> m_running;
 };
@@ -301,6 +313,97 @@
     REQUIRE(failed < 5 * 16);
 }
 
+TEST_CASE("load pattern: a freed place does not make every waiting request weigh every instance")
+{
+    // The leader has 0.6 of a core and 1,100 asks and as many ends a second, which may take a
+    // quarter of that: 68 us each, 190 ns for each of these.
+    constexpr unsigned instances = 176;
+    constexpr double mostWeighedPerEvent = 2.0 * instances;
+    constexpr std::uint64_t mostWeighedAtOnce = std::uint64_t { 70 } * instances;
+    const auto rate = [](Duration at) { return at < Duration(20ms) ? 25000.0 : 1100.0; };
+    SECTION("in the start phase of a view")
+    {
+        Replay replay(instances, 1);
+        // Hosts that were alone filled a third of the instances.
+        for (unsigned i = 0; i < instances / 3; ++i) {
+            for (unsigned open = 0; open < 6; ++open)
+                replay.placer.adopt(
+                    { { LinkId(2), AskId(i * 6 + open) }, record(i).id, service, 0s, 2s },
+                    TimePoint(100s));
+        }
+        const Tally tally = replay.run(1s, rate);
+        REQUIRE(tally.mostWaiting > 200);
+        REQUIRE(tally.weighedPerEvent < mostWeighedPerEvent);
+        REQUIRE(tally.mostWeighedAtOnce < mostWeighedAtOnce);
+    }
+    SECTION("while a service that became slow is full")
+    {
+        Replay replay(instances, 2);
+        for (unsigned i = 0; i < instances; ++i)
+            replay.instance(i).slowness = 2.7;
+        const Tally tally = replay.run(5s, rate);
+        REQUIRE(tally.mostWaiting > 200);
+        REQUIRE(tally.weighedPerEvent < mostWeighedPerEvent);
+        REQUIRE(tally.mostWeighedAtOnce < mostWeighedAtOnce);
+    }
+}
+
+TEST_CASE("load pattern: an instance that was full before the view began holds up nobody")
+{
+    for (const RequestKind kind : { RequestKind::Safe, RequestKind::Unsafe, RequestKind::Upload }) {
+        Replay replay(35, 1);
+        for (unsigned open = 0; open < 6; ++open)
+            replay.placer.adopt(
+                { { LinkId(2), AskId(open) }, record(0).id, service, 0s, 6s }, TimePoint(100s));
+        const Tally tally = replay.run(
+            4s, [](Duration) { return 119.0; },
+            [&](std::uint32_t ask) { return demand(ask, kind); });
+        REQUIRE(tally.refused == 0);
+        REQUIRE(tally.longestHold < 300ms);
+    }
+}
+
+TEST_CASE("load pattern: the callers of a grown site meet a view that has just begun")
+{
+    struct Part {
+        unsigned instances;
+        double perSecond;
+        std::uint32_t kibibytes;
+    };
+    const auto part
+        = GENERATE(Part { 176, 640.0, 2 }, Part { 93, 340.0, 2 }, Part { 35, 119.0, 60 });
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        CAPTURE(part.instances, seed);
+        Replay replay(part.instances, seed);
+        for (unsigned i = 0; i < part.instances; ++i) {
+            InstanceRecord spread = record(i);
+            spread.dataCentre = DataCentreId("d" + std::to_string(i % 6));
+            spread.region = RegionId("r" + std::to_string(i % 6 / 2));
+            replay.placer.upsert(spread, TimePoint(100s));
+        }
+        // What hosts placed alone for as long as a service's work takes.
+        Random random(seed);
+        for (unsigned open = 0; open < part.perSecond / 2; ++open) {
+            const auto at = static_cast<unsigned>(uniformReal(random) * part.instances);
+            replay.placer.adopt(
+                { { LinkId(2), AskId(open) }, record(at).id, service, 0s, 1s }, TimePoint(100s));
+        }
+        const Tally tally = replay.run(
+            2s, [&](Duration at) { return at < 50ms ? 8 * part.perSecond : part.perSecond; },
+            [&](std::uint32_t ask) {
+                PlaceDemand wanted
+                    = demand(ask, ask % 2 == 0 ? RequestKind::Safe : RequestKind::Unsafe);
+                wanted.kibibytes = part.kibibytes;
+                wanted.dataCentre = DataCentreId("d" + std::to_string(ask % 6));
+                wanted.region = RegionId("r" + std::to_string(ask % 6 / 2));
+                return wanted;
+            });
+        REQUIRE(tally.refused == 0);
+        REQUIRE(tally.longestHold < 300ms);
+        REQUIRE(tally.mostWaiting < part.perSecond / 4);
+    }
+}
+
 TEST_CASE("load pattern: the near instances are full, and those far away have room")
 {
     const auto [kibibytes, mostWaiting] = GENERATE(table<std::uint32_t, unsigned>({
