--- a/testsuite/fakes/hub_fleet.cpp
+++ b/testsuite/fakes/hub_fleet.cpp
@@ -111,16 +111,19 @@
     startTurn(host);
 }
 
-Duration HubFleet::costOf(const HubActions& actions) const
+Duration HubFleet::costOf(const Input& input, const HubActions& actions) const
 {
+    const ProcessorCosts& costs = *m_options.processor;
+    Duration cost = input.isSlice ? costs.slice : costs.turn;
+    if (Hub::workOf(input.frame) == "log")
+        cost += costs.logMessage;
     std::size_t bytes = 0;
     for (const auto& [to, frame] : actions.frames)
         bytes += frame.size();
     for (const auto& [to, frame] : actions.peerFrames)
         bytes += frame.size();
     const std::size_t frames = actions.frames.size() + actions.peerFrames.size();
-    return m_options.processor->turn + m_options.processor->frameSent * frames
-        + m_options.processor->kibibyteSent * bytes / 1024;
+    return cost + costs.frameSent * frames + costs.kibibyteSent * bytes / 1024;
 }
 
 /// Handles the next input; what it sends leaves when its cost has passed.
@@ -137,11 +140,9 @@
         input.other(*control.hub, control.leaving);
     else
         control.hub->receive(input.link, input.frame, m_now, control.leaving);
-    Duration cost = costOf(control.leaving);
+    Duration cost = costOf(input, control.leaving);
     cost += costs.weighing * (control.hub->placer().weighed() - weighed);
     cost += costs.sync * (control.storage.syncs() - syncs);
-    if (Hub::workOf(input.frame) == "log")
-        cost += costs.logMessage;
     LoopFigures& figures = control.figures;
     figures.busy += cost;
     figures.longestTurn = std::max(figures.longestTurn, cost);
@@ -161,9 +162,25 @@
     control.inTurn = false;
     HubActions actions = std::exchange(control.leaving, {});
     carry(host, actions);
+    postWork(host);
     startTurn(host);
 }
 
+/// A slice of the backlog waits behind what has arrived, as one posted to the loop does.
+void HubFleet::postWork(const HostId& host)
+{
+    Control& control = m_controls.at(host);
+    if (control.workWaits || !control.hub->hasBacklog())
+        return;
+    control.workWaits = true;
+    control.inbox.push_back({ m_now, LinkId(0), "",
+        [this, &control](Hub& hub, HubActions& out) {
+            control.workWaits = false;
+            hub.work(m_now, out);
+        },
+        true });
+}
+
 void HubFleet::resetLoops()
 {
     for (auto& [id, control] : m_controls)
@@ -222,6 +239,7 @@
     control.leaving = {};
     control.tickDue = m_now;
     control.tickWaits = false;
+    control.workWaits = false;
 }
 
 void HubFleet::startEntry(
--- a/testsuite/fakes/hub_fleet.h
+++ b/testsuite/fakes/hub_fleet.h
@@ -22,6 +22,8 @@
 struct ProcessorCosts {
     /// Each frame, tick, call and ended connection that is handled.
     Duration turn {};
+    /// Each slice of the backlog.
+    Duration slice {};
     /// Besides, each message of the replicated log.
     Duration logMessage {};
     Duration frameSent {};
@@ -127,6 +129,7 @@
         LinkId link;
         std::string frame;
         std::function<void(Hub&, HubActions&)> other;
+        bool isSlice = false;
     };
     struct Control {
         FakeStorage storage;
@@ -140,6 +143,7 @@
         HubActions leaving;
         TimePoint tickDue {};
         bool tickWaits = false;
+        bool workWaits = false;
         LoopFigures figures;
     };
     struct Entry {
@@ -168,7 +172,8 @@
     static Input takeNext(std::deque<Input>& inbox);
     void startTurn(const HostId& host);
     void endTurn(const HostId& host, unsigned identity);
-    Duration costOf(const HubActions& actions) const;
+    void postWork(const HostId& host);
+    Duration costOf(const Input& input, const HubActions& actions) const;
     void carry(const HostId& host, HubActions& actions);
     void carry(const HostId& host, HubClientActions& actions);
     void openLink(const HostId& entry, LinkId atEntry, const HostId& control);
--- a/testsuite/fakes/hub_load.cpp
+++ b/testsuite/fakes/hub_load.cpp
@@ -79,6 +79,8 @@
     // `loop: busy` of a leader: an ask takes 0.08 ms with one frame sent, a join 0.1 ms with five.
     costs.turn = 60us;
     costs.frameSent = 15us;
+    // Assumed: what is posted to the loop reads no socket.
+    costs.slice = 10us;
     // Assumed, 500 MB/s: a whole state of 300 instances (45 KB) takes as long as the join itself.
     costs.kibibyteSent = 2us;
     // `loop: busy`: a message of the log takes 0.5 ms and about 5 ms when entries are synced.
--- a/testsuite/load/hub_load_test.cpp
+++ b/testsuite/load/hub_load_test.cpp
@@ -49,5 +49,6 @@
 
 TEST_CASE("a leader that thaws, or a new one, keeps its lead under the load of 130 hosts")
 {
-    loseNoSecondLeader(130, 1);
+    for (std::uint64_t seed = 1; seed <= 3; ++seed)
+        loseNoSecondLeader(130, seed);
 }
