--- a/src/include/laburnumroute/lone_placer.h
+++ b/src/include/laburnumroute/lone_placer.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include <laburnumroute/host_place.h>
@@ -48,8 +49,10 @@
 
     /// The instance for a request of `demand`, drawn among those that serve it at little cost.
     std::optional<InstanceId> choose(const PlaceDemand& demand, TimePoint now);
-    /// Takes one repeat from this host's own budget.
+    /// Takes one repeat from this host's own budget (RepeatShares).
     bool takeRepeat(const ServiceId& service, TimePoint now);
+    /// A new request came. It counts whole when choose() follows at the same time, and as one that
+    /// a view was asked for otherwise.
     void onRequest(const ServiceId& service, TimePoint now);
 
 private:
@@ -69,6 +72,7 @@
     std::set<InstanceId> m_doubtful;
     TimePoint m_doubtfulAt {};
     std::map<ServiceId, RepeatWindow> m_repeats;
+    std::optional<std::pair<ServiceId, TimePoint>> m_newRequest;
 };
 
 } // namespace laburnum
--- a/src/include/laburnumroute/repeat_window.h
+++ b/src/include/laburnumroute/repeat_window.h
@@ -19,13 +19,32 @@
     Duration window = std::chrono::seconds(10);
 };
 
+/// How the budget is divided between the view and hosts that place requests alone, so that their
+/// sum stays within the terms whoever is alone and whenever that changes. With v requests asked of
+/// a view, a placed alone without asking one, and every part drawn to the full:
+///
+///     repeats <= ratio (viewOfAsked v + loneOfAsked v + loneOfAlone a) + viewOfSlack slack
+///             <= 0.9 ratio (v + a) + 0.75 slack
+///
+/// A request counts once: whoever asked a view and then placed alone stays with v. The rest is for
+/// a repeat that arrives in another window than its request.
+struct RepeatShares {
+    // Of the ratio, for each request that was asked of a view.
+    static constexpr double viewOfAsked = 0.6;
+    static constexpr double loneOfAsked = 0.3;
+    /// Of the ratio, for each request that no view was asked for.
+    static constexpr double loneOfAlone = 0.9;
+    static constexpr double viewOfSlack = 0.75;
+};
+
 /// Counts requests and repeats of one service in slices of a tenth of the window. The slice that
 /// the window's far end cuts counts whole for repeats and not at all for requests: no window of
 /// this length, wherever it begins, holds more repeats than its terms allow. No I/O.
 class RepeatWindow {
 public:
     void setTerms(const RepeatBudgetTerms& terms) { m_terms = terms; }
-    void onRequest(TimePoint now);
+    /// Counts a request, or a part of one.
+    void onRequest(TimePoint now, double part = 1.0);
     /// Takes one repeat; false when the budget is used up.
     bool take(TimePoint now);
     /// Counts a repeat that happened without being asked for.
@@ -40,7 +59,7 @@
     static constexpr std::size_t keptSlices = windowSlices + 1;
     struct Slice {
         std::int64_t number = -1;
-        std::uint32_t requests = 0;
+        double requests = 0;
         double repeats = 0;
     };
 
--- a/src/libplace/lone_placer.cpp
+++ b/src/libplace/lone_placer.cpp
@@ -15,9 +15,11 @@
     /// A path that failed is left alone for so long, about as long as a cut takes to heal.
     constexpr auto brokenFor = std::chrono::milliseconds(3000);
     constexpr double brokenChance = 0.5;
-    /// Repeats for each request of this host while it is alone; half of what the fleet allows, so
-    /// that the hosts together stay within it while the view's own share runs out.
-    constexpr double loneRepeatRatio = 0.1;
+    /// Repeats that the fleet allows for each request.
+    constexpr double fleetRepeatRatio = 0.2;
+    constexpr double loneRepeatRatio = fleetRepeatRatio * RepeatShares::loneOfAlone;
+    /// What a request counts for while a view may have been asked for it.
+    constexpr double askedPart = RepeatShares::loneOfAsked / RepeatShares::loneOfAlone;
     /// A host alone does not know typical latencies; it compares with this.
     constexpr auto assumedLatency = std::chrono::milliseconds(500);
     /// A silence that another host passes on was worth telling.
@@ -160,6 +162,9 @@
 
 std::optional<InstanceId> LonePlacer::choose(const PlaceDemand& demand, TimePoint now)
 {
+    if (!demand.again && m_newRequest == std::pair(demand.service, now))
+        m_repeats[demand.service].onRequest(now, 1.0 - askedPart);
+    m_newRequest.reset();
     struct Candidate {
         const InstanceRecord* record = nullptr;
         double cost = 0.0;
@@ -208,7 +213,8 @@
 
 void LonePlacer::onRequest(const ServiceId& service, TimePoint now)
 {
-    m_repeats[service].onRequest(now);
+    m_repeats[service].onRequest(now, askedPart);
+    m_newRequest.emplace(service, now);
 }
 
 } // namespace laburnum
--- a/src/libplace/lone_placer_test.cpp
+++ b/src/libplace/lone_placer_test.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <queue>
 
+#include <laburnumroute/fleet_placer.h>
 #include <laburnumroute/lone_placer.h>
 
 using namespace laburnum;
@@ -238,3 +239,169 @@
         REQUIRE(tally.broken == 0);
     }
 }
+
+namespace {
+
+/// 126 hosts that draw on every repeat they can get, from a view or alone.
+class GreedyFleet {
+public:
+    explicit GreedyFleet(std::uint64_t seed)
+        : m_random(seed)
+        , m_view({ terms.ratio * RepeatShares::viewOfAsked, terms.slack * RepeatShares::viewOfSlack,
+              terms.window })
+    {
+        InstanceRecord record;
+        record.id = InstanceId("i");
+        record.service = service;
+        record.slots = 1000000;
+        m_view.restart(m_start);
+        m_view.upsert(record, m_start);
+        for (unsigned host = 0; host < hosts; ++host) {
+            m_placers.emplace_back(HostPlace {}, host);
+            m_placers.back().upsert(record);
+        }
+    }
+
+    /// Whether a host is alone at a time from the start.
+    std::function<bool(unsigned, Duration)> isAlone;
+    /// Part of the asks that the view counts, but answers too late.
+    double late = 0.0;
+
+    /// Plays, and returns the most repeats of a window over what the terms allow for it.
+    double run(Duration time, double requestsPerSecond)
+    {
+        std::vector<TimePoint> requests;
+        std::vector<TimePoint> repeats;
+        for (TimePoint now = m_start; now < m_start + time; now += 10ms) {
+            std::poisson_distribution<int> arrivals(requestsPerSecond / 100.0);
+            for (int i = arrivals(m_random); i > 0; --i) {
+                const auto host = static_cast<unsigned>(uniformBelow(m_random, hosts));
+                requests.push_back(now);
+                const bool alone = isAlone(host, now - m_start);
+                place(host, now, alone);
+                while (repeat(host, now, alone))
+                    repeats.push_back(now);
+            }
+        }
+        double over = -terms.slack;
+        std::size_t first = 0;
+        std::size_t firstRequest = 0;
+        std::size_t request = 0;
+        for (std::size_t last = 0; last < repeats.size(); ++last) {
+            while (repeats[last] - repeats[first] >= terms.window)
+                ++first;
+            while (request < requests.size() && requests[request] <= repeats[last])
+                ++request;
+            while (requests[firstRequest] <= repeats[last] - terms.window)
+                ++firstRequest;
+            over = std::max(over,
+                static_cast<double>(last + 1 - first)
+                    - terms.ratio * static_cast<double>(request - firstRequest) - terms.slack);
+        }
+        return over;
+    }
+
+private:
+    void place(unsigned host, TimePoint now, bool alone)
+    {
+        LonePlacer& placer = m_placers[host];
+        placer.onRequest(service, now);
+        const PlaceDemand wanted = demand(false);
+        if (!alone)
+            askView(wanted, now);
+        // One that waited for the view in vain is placed alone a little later.
+        if (alone)
+            placer.choose(wanted, now);
+        else if (uniformReal(m_random) < late)
+            placer.choose(wanted, now + 1ms);
+    }
+
+    bool repeat(unsigned host, TimePoint now, bool alone)
+    {
+        return alone ? m_placers[host].takeRepeat(service, now) : askView(demand(true), now);
+    }
+
+    bool askView(const PlaceDemand& wanted, TimePoint now)
+    {
+        std::vector<PlaceReply> replies;
+        m_view.ask(wanted, now, replies);
+        m_view.end(wanted.key, {}, now, replies);
+        return replies.front().kind == PlaceReplyKind::Granted;
+    }
+
+    PlaceDemand demand(bool repeat)
+    {
+        PlaceDemand wanted;
+        wanted.key = { LinkId(1), AskId(++m_ask) };
+        wanted.service = service;
+        wanted.kind = RequestKind::Safe;
+        wanted.remaining = 4s;
+        wanted.repeat = wanted.again = repeat;
+        return wanted;
+    }
+
+    static constexpr RepeatBudgetTerms terms { 0.2, 200.0, std::chrono::seconds(10) };
+    static constexpr TimePoint m_start { std::chrono::seconds(100) };
+    Random m_random;
+    FleetPlacer m_view;
+    std::vector<LonePlacer> m_placers;
+    std::uint32_t m_ask = 0;
+};
+
+} // namespace
+
+TEST_CASE("hosts alone and a view together never repeat more than the terms allow")
+{
+    GreedyFleet fleet(1);
+    SECTION("all alone")
+    {
+        fleet.isAlone = [](unsigned, Duration) { return true; };
+        REQUIRE(fleet.run(25s, 1100.0) <= 0.0);
+    }
+    SECTION("all leave a view at once, after its window")
+    {
+        fleet.isAlone = [](unsigned, Duration at) { return at > 22s; };
+        REQUIRE(fleet.run(34s, 1100.0) <= 0.0);
+    }
+    SECTION("half of them, by turns")
+    {
+        fleet.isAlone = [](unsigned host, Duration at) { return (at / 1s + host) % 2 == 0; };
+        REQUIRE(fleet.run(34s, 1100.0) <= 0.0);
+    }
+    SECTION("a view that is slow for half of the asks, then for all")
+    {
+        fleet.late = 0.5;
+        fleet.isAlone = [](unsigned host, Duration at) { return at > 15s && host % 3 != 0; };
+        REQUIRE(fleet.run(34s, 1100.0) <= 0.0);
+    }
+    SECTION("few requests")
+    {
+        fleet.isAlone = [](unsigned, Duration at) { return at > 22s; };
+        REQUIRE(fleet.run(34s, 60.0) <= 0.0);
+    }
+}
+
+TEST_CASE("a host that is left alone has repeats for its own requests at once")
+{
+    LonePlacer placer(HostPlace {}, 1);
+    InstanceRecord record;
+    record.id = InstanceId("i");
+    record.service = service;
+    placer.upsert(record);
+    PlaceDemand wanted;
+    wanted.service = service;
+    const TimePoint start(100s);
+    // Two requests a second; the view answers for ten seconds, then the host is alone.
+    for (unsigned i = 0; i < 20; ++i)
+        placer.onRequest(service, start + i * 500ms);
+    REQUIRE(placer.takeRepeat(service, start + 10s));
+    unsigned repeats = 0;
+    for (unsigned i = 20; i < 60; ++i) {
+        const TimePoint now = start + i * 500ms;
+        placer.onRequest(service, now);
+        placer.choose(wanted, now);
+        repeats += i >= 40 && placer.takeRepeat(service, now) ? 1 : 0;
+    }
+    // A tenth of the requests gave two.
+    REQUIRE(repeats >= 3);
+}
--- a/src/libplace/repeat_window.cpp
+++ b/src/libplace/repeat_window.cpp
@@ -17,7 +17,7 @@
     return current;
 }
 
-void RepeatWindow::onRequest(TimePoint now) { ++slice(now).requests; }
+void RepeatWindow::onRequest(TimePoint now, double part) { slice(now).requests += part; }
 void RepeatWindow::onRepeat(TimePoint now) { slice(now).repeats += 1.0; }
 
 void RepeatWindow::spendSlack(TimePoint now) { slice(now).repeats += m_terms.slack; }
