Hundreds of waits that end in one tick walk the free instances once

A tick looked for free instances again for each wait that ended. Now the list is kept and an instance leaves it when it is full.

--- a/src/libplace/fleet_placer.cpp
+++ b/src/libplace/fleet_placer.cpp
@@ -641,7 +641,6 @@
         const PlaceDemand& demand = current->second.demand;
         if (now < current->second.until)
             continue;
-        std::erase_if(free, [&](const Instance* each) { return !hasRoom(*each, now); });
         Instance* last = nullptr;
         if (!free.empty() && looks < looksPerTick) {
             ++looks;
@@ -655,6 +654,8 @@
         }
         if (last != nullptr) {
             grantWaiter(service, current, *last, now, replies);
+            if (!hasRoom(*last, now))
+                std::erase(free, last);
         } else {
             refuse(demand, PlaceRefusal::Busy, minRetryAfter, now, replies);
             forget(service, current);
--- a/src/libplace/fleet_placer_test.cpp
+++ b/src/libplace/fleet_placer_test.cpp
@@ -348,6 +348,35 @@
     }
 }
 
+TEST_CASE("load pattern: hundreds of waits that end at once are answered on time, and cheaply")
+{
+    constexpr unsigned instances = 176;
+    const TimePoint now(100s);
+    FleetPlacer placer(terms);
+    for (unsigned i = 0; i < instances; ++i) {
+        placer.upsert(record(i), now);
+        for (unsigned open = 0; open < 6; ++open)
+            placer.adopt(
+                { { LinkId(2), AskId(i * 6 + open) }, record(i).id, service, 0s, 8s }, now);
+    }
+    std::vector<PlaceReply> replies;
+    for (std::uint32_t ask = 1; ask <= 800; ++ask)
+        placer.ask(demand(ask), now, replies);
+    REQUIRE(placer.waiting() == 800);
+    // Five instances have six places more; a quarter of four seconds is over.
+    replies.clear();
+    for (std::uint32_t i = 100; i < 105; ++i)
+        placer.upsert(record(i, 12), now);
+    const std::uint64_t before = placer.weighed();
+    placer.tick(now + 1s, replies);
+    REQUIRE(replies.size() == 800);
+    REQUIRE(std::count_if(replies.begin(), replies.end(), [](const PlaceReply& r) {
+        return r.kind == PlaceReplyKind::Granted;
+    }) == 30);
+    REQUIRE(placer.waiting() == 0);
+    REQUIRE(placer.weighed() - before < std::uint64_t { 70 } * instances);
+}
+
 TEST_CASE("load pattern: an instance that was full before the view began holds up nobody")
 {
     for (const RequestKind kind : { RequestKind::Safe, RequestKind::Unsafe, RequestKind::Upload }) {
