The view hands out its share of repeats as RepeatShares says; an interim head is bound by the deadline alone

The shares of the view and of lone hosts together could exceed the budget of repeats by 15 % of the ratio with the view's old share (sum in repeat_window.h).

--- a/src/libhub/hub.cpp
+++ b/src/libhub/hub.cpp
@@ -42,15 +42,11 @@
         .retryMax = milliseconds(240),
         .lease = milliseconds(240) };
 
-    /// Parts of the budget of repeats that the view hands out. The rest is for hosts that are
-    /// alone, for what was sent before this host led, and for the width of the window's slices.
-    constexpr double viewShareOfRatio = 0.85;
-    constexpr double viewShareOfSlack = 0.75;
-
+    /// The view's part of the budget of repeats.
     RepeatBudgetTerms viewShare(RepeatBudgetTerms terms)
     {
-        terms.ratio *= viewShareOfRatio;
-        terms.slack *= viewShareOfSlack;
+        terms.ratio *= RepeatShares::viewOfAsked;
+        terms.slack *= RepeatShares::viewOfSlack;
         return terms;
     }
 
--- a/src/libnet/exchange.cpp
+++ b/src/libnet/exchange.cpp
@@ -271,7 +271,7 @@
 /// A caller that takes no interim head does not hold the attempt beyond its time.
 asio::awaitable<void> Exchange::passInterim(const HttpHead& head)
 {
-    m_caller.watchdog.watch(std::min(m_caller.deadline, m_caller.attemptLimit), [this] {
+    m_caller.watchdog.watch(m_caller.deadline, [this] {
         m_callerGone = true;
         m_upstream->close();
         m_caller.stream.reset();
