A drain that cuts loses no answer that is written already

Found by reading libnet for what is given up before its replacement is held. When a drain's time was over, or a second drain came, every connection of a caller was reset, also those whose last answer was written and that only waited for their caller to close. A reset discards what the system still has to deliver: a caller that reads slowly got a part of a ready answer, and the drain counted nothing as cut. Such a connection is now closed without a reset, and the system delivers the rest.

--- a/src/libnet/entry_drain_test.cpp
+++ b/src/libnet/entry_drain_test.cpp
@@ -133,6 +133,41 @@
     CHECK(caller.readAll().empty());
 }
 
+TEST_CASE("a drain that cuts loses no answer that its caller has not read yet")
+{
+    const std::string body(40000, 'x');
+    Signal sent;
+    ScriptedUpstream upstream([&](Connection& connection, int) {
+        connection.readHead();
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: 40000\r\n\r\n" + body);
+        sent.set();
+        connection.peerCloses();
+    });
+    Rig rig;
+    rig.addInstance(upstream.endpoint());
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context, asio::ip::tcp::v4());
+    // The smallest that the system grants: the rest of the answer waits at the entry host.
+    socket.set_option(asio::socket_base::receive_buffer_size(1));
+    const std::uint16_t port = rig.server().localEndpoint().port;
+    socket.connect({ asio::ip::address_v4::loopback(), port });
+    Connection caller(std::move(socket));
+    caller.send("GET /s HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    REQUIRE(sent.wait());
+    const auto limit = std::chrono::steady_clock::now() + 10s;
+    while (rig.server().inFlight() > 0 && std::chrono::steady_clock::now() < limit)
+        std::this_thread::yield();
+    Drain drain;
+    drain.start(rig.server());
+    Drain second;
+    second.start(rig.server());
+    REQUIRE(drain.done.wait());
+    REQUIRE(second.done.wait());
+    CHECK(drain.report.cut == 0);
+    const bool whole = caller.readMessage().ends_with(body);
+    CHECK(whole);
+}
+
 TEST_CASE("a request waits for a slot that another frees")
 {
     Signal started;
--- a/src/libnet/session.cpp
+++ b/src/libnet/session.cpp
@@ -43,6 +43,7 @@
         keep = co_await serveNext();
     if (!m_caller.socket().is_open())
         co_return;
+    m_answered = true;
     m_watchdog.watch(m_entry->options.lingerTimeout, [this] { m_caller.close(); });
     co_await m_caller.closeGently();
     m_watchdog.clear();
@@ -124,8 +125,13 @@
 
 void Session::cut()
 {
-    asio::post(
-        m_caller.socket().get_executor(), [self = shared_from_this()] { self->m_caller.reset(); });
+    asio::post(m_caller.socket().get_executor(), [self = shared_from_this()] {
+        // A reset would discard the part of an answer that is still on its way.
+        if (self->m_answered)
+            self->m_caller.close();
+        else
+            self->m_caller.reset();
+    });
 }
 
 } // namespace laburnum::pvt
--- a/src/libnet/session_pvt.h
+++ b/src/libnet/session_pvt.h
@@ -18,7 +18,7 @@
     asio::awaitable<void> run();
     /// Closes the connection if it is between two requests.
     void drain();
-    /// Closes the connection at once.
+    /// Closes the connection at once; what was answered whole is still delivered.
     void cut();
 
 private:
@@ -33,6 +33,8 @@
     Watchdog m_watchdog;
     bool m_idle = true;
     bool m_slowHead = false;
+    /// The last answer is written; the connection only waits for its caller to close.
+    bool m_answered = false;
 };
 
 } // namespace laburnum::pvt
