A test: the caller leaves after one of two attempts failed

Two changes made on purpose had passed all tests: the caller not watched any more after the end of one of two attempts, and its leaving not closing the attempt that is still at work. Both fail this test.

--- a/src/libnet/fleet_request_test.cpp
+++ b/src/libnet/fleet_request_test.cpp
@@ -483,6 +483,48 @@
     CHECK(desk.endsOnce());
 }
 
+TEST_CASE("fleet: a caller that leaves after one of two attempts failed closes the other")
+{
+    const bool firstFails = GENERATE(true, false);
+    CAPTURE(firstFails);
+    Signal secondBegan;
+    Signal failed;
+    Signal closed;
+    const auto serve = [&](Connection& connection, bool fails) {
+        connection.readHead();
+        secondBegan.wait();
+        if (fails) {
+            connection.close();
+            failed.set();
+        } else if (connection.peerCloses()) {
+            closed.set();
+        }
+    };
+    ScriptedUpstream first([&](Connection& connection, int) { serve(connection, firstFails); });
+    ScriptedUpstream second([&](Connection& connection, int) {
+        secondBegan.set();
+        serve(connection, !firstFails);
+    });
+    ScriptedDesk desk;
+    desk.route.objective = 1s;
+    desk.instances = { first.endpoint(), second.endpoint() };
+    FleetRig rig(desk);
+    Connection caller = rig.connect();
+    caller.send(request());
+    CHECK(failed.wait());
+    // Long enough for the host to read the failure.
+    std::this_thread::sleep_for(100ms);
+    const auto left = std::chrono::steady_clock::now();
+    caller.close();
+    CHECK(closed.wait());
+    // Not by the deadline, which is 4 s after the request.
+    CHECK(std::chrono::steady_clock::now() - left < 1s);
+    CHECK(desk.allEnded.wait());
+    rig.stop();
+    CHECK(desk.endOf(firstFails ? 1 : 2) == PlacedEnd::Failure);
+    CHECK(desk.endOf(firstFails ? 2 : 1) == PlacedEnd::Unused);
+}
+
 TEST_CASE("fleet: a planned stop ends with the slow instance's answer")
 {
     ScriptedDesk desk;
