A new leader is told what changed since the hello that it takes up

A host that doubts its leader says hello elsewhere with the places in use; when that host is elected, maybe half a second later, it took up the old list: places that had ended stayed busy until their requests' time, became overdue and made sound instances doubtful; places begun since were not known. Now the host sends the difference with the welcome.

--- a/src/include/laburnumroute/hub_client.h
+++ b/src/include/laburnumroute/hub_client.h
@@ -82,6 +82,8 @@
         HostId host;
         TimePoint since;
         bool open = false;
+        /// Places that the hello named.
+        std::set<AskId> told;
     };
     struct Ask {
         PlaceDemand demand;
@@ -109,6 +111,7 @@
 
     void onWelcome(LinkId link, const std::vector<std::string>& hosts, TimePoint now,
         HubClientActions& actions);
+    void tellChanges(LinkId link, TimePoint now, HubClientActions& actions) const;
     void onRedirect(LinkId link, const std::string& leader, const std::vector<std::string>& hosts,
         TimePoint now, HubClientActions& actions);
     void onConfig(std::string_view frame, HubClientActions& actions);
--- a/src/libhub/hub_client.cpp
+++ b/src/libhub/hub_client.cpp
@@ -66,7 +66,7 @@
 void HubClient::open(const HostId& host, TimePoint now, HubClientActions& actions)
 {
     m_lastLink = next(m_lastLink);
-    m_links[m_lastLink] = { host, now, false };
+    m_links[m_lastLink] = { host, now, false, {} };
     actions.opens.emplace_back(m_lastLink, host);
 }
 
@@ -117,6 +117,8 @@
         return;
     found->second.open = true;
     found->second.since = now;
+    for (const auto& [ask, place] : m_places)
+        found->second.told.insert(ask);
     actions.frames.emplace_back(link, hello(now));
 }
 
@@ -171,6 +173,7 @@
     }
     for (const LinkId id : others)
         close(id, actions);
+    tellChanges(link, now, actions);
     // What waited at the leader before is asked of this one.
     for (auto& [id, ask] : m_asks) {
         ask.answerBy = now + answerLimit;
@@ -178,6 +181,22 @@
     }
 }
 
+/// Brings a new leader from what the hello said, maybe long ago, to what is so now.
+void HubClient::tellChanges(LinkId link, TimePoint now, HubClientActions& actions) const
+{
+    const auto& told = m_links.at(link).told;
+    for (const AskId ask : told) {
+        if (!m_places.contains(ask))
+            actions.frames.emplace_back(link, pack(LeaveFrame { ask.value() }));
+    }
+    for (const auto& [ask, place] : m_places) {
+        if (!told.contains(ask))
+            actions.frames.emplace_back(link,
+                pack(AdoptFrame { { ask.value(), place.instance.value(), place.service.value(),
+                    wireMs(now - place.since), wireMs(place.until - now) } }));
+    }
+}
+
 void HubClient::onRedirect(LinkId link, const std::string& leader,
     const std::vector<std::string>& hosts, TimePoint now, HubClientActions& actions)
 {
--- a/src/libhub/hub_test.cpp
+++ b/src/libhub/hub_test.cpp
@@ -382,3 +382,40 @@
     REQUIRE(pvt::unpack<pvt::AskFrame>(frame)->ask == waits.value());
     REQUIRE(pvt::unpack<pvt::AskFrame>(frame)->remainingMs == 3880);
 }
+
+TEST_CASE("places that ended while no leader was there are not taken up by the next one")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        HubFleet fleet({ .seed = seed });
+        found(fleet);
+        REQUIRE(fleet.callAnywhere(AnnounceCall { instanceRecord("a", "s", 80) }));
+        REQUIRE(fleet.callAnywhere(AnnounceCall { instanceRecord("b", "s", 81) }));
+        fleet.run(1s);
+        std::vector<AskId> asks;
+        for (int i = 0; i < 4; ++i)
+            asks.push_back(fleet.ask(e(1), demand("s")));
+        REQUIRE(fleet.runUntil(200ms, [&] { return fleet.answers(e(1)).contains(asks.back()); }));
+        const HostId old = *fleet.leader();
+        fleet.freeze(old);
+        // Unanswered: the host doubts the leader, and says hello elsewhere with its open places.
+        asks.push_back(fleet.ask(e(1), demand("s")));
+        // Until just before the next leader leads.
+        REQUIRE(fleet.runUntil(2s, [&] {
+            bool elected = false;
+            for (unsigned i = 1; i <= 5; ++i)
+                elected
+                    = elected || (c(i) != old && fleet.hub(c(i))->log().role() == LogRole::Leader);
+            return elected;
+        }));
+        for (const AskId ask : asks)
+            fleet.end(e(1), ask, { PlacedEnd::Success, 300ms });
+        REQUIRE(fleet.runUntil(2s, [&] { return fleet.leader().has_value(); }));
+        const HostId next = *fleet.leader();
+        fleet.run(500ms);
+        CHECK(fleet.hub(next)->placer().granted() == 0);
+        fleet.run(1500ms);
+        CHECK(fleet.hub(next)->placer().granted() == 0);
+        CHECK(fleet.hub(next)->placer().doubtful(fleet.now()).empty());
+    }
+}
