A place beside an attempt at work is taken where one is free, or not at all

Found by the review, in the new second attempts. They waited for a place at equal rank while their first attempts kept theirs: on a full service new requests were refused as busy because of them. Now such an ask says that it is beside an attempt; it gets a free place at once or none, takes from the budget only with a place, and its refusal is no loss. Once the first attempt has failed the request asks again and waits as before. Both tests fail without the change.

--- a/src/include/laburnumroute/fleet_placer.h
+++ b/src/include/laburnumroute/fleet_placer.h
@@ -168,6 +168,8 @@
     bool isDue(const Instance& instance, const PlaceDemand& demand, TimePoint now) const;
     void leaveOutWorst(TimePoint now);
     bool isCalm(const Service& service, TimePoint now) const;
+    void askBeside(const PlaceDemand& demand, Service& service, TimePoint now,
+        std::vector<PlaceReply>& replies);
     void refuse(const PlaceDemand& demand, PlaceRefusal refusal, Duration delay, TimePoint now,
         std::vector<PlaceReply>& replies);
     bool hasRoom(const Instance& instance, TimePoint now) const;
--- a/src/include/laburnumroute/hub.h
+++ b/src/include/laburnumroute/hub.h
@@ -88,8 +88,8 @@
     /// A frame from an entry host or another control host. What keeps the control hosts together
     /// is done at once; what entry hosts want waits in the backlog, so that it delays no heartbeat.
     void receive(LinkId link, std::string_view frame, TimePoint now, HubActions& actions);
-    /// Does a slice of the backlog, a few milliseconds at the most. To be called while hasBacklog(),
-    /// with a look at connections and timers between two calls.
+    /// Does a slice of the backlog, a few milliseconds at the most. To be called while
+    /// hasBacklog(), with a look at connections and timers between two calls.
     void work(TimePoint now, HubActions& actions);
     bool hasBacklog() const noexcept;
     /// Each call ends by one result, at the latest after a limit below a second.
--- a/src/include/laburnumroute/placement_types.h
+++ b/src/include/laburnumroute/placement_types.h
@@ -42,6 +42,9 @@
     bool repeat = false;
     /// The request asked before, also without reaching an instance.
     bool again = false;
+    /// An attempt of the request is at work. A place beside it is taken only where one is free;
+    /// without one the request has lost nothing.
+    bool beside = false;
     /// Where the asking host stands.
     DataCentreId dataCentre;
     RegionId region;
--- a/src/libhub/hub.cpp
+++ b/src/libhub/hub.cpp
@@ -561,6 +561,7 @@
         demand.objective = milliseconds(frame.objectiveMs);
         demand.repeat = frame.repeat;
         demand.again = frame.again;
+        demand.beside = frame.beside;
         demand.dataCentre = DataCentreId(session->second.hello.dataCentre);
         demand.region = RegionId(session->second.hello.region);
         for (const auto& id : frame.avoid)
--- a/src/libhub/hub_client.cpp
+++ b/src/libhub/hub_client.cpp
@@ -352,7 +352,7 @@
     const PlaceDemand& demand = ask.demand;
     AskFrame frame { id.value(), demand.service.value(), static_cast<std::uint8_t>(demand.kind),
         demand.priority, demand.kibibytes, wireMs(demand.remaining - (now - ask.since)),
-        wireMs(demand.objective), demand.repeat, demand.again, {} };
+        wireMs(demand.objective), demand.repeat, demand.again, {}, demand.beside };
     for (const InstanceId& avoided : demand.avoid)
         frame.avoid.push_back(avoided.value());
     actions.frames.emplace_back(*m_leader, pack(frame));
--- a/src/libhub/hub_messages_pvt.h
+++ b/src/libhub/hub_messages_pvt.h
@@ -50,8 +50,9 @@
     bool repeat = false;
     bool again = false;
     std::vector<std::string> avoid;
-    MSGPACK_DEFINE(
-        ask, service, kind, priority, kibibytes, remainingMs, objectiveMs, repeat, again, avoid)
+    bool beside = false;
+    MSGPACK_DEFINE(ask, service, kind, priority, kibibytes, remainingMs, objectiveMs, repeat, again,
+        avoid, beside)
 };
 
 struct EndFrame {
--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -205,6 +205,7 @@
     demand.objective = m_plan.objective;
     demand.repeat = repeat;
     demand.again = m_asks > 0;
+    demand.beside = !m_working.empty();
     demand.avoid = m_tried;
     for (const auto& attempt : m_working)
         demand.avoid.push_back(attempt->instance());
@@ -244,6 +245,7 @@
 asio::awaitable<std::optional<PlacedAttempt>> FleetRequest::place(bool repeat)
 {
     const SteadyTime before = std::chrono::steady_clock::now();
+    const bool askedBeside = m_ask != nullptr;
     if (!m_ask)
         askForPlace(repeat);
     if (!m_ask->placed) {
@@ -255,7 +257,11 @@
     m_placing += std::chrono::steady_clock::now() - before;
     if (m_callerGone)
         dropPlace();
-    co_return takePlace();
+    auto placed = takePlace();
+    // A place beside an attempt had to be free; now that it has failed, this one may wait for one.
+    if (placed && !placed->instance && askedBeside && m_asks < askLimit)
+        placed = co_await place(repeat);
+    co_return placed;
 }
 
 void FleetRequest::start(const PlacedAttempt& placed)
--- a/src/libplace/fleet_placer.cpp
+++ b/src/libplace/fleet_placer.cpp
@@ -366,6 +366,8 @@
         service.repeats.onRequest(now);
         service.loss.onRequest(now);
     }
+    if (demand.beside)
+        return askBeside(demand, service, now, replies);
     if (demand.repeat && !service.repeats.take(now))
         return refuse(demand, PlaceRefusal::NoBudget, minRetryAfter, now, replies);
     // Whoever waits was offered each place when it became free, and waits for a better one; while
@@ -381,6 +383,19 @@
     enqueue(demand, choice, now, replies);
 }
 
+/// The request is at work: it waits for nothing, and a refusal is no loss.
+void FleetPlacer::askBeside(
+    const PlaceDemand& demand, Service& service, TimePoint now, std::vector<PlaceReply>& replies)
+{
+    const Choice choice = choose(demand, service, now, Pick::Sensible);
+    const PlaceRefusal refusal = choice.instance == nullptr ? PlaceRefusal::Busy
+        : service.repeats.take(now)                         ? PlaceRefusal::None
+                                                            : PlaceRefusal::NoBudget;
+    if (refusal == PlaceRefusal::None)
+        return grant(demand, *choice.instance, now, replies);
+    replies.push_back({ PlaceReplyKind::Refused, demand.key, {}, refusal, minRetryAfter });
+}
+
 void FleetPlacer::refuse(const PlaceDemand& demand, PlaceRefusal refusal, Duration delay,
     TimePoint now, std::vector<PlaceReply>& replies)
 {
--- a/src/libplace/fleet_placer_test.cpp
+++ b/src/libplace/fleet_placer_test.cpp
@@ -583,3 +583,71 @@
     REQUIRE(replies.back().kind == PlaceReplyKind::Granted);
     REQUIRE(placer.granted() == 1);
 }
+
+TEST_CASE("a first ask is not refused because second attempts wait beside attempts at work")
+{
+    FleetPlacer placer(terms);
+    placer.restart(TimePoint(98s));
+    placer.upsert(record(1), TimePoint(98s));
+    std::vector<PlaceReply> replies;
+    std::uint32_t ask = 0;
+    // The window in which the slack counts as used up is over.
+    const TimePoint now(120s);
+    placer.heard(record(1).id, 0s, now);
+    for (int i = 0; i < 6; ++i)
+        placer.ask(demand(++ask, RequestKind::Safe), now, replies);
+    REQUIRE(placer.granted() == 6);
+    // Sixteen attempts that go on have had their time; for each a second place is asked for.
+    for (int i = 0; i < 16; ++i) {
+        PlaceDemand second = demand(++ask, RequestKind::Safe);
+        second.repeat = second.again = second.beside = true;
+        placer.ask(second, now + 1700ms, replies);
+    }
+    REQUIRE(placer.waiting() == 0);
+    replies.clear();
+    placer.ask(demand(++ask, RequestKind::Safe), now + 1710ms, replies);
+    REQUIRE(replies.size() == 1);
+    CHECK(replies.front().kind != PlaceReplyKind::Refused);
+}
+
+TEST_CASE("a refused second attempt is no lost request")
+{
+    // With and without refused second attempts of requests that are all served.
+    unsigned triesWithout = 0;
+    for (const bool refusing : { false, true }) {
+        CAPTURE(refusing);
+        FleetPlacer placer({ 0.0, 0.0, std::chrono::seconds(10) });
+        TimePoint now(90s);
+        placer.restart(now);
+        for (unsigned i = 0; i < 10; ++i)
+            placer.upsert(record(i), now);
+        std::uint32_t ask = 0;
+        unsigned atGray = 0;
+        for (; now < TimePoint(110s); now += 10ms) {
+            std::vector<PlaceReply> replies;
+            for (unsigned i = 0; i < 10; ++i)
+                placer.heard(InstanceId("i" + std::to_string(i)), 0s, now);
+            placer.tick(now, replies);
+            replies.clear();
+            placer.ask(demand(++ask), now, replies);
+            if (replies.empty() || replies.front().kind != PlaceReplyKind::Granted)
+                continue;
+            const AskKey key = replies.front().key;
+            const std::string id = replies.front().instance.value();
+            const bool gray = id == "i0" || id == "i1" || id == "i2" || id == "i3";
+            if (gray && now > TimePoint(100s))
+                ++atGray;
+            const bool fails = gray && now > TimePoint(95s);
+            placer.end(
+                key, { fails ? PlacedEnd::Failure : PlacedEnd::Success, 300ms }, now, replies);
+            if (refusing && ask % 5 == 0) {
+                PlaceDemand second = demand(++ask, RequestKind::Safe);
+                second.repeat = second.again = second.beside = true;
+                placer.ask(second, now, replies);
+            }
+        }
+        if (!refusing)
+            triesWithout = atGray;
+        CHECK(atGray <= triesWithout + 1);
+    }
+}
