That an instance is silent is told when an attempt has had its time

Now the silence is told at the attempt's limit and the attempt goes on. A leader sees it by itself. The test fails without the change (no way to tell).

--- a/src/include/laburnumroute/hub_client.h
+++ b/src/include/laburnumroute/hub_client.h
@@ -64,6 +64,8 @@
 
     /// Asks for a place; `demand.key.ask` is drawn here and returned. Answered once, maybe at once.
     AskId ask(PlaceDemand demand, TimePoint now, HubClientActions& actions);
+    /// The attempt has had its time without an answer, and goes on. The leader sees that by itself.
+    void noteSilence(AskId ask, Duration silence, TimePoint now, HubClientActions& actions);
     /// The request no longer waits.
     void leave(AskId ask, HubClientActions& actions);
     /// An attempt whose ask was granted ended.
--- a/src/include/laburnumroute/lone_placer.h
+++ b/src/include/laburnumroute/lone_placer.h
@@ -42,6 +42,8 @@
     /// An attempt of this host began or ended at `id`.
     void begin(const InstanceId& id) { ++m_busy[id]; }
     void end(const InstanceId& id, const PlacedReport& report, TimePoint now);
+    /// An attempt of this host at `id` has had no answer for `silence`, and goes on.
+    void noteSilence(const InstanceId& id, Duration silence, TimePoint now);
     /// An attempt of another host ended at `id`.
     void hear(const InstanceId& id, PlacedEnd how, TimePoint now);
     /// Instances that this host alone found out of reach lately.
--- a/src/include/laburnumroute/placement_desk.h
+++ b/src/include/laburnumroute/placement_desk.h
@@ -58,6 +58,8 @@
     /// first.
     virtual AskId ask(PlaceDemand demand, Done done) = 0;
     virtual void leave(AskId ask) = 0;
+    /// The attempt has had no answer for `silence`, longer than attempts take, and goes on.
+    virtual void noteSilence(AskId ask, Duration silence) = 0;
     /// Ends an attempt that was placed.
     virtual void end(AskId ask, const PlacedReport& report) = 0;
     /// Calls `ready` once as soon as a configuration is in force, until stopWaiting().
--- a/src/laburnumd/fleet_desk.cpp
+++ b/src/laburnumd/fleet_desk.cpp
@@ -94,6 +94,13 @@
     apply(actions);
 }
 
+void FleetDesk::noteSilence(AskId ask, Duration silence)
+{
+    HubClientActions actions;
+    m_client.noteSilence(ask, silence, m_clock.now(), actions);
+    apply(actions);
+}
+
 void FleetDesk::end(AskId ask, const PlacedReport& report)
 {
     HubClientActions actions;
--- a/src/laburnumd/fleet_desk.h
+++ b/src/laburnumd/fleet_desk.h
@@ -28,6 +28,7 @@
         const std::string& method, const std::string& host, const std::string& target) override;
     AskId ask(PlaceDemand demand, Done done) override;
     void leave(AskId ask) override;
+    void noteSilence(AskId ask, Duration silence) override;
     void end(AskId ask, const PlacedReport& report) override;
     std::uint64_t awaitConfiguration(std::function<void()> ready) override;
     void stopWaiting(std::uint64_t waiter) override { m_starters.erase(waiter); }
--- a/src/libhub/hub_client.cpp
+++ b/src/libhub/hub_client.cpp
@@ -406,6 +406,16 @@
     answer({ ask, *m_lone.find(*instance), PlaceRefusal::None, {}, true }, actions);
 }
 
+void HubClient::noteSilence(AskId ask, Duration silence, TimePoint now, HubClientActions& actions)
+{
+    const auto found = m_places.find(ask);
+    if (found == m_places.end())
+        return;
+    m_lone.noteSilence(found->second.instance, silence, now);
+    if (!m_leader || m_leaderDoubted)
+        tellNeighbours(found->second.instance, PlacedEnd::Silence, actions);
+}
+
 void HubClient::leave(AskId ask, HubClientActions& actions)
 {
     if (m_asks.erase(ask) != 0 && m_leader)
--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -323,6 +323,8 @@
         return m_hedgeFrom;
     if (!m_working.front()->sent())
         return now + sentCheck;
+    if (m_hedgeRefusals == 0)
+        m_entry.desk->noteSilence(m_working.front()->ask(), now - m_working.front()->start());
     askForPlace(true);
     return SteadyTime::max();
 }
--- a/src/libnet/fleet_request_test.cpp
+++ b/src/libnet/fleet_request_test.cpp
@@ -58,6 +58,7 @@
         m_waiting = nullptr;
         left.set();
     }
+    void noteSilence(AskId ask, Duration) override { silences.push_back(ask); }
     void end(AskId ask, const PlacedReport& report) override
     {
         reports.push_back(report.end);
@@ -96,6 +97,7 @@
     std::deque<Endpoint> instances;
     std::vector<PlaceDemand> demands;
     std::vector<PlacedEnd> reports;
+    std::vector<AskId> silences;
     bool hasConfiguration = true;
     /// Asks get no answer.
     bool silent = false;
@@ -730,3 +732,23 @@
     CHECK(caller.readMessage().ends_with("ok"));
     CHECK(upstream.scripted.accepted() == 2);
 }
+
+TEST_CASE("fleet: that an instance is silent is known once it has had an attempt's time")
+{
+    ScriptedDesk desk;
+    desk.route.objective = 1s;
+    Signal over;
+    ScriptedUpstream hung([&](Connection& connection, int) {
+        connection.readHead();
+        over.wait();
+    });
+    desk.instances = { hung.endpoint() };
+    FleetRig rig(desk);
+    Connection caller = rig.connect();
+    caller.send(request("GET", "Laburnum-Deadline-Ms: 3900\r\n"));
+    // The second place is refused; a host alone, and its neighbours, would choose this one on.
+    desk.askedAgain.wait();
+    rig.stop();
+    over.set();
+    CHECK(desk.silences == std::vector<AskId> { AskId(1) });
+}
--- a/src/libnet/fleet_rig_test.h
+++ b/src/libnet/fleet_rig_test.h
@@ -60,6 +60,7 @@
     }
 
     void leave(AskId) override { reports.add("left"); }
+    void noteSilence(AskId, Duration) override { }
 
     void end(AskId, const PlacedReport& report) override
     {
--- a/src/libplace/lone_placer.cpp
+++ b/src/libplace/lone_placer.cpp
@@ -101,6 +101,11 @@
         m_brokenUntil.erase(id);
 }
 
+void LonePlacer::noteSilence(const InstanceId& id, Duration silence, TimePoint now)
+{
+    judge(id, { PlacedEnd::Silence, silence }, now);
+}
+
 void LonePlacer::hear(const InstanceId& id, PlacedEnd how, TimePoint now)
 {
     // The path of another host says little about this one's.
