Attempts side by side are told apart in the log and in the trace

An attempt now bears its own number, and the sentence names both. The test of the race reads the decisions that were logged; its check of `send` is new.

--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -263,7 +263,8 @@
     m_body.rewind();
     m_alone = m_alone || placed.alone;
     ++m_sends;
-    const auto attempt = std::make_shared<FleetAttempt>(placed, m_plan, m_side, nullptr, m_wake);
+    const auto attempt
+        = std::make_shared<FleetAttempt>(m_sends, placed, m_plan, m_side, nullptr, m_wake);
     m_working.push_back(attempt);
     m_hedgeFrom = attempt->start()
         + std::chrono::duration_cast<SteadyTime::duration>(attemptTime(m_plan.objective));
@@ -278,7 +279,7 @@
     const SteadyTime now = std::chrono::steady_clock::now();
     m_raceStart = m_working.front()->start();
     const auto attempt = std::make_shared<FleetAttempt>(
-        placed, m_plan, m_side, std::make_unique<HedgeSide>(m_side), m_wake);
+        m_sends, placed, m_plan, m_side, std::make_unique<HedgeSide>(m_side), m_wake);
     m_working.push_back(attempt);
     m_hedgeFrom
         = now + std::chrono::duration_cast<SteadyTime::duration>(attemptTime(m_plan.objective));
@@ -576,7 +577,7 @@
     decision.facts["instance"] = attempt.instance().value();
     decision.facts["status"] = outcome.status;
     decision.facts["service"] = m_plan.service.value();
-    decision.facts["send"] = m_sends;
+    decision.facts["send"] = attempt.number();
     decision.facts["alone"] = m_alone;
     decision.facts["after_ms"] = Json::Int64(
         toMillis(std::chrono::steady_clock::now() - m_side.arrival - outcome.latency));
--- a/src/libnet/fleet_request_attempt.cpp
+++ b/src/libnet/fleet_request_attempt.cpp
@@ -33,9 +33,10 @@
     side.passesInterim = false;
 }
 
-FleetAttempt::FleetAttempt(const PlacedAttempt& placed, const RequestPlan& plan, CallerSide& first,
-    std::unique_ptr<HedgeSide> hedge, std::shared_ptr<WakeUp> changed)
-    : m_ask(placed.ask)
+FleetAttempt::FleetAttempt(unsigned number, const PlacedAttempt& placed, const RequestPlan& plan,
+    CallerSide& first, std::unique_ptr<HedgeSide> hedge, std::shared_ptr<WakeUp> changed)
+    : m_number(number)
+    , m_ask(placed.ask)
     , m_assigned { AttemptId(placed.ask.value()), plan.service, placed.instance->id,
         placed.instance->endpoint, plan.timeout }
     , m_hedge(std::move(hedge))
--- a/src/libnet/fleet_request_attempt_pvt.h
+++ b/src/libnet/fleet_request_attempt_pvt.h
@@ -41,8 +41,8 @@
 public:
     /// With `hedge` the attempt runs beside another, else on `first` itself. `changed` is raised
     /// when the attempt ends or wants to answer.
-    FleetAttempt(const PlacedAttempt& placed, const RequestPlan& plan, CallerSide& first,
-        std::unique_ptr<HedgeSide> hedge, std::shared_ptr<WakeUp> changed);
+    FleetAttempt(unsigned number, const PlacedAttempt& placed, const RequestPlan& plan,
+        CallerSide& first, std::unique_ptr<HedgeSide> hedge, std::shared_ptr<WakeUp> changed);
 
     asio::awaitable<void> run();
     /// Runs beside its starter.
@@ -61,6 +61,8 @@
     AskId ask() const { return m_ask; }
     const InstanceId& instance() const { return m_assigned.instance; }
     SteadyTime start() const { return m_start; }
+    /// Counts the request's attempts from 1.
+    unsigned number() const { return m_number; }
     /// Set once the attempt has ended.
     std::optional<AttemptOutcome>& outcome() { return m_outcome; }
 
@@ -69,6 +71,7 @@
 
     asio::awaitable<bool> awaitTurn(unsigned status);
 
+    const unsigned m_number;
     const AskId m_ask;
     const Assignment m_assigned;
     const std::unique_ptr<HedgeSide> m_hedge;
--- a/src/libnet/fleet_request_test.cpp
+++ b/src/libnet/fleet_request_test.cpp
@@ -127,7 +127,25 @@
     return result;
 }
 
-/// An entry server on one thread. Look at the desk only after stop().
+/// Keeps the decisions.
+class KeptDecisions final : public DecisionLog {
+public:
+    void record(const Decision& decision) override { m_all.push_back(decision); }
+    /// The facts of the first decision of this kind; null without one.
+    Json::Value factsOf(const std::string& kind, const std::string& reason) const
+    {
+        for (const Decision& each : m_all) {
+            if (each.kind == kind && each.reason == reason)
+                return each.facts;
+        }
+        return {};
+    }
+
+private:
+    std::vector<Decision> m_all;
+};
+
+/// An entry server on one thread. Look at the desk and the decisions only after stop().
 class FleetRig {
 public:
     explicit FleetRig(ScriptedDesk& desk, const EntryOptions& chosen = options())
@@ -147,6 +165,7 @@
     }
 
     EntryServer& server() { return m_server; }
+    const KeptDecisions& decisions() const { return m_log; }
     /// Runs `work` on the server's thread.
     void post(std::function<void()> work) { asio::post(m_context, std::move(work)); }
 
@@ -166,7 +185,7 @@
     }
 
 private:
-    NullDecisionLog m_log;
+    KeptDecisions m_log;
     asio::io_context m_context;
     asio::io_context m_callers;
     EntryServer m_server;
@@ -333,6 +352,10 @@
     CHECK(got.starts_with("HTTP/1.1 200 OK\r\n"));
     CHECK(got.ends_with("\r\n\r\nok"));
     CHECK(desk.reports == std::vector<PlacedEnd> { PlacedEnd::Success });
+    const Json::Value refused = rig.decisions().factsOf("hedge", "refused");
+    CHECK(refused["refusal"] == "busy");
+    CHECK(refused["limit_ms"].asInt64() == 1000);
+    CHECK(refused["left_ms"].asInt64() > 1000);
     // The instance may work for as long as the caller waits.
     const auto at = head.find("Laburnum-Deadline-Ms: ");
     REQUIRE(at != std::string::npos);
@@ -375,6 +398,8 @@
     caller.send(request());
     CHECK(caller.readMessage().ends_with("\r\n\r\nnext"));
     rig.stop();
+    CHECK(rig.decisions().factsOf("hedge", "granted")["second"] == "i2");
+    CHECK(rig.decisions().factsOf("attempt", "given-up")["send"].asUInt() == (firstWins ? 2 : 1));
     const PlacedEnd lost = firstWins ? PlacedEnd::Unused : PlacedEnd::Silence;
     CHECK(desk.endOf(firstWins ? 2 : 1) == lost);
     CHECK(desk.endOf(firstWins ? 1 : 2) == PlacedEnd::Success);
--- a/src/libtrace/request_story.cpp
+++ b/src/libtrace/request_story.cpp
@@ -158,8 +158,12 @@
 
         std::string hedgeText() const
         {
-            if (m_hedge == nullptr || m_hedge->reason != "refused")
+            if (m_hedge == nullptr)
                 return {};
+            if (m_hedge->reason == "granted")
+                return "; " + m_hedge->text("second") + " was tried beside "
+                    + m_hedge->text("instance") + ", which had been silent for "
+                    + ms(m_hedge->number("ms"));
             return "; no second attempt beside it was placed (" + m_hedge->text("refusal") + ")";
         }
 
--- a/src/libtrace/request_story_test.cpp
+++ b/src/libtrace/request_story_test.cpp
@@ -119,6 +119,11 @@
     log.end(170, "g", "deadline", 504, "i1", R"(,"ms":4000,"placing_ms":50)");
     REQUIRE(tellRequest(log.lines(), "g")
                 .sentence.ends_with("; no second attempt beside it was placed (no-budget)"));
+    log.add(
+        180, "hedge", "granted", R"("host":"h1","id":"h","instance":"i1","second":"i2","ms":1700)");
+    log.end(190, "h", "deadline", 504, "i2", R"(,"ms":4000,"placing_ms":50)");
+    REQUIRE(tellRequest(log.lines(), "h")
+                .sentence.ends_with("; i2 was tried beside i1, which had been silent for 1700 ms"));
 }
 
 TEST_CASE("an attempt that this host gave up is not told as an error of its instance")
