--- a/src/libnet/entry_gone_test.cpp
+++ b/src/libnet/entry_gone_test.cpp
@@ -91,7 +91,7 @@
     CAPTURE(closes, early);
     CHECK(desk.reports.wait(1).at(0) == "unused");
     CHECK(since(left) < 500ms);
-    CHECK(desk.ends.wait(1).at(0).starts_with("caller-gone "));
+    CHECK(desk.ends.wait(1).at(0) == "caller-gone not-run");
     CHECK(desk.asks.wait(1).size() == 1);
     CHECK(next.requests == 0);
 }
--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -145,7 +145,7 @@
         if (m_working.empty()) {
             const auto placed = co_await place(repeat);
             if (!placed) {
-                recordEnd("caller-gone", 0, RequestOutcome::NotRun);
+                recordEnd("caller-gone", 0, ownOutcome());
                 m_stream.close();
                 co_return false;
             }
@@ -180,6 +180,11 @@
     }
 }
 
+RequestOutcome FleetRequest::ownOutcome() const
+{
+    return m_runs > 0 ? RequestOutcome::Unknown : RequestOutcome::NotRun;
+}
+
 bool FleetRequest::decides(const AttemptOutcome& outcome)
 {
     return outcome.end == AttemptEnd::Passed || outcome.end == AttemptEnd::Cut
@@ -494,7 +499,7 @@
     if (outcome.end == AttemptEnd::Held)
         co_return co_await passHeld(*outcome.held);
     if (outcome.end == AttemptEnd::Cut || outcome.end == AttemptEnd::CallerGone) {
-        recordEnd(reason, 0, RequestOutcome::Unknown);
+        recordEnd(reason, 0, ownOutcome());
         m_stream.close();
         co_return false;
     }
--- a/src/libnet/fleet_request_pvt.h
+++ b/src/libnet/fleet_request_pvt.h
@@ -55,6 +55,8 @@
     void goOnBeside();
     void callerLeft();
     void noteEnd(const FleetAttempt& attempt, const AttemptOutcome& outcome);
+    /// What is known of a request that has no instance's answer.
+    RequestOutcome ownOutcome() const;
     /// Whether the request ends with `outcome`, whatever another attempt may do.
     static bool decides(const AttemptOutcome& outcome);
 
