A tenth of a service may stay idle, not a quarter, and not 45 % while few requests are lost

Cause: instances that fail nearly every request for seconds on end fail each try as well, and rested for up to 14 s.

Now a tenth may be left idle, always; the rest that calm allowed, the share of losses that decided on it (LossShare, with its test) and the two thresholds of the change before go.

--- a/src/include/laburnumroute/fleet_placer.h
+++ b/src/include/laburnumroute/fleet_placer.h
@@ -22,7 +22,6 @@
 #include <laburnumroute/decision.h>
 #include <laburnumroute/instance.h>
 #include <laburnumroute/instance_judge.h>
-#include <laburnumroute/loss_share.h>
 #include <laburnumroute/placement_types.h>
 #include <laburnumroute/repeat_window.h>
 
@@ -83,13 +82,8 @@
         TimePoint coldUntil;
         TimePoint lastGranted;
         TimePoint lastFailure;
-        /// Two tries in a row failed, the second after a rest.
-        bool failedAgain = false;
         /// Among the likeliest to fail; may stay idle.
         bool leftOut = false;
-        /// May stay idle besides while few requests are lost, but for requests that can be
-        /// repeated.
-        bool restsInCalm = false;
         TimePoint lastUnreachable;
         /// Places that other askers hold besides `busy`, as the instance reported.
         double foreign = 0.0;
@@ -102,8 +96,6 @@
         ServiceId service;
         TimePoint since;
         TimePoint until;
-        /// A failure ends the request: it is not sent again.
-        bool last = false;
         bool overdue = false;
     };
 
@@ -136,7 +128,6 @@
         WaiterOrder nextLook;
         std::optional<Capacity> capacity;
         RepeatWindow repeats;
-        LossShare loss;
         /// Typical latency of a success, in seconds.
         double typical = 0.0;
     };
@@ -169,10 +160,9 @@
         TimePoint now) const;
     bool isDue(const Instance& instance, const PlaceDemand& demand, TimePoint now) const;
     void leaveOutWorst(TimePoint now);
-    bool isCalm(const Service& service, TimePoint now) const;
     void askBeside(const PlaceDemand& demand, Service& service, TimePoint now,
         std::vector<PlaceReply>& replies);
-    void refuse(const PlaceDemand& demand, PlaceRefusal refusal, Duration delay, TimePoint now,
+    static void refuse(const PlaceDemand& demand, PlaceRefusal refusal, Duration delay,
         std::vector<PlaceReply>& replies);
     bool hasRoom(const Instance& instance, TimePoint now) const;
     bool usable(const Instance& instance, TimePoint now) const;
--- a/src/libplace/fleet_placer.cpp
+++ b/src/libplace/fleet_placer.cpp
@@ -40,19 +40,11 @@
         milliseconds(1850) };
     /// An instance that failed is left alone for so long first.
     constexpr auto restAfterFailure = milliseconds(2000);
-    /// Part of a service's instances, the likeliest to fail, that may stay idle all the same.
-    constexpr double leftOutShare = 0.25;
-    /// Those that may: one that failed may be sound again after two seconds, so that belief in its
-    /// failure has to be fresh; one that failed again at its next try rests while there is doubt.
-    constexpr double leftOutChance = 0.4;
-    constexpr double leftOutChanceAgain = 0.1;
-    /// The same while few requests are lost: the floor binds when over a tenth is, and each try of
-    /// an instance that is still gray loses a request that cannot be repeated.
-    constexpr double leftOutShareCalm = 0.45;
-    /// Below the tenth by as much as the count may lag.
-    constexpr double calmLossShare = 0.07;
-    /// On fewer requests (in weights of 0 to 1) the share of losses says little.
-    constexpr double calmMinRequests = 30.0;
+    /// Part of a service's instances, the likeliest to fail, that may stay idle all the same. A
+    /// floor of 0.7 may be judged over a sample of ten, and over what is lost after these two
+    /// seconds.
+    constexpr double leftOutShare = 0.1;
+    constexpr double leftOutChance = 0.15;
     /// No instance stays idle longer: a spell lasts about nine seconds.
     constexpr auto longestIdle = milliseconds(12000);
     /// More than any cost: an instance that is due goes first.
@@ -252,7 +244,7 @@
     if (instance.lastUnreachable > instance.judge.lastSuccess())
         return false;
     const TimePoint since = std::max(instance.lastGranted, instance.lastFailure + restAfterFailure);
-    if (instance.leftOut || (instance.restsInCalm && demand.kind != RequestKind::Safe))
+    if (instance.leftOut)
         return now - since > longestIdle;
     std::size_t distance = instance.record.region == demand.region ? 1 : 2;
     if (instance.record.dataCentre == demand.dataCentre)
@@ -263,11 +255,6 @@
     return now - since > limits[distance];
 }
 
-bool FleetPlacer::isCalm(const Service& service, TimePoint now) const
-{
-    return service.loss.requests(now) >= calmMinRequests && service.loss.share() < calmLossShare;
-}
-
 /// Chooses the instances of each service that may stay idle.
 void FleetPlacer::leaveOutWorst(TimePoint now)
 {
@@ -275,22 +262,16 @@
         std::vector<std::pair<double, Instance*>> byChance;
         for (Instance* instance : service.instances) {
             instance->leftOut = false;
-            instance->restsInCalm = false;
             const double chance = healthOf(*instance, now).failureChance;
-            const bool mayRest
-                = chance > (instance->failedAgain ? leftOutChanceAgain : leftOutChance);
-            if (mayRest && usable(*instance, now))
+            if (chance > leftOutChance && usable(*instance, now))
                 byChance.emplace_back(chance, instance);
         }
         std::sort(byChance.begin(), byChance.end(), std::greater<>());
-        const auto count = static_cast<double>(capacityOf(service, now).instances);
-        const auto most = static_cast<std::size_t>(leftOutShare * count);
-        const auto mostInCalm
-            = isCalm(service, now) ? static_cast<std::size_t>(leftOutShareCalm * count) : most;
-        for (std::size_t i = 0; i < std::min(mostInCalm, byChance.size()); ++i) {
-            byChance[i].second->leftOut = i < most;
-            byChance[i].second->restsInCalm = true;
-        }
+        const auto most = static_cast<std::size_t>(
+            leftOutShare * static_cast<double>(capacityOf(service, now).instances));
+        byChance.resize(std::min(most, byChance.size()));
+        for (const auto& [chance, instance] : byChance)
+            instance->leftOut = true;
     }
 }
 
@@ -359,9 +340,8 @@
 {
     ++instance.busy;
     instance.lastGranted = now;
-    const bool last = demand.kind != RequestKind::Safe || demand.repeat;
     const InstanceId& id = instance.record.id;
-    m_places[demand.key] = { id, demand.service, now, now + demand.remaining, last };
+    m_places[demand.key] = { id, demand.service, now, now + demand.remaining };
     replies.push_back({ PlaceReplyKind::Granted, demand.key, id });
 }
 
@@ -370,12 +350,11 @@
     Service& service = serviceOf(demand.service);
     if (!demand.again) {
         service.repeats.onRequest(now);
-        service.loss.onRequest(now);
     }
     if (demand.beside)
         return askBeside(demand, service, now, replies);
     if (demand.repeat && !service.repeats.take(now))
-        return refuse(demand, PlaceRefusal::NoBudget, minRetryAfter, now, replies);
+        return refuse(demand, PlaceRefusal::NoBudget, minRetryAfter, replies);
     // Whoever waits was offered each place when it became free, and waits for a better one; while
     // places open by time, those that wait go first unless this one outranks them.
     const bool mayPass = now - m_startedAt >= startPhase || service.waiters.empty()
@@ -389,7 +368,7 @@
     enqueue(demand, choice, now, replies);
 }
 
-/// The request is at work: it waits for nothing, and a refusal is no loss.
+/// The request is at work, and waits for nothing.
 void FleetPlacer::askBeside(
     const PlaceDemand& demand, Service& service, TimePoint now, std::vector<PlaceReply>& replies)
 {
@@ -399,13 +378,12 @@
                                                             : PlaceRefusal::NoBudget;
     if (refusal == PlaceRefusal::None)
         return grant(demand, *choice.instance, now, replies);
-    replies.push_back({ PlaceReplyKind::Refused, demand.key, {}, refusal, minRetryAfter });
+    refuse(demand, refusal, minRetryAfter, replies);
 }
 
 void FleetPlacer::refuse(const PlaceDemand& demand, PlaceRefusal refusal, Duration delay,
-    TimePoint now, std::vector<PlaceReply>& replies)
+    std::vector<PlaceReply>& replies)
 {
-    serviceOf(demand.service).loss.onLoss(now);
     replies.push_back({ PlaceReplyKind::Refused, demand.key, {}, refusal, delay });
 }
 
@@ -443,7 +421,7 @@
             return grant(demand, *any.instance, now, replies);
         const Duration delay = std::clamp<Duration>(wait, minRetryAfter, maxRetryAfter);
         return refuse(
-            demand, anyUsable ? PlaceRefusal::Busy : PlaceRefusal::NoInstance, delay, now, replies);
+            demand, anyUsable ? PlaceRefusal::Busy : PlaceRefusal::NoInstance, delay, replies);
     }
     const WaiterOrder order { demand.priority, ++m_lastWaiter };
     Waiter waiter { demand, now, now + patience };
@@ -577,8 +555,6 @@
             service.typical = initialTypicalSeconds;
         service.typical += typicalGain * (std::min(seconds, 4 * service.typical) - service.typical);
     }
-    if (place.last && (report.end == PlacedEnd::Failure || report.end == PlacedEnd::Silence))
-        service.loss.onLoss(now);
     if (found == m_instances.end())
         return;
     Instance& instance = found->second;
@@ -587,14 +563,8 @@
             = std::max(0.0, static_cast<double>(report.reportedLoad) - instance.busy - 1);
         instance.foreignAt = now;
     }
-    if (report.end == PlacedEnd::Success)
-        instance.failedAgain = false;
-    if (report.end != PlacedEnd::Success && report.end != PlacedEnd::Unused) {
-        const bool noneSince = instance.lastFailure > instance.judge.lastSuccess();
-        instance.failedAgain
-            = instance.failedAgain || (noneSince && now - instance.lastFailure >= restAfterFailure);
+    if (report.end != PlacedEnd::Success && report.end != PlacedEnd::Unused)
         instance.lastFailure = now;
-    }
     if (report.end == PlacedEnd::Refused || report.end == PlacedEnd::Unreachable) {
         instance.lastUnreachable = now;
         service.capacity.reset();
@@ -684,7 +654,7 @@
             if (!hasRoom(*last, now))
                 std::erase(free, last);
         } else {
-            refuse(demand, PlaceRefusal::Busy, minRetryAfter, now, replies);
+            refuse(demand, PlaceRefusal::Busy, minRetryAfter, replies);
             forget(service, current);
         }
     }
