--- a/src/include/laburnumroute/loop_meter.h
+++ b/src/include/laburnumroute/loop_meter.h
@@ -1,5 +1,6 @@
-/// Where the time of an event loop goes, for logs. Tells a host that is late because it works from
-/// one that is late because it was not scheduled, and names the work. No I/O.
+/// Where the time of an event loop goes, for logs: how much passed in turns, by their work, and how
+/// late timers were. By the runtime's clock, so time in which the process was not scheduled counts
+/// for the turn that it fell into. No I/O.
 #pragma once
 
 #include <cstdint>
