--- a/testsuite/bench/fleet_load_bench.cpp
+++ b/testsuite/bench/fleet_load_bench.cpp
@@ -36,8 +36,10 @@
             fakes::HubLoad load(entries, seed);
             const bool started = load.start();
             report("calm-kept", started ? 1.0 : 0.0, "");
-            report("calm-leader-busy", load.calmBusyShare(), "of its time");
-            report("calm-bytes", load.calmBytesPerHostSecond(), "B/s a host");
+            report("calm-leader-busy", load.calm().leaderBusy, "of its time");
+            report("calm-longest-wait", millis(load.calm().longestWait), "ms");
+            report("calm-elections", static_cast<double>(load.calm().elections), "");
+            report("calm-bytes", load.calm().bytesPerHostSecond, "B/s a host");
             if (!started)
                 return;
             const auto outcome = load.freezeLeader(freezeTime, watchTime);
--- a/testsuite/fakes/hub_load.cpp
+++ b/testsuite/fakes/hub_load.cpp
@@ -148,9 +148,14 @@
     const HostId leader = *m_fleet.leader();
     m_fleet.resetLoops();
     const std::uint64_t bytes = m_fleet.linkBytes();
+    const std::uint64_t elected = m_fleet.decisions("log", "elected");
     m_fleet.run(calmTime);
-    m_calmBusyShare = seconds(m_fleet.loop(leader).busy) / seconds(calmTime);
-    m_calmBytes = static_cast<double>(m_fleet.linkBytes() - bytes) / m_entries / seconds(calmTime);
+    const LoopFigures& loop = m_fleet.loop(leader);
+    m_calm.leaderBusy = seconds(loop.busy) / seconds(calmTime);
+    m_calm.longestWait = loop.longestWait;
+    m_calm.elections = m_fleet.decisions("log", "elected") - elected;
+    m_calm.bytesPerHostSecond
+        = static_cast<double>(m_fleet.linkBytes() - bytes) / m_entries / seconds(calmTime);
     return m_fleet.leader() == leader;
 }
 
--- a/testsuite/fakes/hub_load.h
+++ b/testsuite/fakes/hub_load.h
@@ -14,6 +14,16 @@
 /// What a control host's work costs on the users' bench, where it has 0.6 of a core.
 ProcessorCosts benchCosts();
 
+/// What was seen in the calm before a freeze.
+struct CalmOutcome {
+    /// Share of its time that the leader was busy.
+    double leaderBusy = 0.0;
+    /// Of an input at the leader.
+    Duration longestWait {};
+    std::uint64_t elections = 0;
+    double bytesPerHostSecond = 0.0;
+};
+
 /// What was seen from a freeze of the leader to the end of the watch.
 struct FreezeOutcome {
     Duration watched {};
@@ -42,9 +52,7 @@
     HubFleet& fleet() { return m_fleet; }
     /// Founds the fleet and lets the load run in calm; false when it does not come so far.
     bool start();
-    /// Share of its time that the leader was busy in the calm.
-    double calmBusyShare() const { return m_calmBusyShare; }
-    double calmBytesPerHostSecond() const { return m_calmBytes; }
+    const CalmOutcome& calm() const { return m_calm; }
     /// Freezes the leader for `frozen` and watches for `watched` from the freeze on, or until the
     /// fleet was without a leader for `giveUp` in all.
     FreezeOutcome freezeLeader(
@@ -87,8 +95,7 @@
     /// The request whose ask is being made, for an answer that comes at once.
     std::optional<Request> m_asking;
     Answers m_answers;
-    double m_calmBusyShare = 0.0;
-    double m_calmBytes = 0.0;
+    CalmOutcome m_calm;
 };
 
 } // namespace laburnum::fakes
--- a/testsuite/load/hub_load_test.cpp
+++ b/testsuite/load/hub_load_test.cpp
@@ -28,7 +28,7 @@
     HubLoad load(entries, seed);
     REQUIRE(load.start());
     const FreezeOutcome outcome = load.freezeLeader(freezeTime, watchTime, giveUp);
-    CAPTURE(load.calmBusyShare(), outcome.leaders, outcome.elections, outcome.aloneShare,
+    CAPTURE(load.calm().leaderBusy, outcome.leaders, outcome.elections, outcome.aloneShare,
         outcome.busyShare, toMillis(outcome.withoutLeader), toMillis(outcome.longestGap),
         toMillis(outcome.longestTurn), toMillis(outcome.longestWait));
     REQUIRE(outcome.untilLeader.has_value());
