--- a/src/libhub/hub_test.cpp
+++ b/src/libhub/hub_test.cpp
@@ -393,6 +393,7 @@
         REQUIRE(fleet.callAnywhere(AnnounceCall { instanceRecord("b", "s", 81) }));
         fleet.run(1s);
         std::vector<AskId> asks;
+        asks.reserve(5);
         for (int i = 0; i < 4; ++i)
             asks.push_back(fleet.ask(e(1), demand("s")));
         REQUIRE(fleet.runUntil(200ms, [&] { return fleet.answers(e(1)).contains(asks.back()); }));
