--- a/src/libhub/hub.cpp
+++ b/src/libhub/hub.cpp
@@ -25,7 +25,7 @@
     constexpr auto doubtfulInterval = milliseconds(2000);
 
     /// A slice of the backlog ends after so many frames, or so many instances weighed: 5 ms of a
-    /// control host, a fortieth of a leader's lease.
+    /// control host at the most, a fiftieth of a leader's lease.
     constexpr std::size_t sliceFrames = 64;
     constexpr std::uint64_t sliceWeighed = 15'000;
     /// Entry hosts choose alone when they hear nothing for 250 ms; an ask that waited so long is
