A host that stops ends the calls under way before the threads that answer them

The stack of a process that hung shows an announcement that waits for the control context's answer, and the main thread that waits for the admin server's thread.

Cause: Node stopped the control context first and the admin server, whose calls wait for that context, last. A call posted after the stop was never run.

Now the servers are stopped first, then the roles, the transport and the context.

--- a/src/laburnumd/node.cpp
+++ b/src/laburnumd/node.cpp
@@ -88,7 +88,7 @@
         if (m_control)
             m_control->start();
         for (unsigned i = 0; i < controlThreads; ++i)
-            m_threads.emplace_back([this] { m_controlContext.run(); });
+            m_controlThreads.emplace_back([this] { m_controlContext.run(); });
         return {};
     }
 
@@ -100,8 +100,7 @@
             m_threads.emplace_back([this] { m_context.run(); });
         for (auto& thread : m_threads)
             thread.join();
-        m_admin.stop();
-        m_operators.stop();
+        stopControl();
     }
 
 private:
@@ -145,13 +144,22 @@
         Decision decision { "stop", report.cut == 0 ? "drained" : "cut" };
         decision.facts["cut"] = Json::UInt64(report.cut);
         m_log->record(decision);
+        m_context.stop();
+    }
+
+    /// Calls that are under way wait for the control context, so they end before it does.
+    void stopControl()
+    {
+        m_admin.stop();
+        m_operators.stop();
         m_fleet.stop();
         m_claims.stop();
         if (m_control)
             m_control->stop();
         m_transport.stop();
         m_controlContext.stop();
-        m_context.stop();
+        for (auto& thread : m_controlThreads)
+            thread.join();
     }
 
     std::string renderMetrics()
@@ -190,6 +198,7 @@
     std::atomic<bool> m_serving { true };
     bool m_open;
     std::vector<std::thread> m_threads;
+    std::vector<std::thread> m_controlThreads;
 };
 
 Node::Node(std::unique_ptr<Impl> impl)
