A stopping host refuses, as not run, what the rest of its grace may cut

Nothing compared the time that was left with what an attempt needs. Ruled out: waiting for a place (3 ms), a new connection after the listener closed (the connection was kept), a second signal (none in the log). Change: stopAllowance(), without I/O: two objectives, at most half of the time; checked when a request is read, when a place is granted and before a hedge. 503 'stopping', Retry-After 0.05 s: every other host can serve it.

--- a/src/include/laburnumroute/entry_server.h
+++ b/src/include/laburnumroute/entry_server.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include <asio/io_context.hpp>
 
@@ -72,9 +73,11 @@
     Expected<void> listen(const Endpoint& endpoint);
     /// The bound endpoint.
     Endpoint localEndpoint() const;
-    /// Continues to serve all requests, but sends `Connection: close` with each response so that
-    /// callers move to other hosts.
-    void startLameDuck();
+    /// Continues to serve requests, but sends `Connection: close` with each response so that
+    /// callers move to other hosts. The host will abort what is in flight after `untilAbort`: an
+    /// attempt that would not have its stopAllowance() until then is not started, and its request
+    /// is refused as not run if no attempt was started before. Without a limit all are served.
+    void startLameDuck(std::optional<Duration> untilAbort = std::nullopt);
     /// Number of open connections from callers.
     std::size_t openConnections() const;
     /// Stops accepting and closes idle connections; requests in flight are completed. `done` is
--- a/src/laburnumd/entry_node.cpp
+++ b/src/laburnumd/entry_node.cpp
@@ -215,7 +215,7 @@
         {
             m_stopping = true;
             m_stopStarted = m_clock.now();
-            m_entry.startLameDuck();
+            m_entry.startLameDuck(m_settings.stopGrace - abortMargin);
             Decision decision { "stop", "leaving" };
             decision.facts["in_flight"] = Json::UInt64(m_entry.inFlight());
             m_log->record(decision);
--- a/src/libnet/entry_context_pvt.h
+++ b/src/libnet/entry_context_pvt.h
@@ -9,6 +9,7 @@
 
 #include "slot_waiters_pvt.h"
 #include "upstream_pool_pvt.h"
+#include "watchdog_pvt.h"
 
 namespace laburnum::pvt {
 
@@ -45,6 +46,10 @@
     /// Whether connections are closed after the current response.
     bool closesConnections() const { return draining || lameDuck; }
     std::atomic<std::size_t> inFlight { 0 };
+    /// When a planned stop aborts what is in flight, and the time that it left for it. Set before
+    /// `lameDuck`.
+    std::atomic<SteadyTime> abortAt { SteadyTime::max() };
+    std::atomic<Duration> stopGrace { Duration::zero() };
 };
 
 } // namespace laburnum::pvt
--- a/src/libnet/entry_server.cpp
+++ b/src/libnet/entry_server.cpp
@@ -186,7 +186,15 @@
     return { local.address().to_string(), local.port() };
 }
 
-void EntryServer::startLameDuck() { m_impl->entry->lameDuck = true; }
+void EntryServer::startLameDuck(std::optional<Duration> untilAbort)
+{
+    if (untilAbort) {
+        m_impl->entry->stopGrace = *untilAbort;
+        m_impl->entry->abortAt = std::chrono::steady_clock::now()
+            + std::chrono::duration_cast<pvt::SteadyTime::duration>(*untilAbort);
+    }
+    m_impl->entry->lameDuck = true;
+}
 
 std::size_t EntryServer::openConnections() const
 {
--- /dev/null
+++ b/src/libnet/entry_stop_test.cpp
@@ -0,0 +1,77 @@
+// Planned stop of an entry host with fleet placement: requests on open connections.
+
+#include <catch2/catch.hpp>
+
+#include "fleet_fixture_test.h"
+
+using namespace laburnum;
+using namespace laburnum::test;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr const char* unsafeRequest
+    = "POST /s HTTP/1.1\r\nHost: h\r\nId: 7\r\nContent-Length: 0\r\n\r\n";
+constexpr const char* okResponse
+    = "HTTP/1.1 200 OK\r\nId: 7\r\nStamp: x\r\nContent-Length: 2\r\n\r\nok";
+
+/// Two requests on one open connection; the host begins a stop between them that aborts what is in
+/// flight after `untilAbort`.
+std::string secondResponseDuringStop(OrderedPlacementProvider& provider, Duration untilAbort)
+{
+    OrderedFleetFixture fixture(provider);
+    Connection caller = fixture.connect();
+    Connection kept = fixture.connect();
+    caller.send(unsafeRequest);
+    CHECK(caller.readMessage().ends_with("ok"));
+    fixture.server().startLameDuck(untilAbort);
+    kept.send(unsafeRequest);
+    return kept.readMessage();
+}
+
+} // namespace
+
+TEST_CASE("stop: a request that the rest of the grace period may cut is refused as not run")
+{
+    ScriptedUpstream upstream([](Connection& connection, int) {
+        while (!connection.readHead().empty())
+            connection.send(okResponse);
+    });
+    OrderedPlacementProvider provider;
+    provider.route.kind = RequestKind::Unsafe;
+    provider.route.objective = 2s;
+    provider.instances = { upstream.endpoint(), upstream.endpoint() };
+    SECTION("with time left it is served, and the connection is closed")
+    {
+        const std::string got = secondResponseDuringStop(provider, 1h);
+        CHECK(got.starts_with("HTTP/1.1 200 "));
+        CHECK(got.find("\r\nConnection: close\r\n") != std::string::npos);
+    }
+    SECTION("without time left it reaches no instance")
+    {
+        const std::string got = secondResponseDuringStop(provider, 0s);
+        CHECK(got.starts_with("HTTP/1.1 503 "));
+        CHECK(got.find("\r\nRetry-After: 0.050\r\n") != std::string::npos);
+        CHECK(got.find("\r\nConnection: close\r\n") != std::string::npos);
+        CHECK(provider.dispatches.wait(1).size() == 1);
+        CHECK(upstream.accepted() == 1);
+    }
+}
+
+TEST_CASE("stop: a placement that is granted when no time is left is returned unused")
+{
+    ScriptedUpstream upstream([](Connection& connection, int) { connection.peerCloses(); });
+    OrderedPlacementProvider provider;
+    provider.route.kind = RequestKind::Unsafe;
+    provider.route.objective = 2s;
+    provider.instances = { upstream.endpoint() };
+    std::function<void()> beginStop;
+    provider.onDispatch = [&] { beginStop(); };
+    OrderedFleetFixture fixture(provider);
+    beginStop = [&] { fixture.server().startLameDuck(0s); };
+    CHECK(fixture.exchange(unsafeRequest).starts_with("HTTP/1.1 503 "));
+    CHECK(provider.reports.wait(1) == std::vector<std::string> { "unused" });
+    CHECK(provider.requestEnds.wait(1) == std::vector<std::string> { "stopping not-run" });
+    CHECK(upstream.accepted() == 0);
+}
--- a/src/libnet/fleet_fixture_test.h
+++ b/src/libnet/fleet_fixture_test.h
@@ -49,6 +49,8 @@
     {
         m_last = DispatchId(m_last.value() + 1);
         dispatches.add(request.service.value());
+        if (onDispatch)
+            onDispatch();
         AttemptPlacement placement { m_last, std::nullopt, PlacementRefusal::Busy,
             std::chrono::seconds(1) };
         if (!instances.empty()) {
@@ -87,6 +89,8 @@
     /// Must be set before the fixture is created.
     std::deque<Endpoint> instances;
     bool unanswered = false;
+    /// Called on the server's thread before each dispatch is answered. May be empty.
+    std::function<void()> onDispatch;
     RecordedLines dispatches;
     RecordedLines reports;
     /// Reason and outcome of each finished request.
@@ -124,6 +128,8 @@
     OrderedFleetFixture(const OrderedFleetFixture&) = delete;
     OrderedFleetFixture& operator=(const OrderedFleetFixture&) = delete;
 
+    EntryServer& server() { return m_server; }
+
     Connection connect()
     {
         const Endpoint endpoint = m_server.localEndpoint();
--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 
 #include <laburnumroute/hedge_delay.h>
+#include <laburnumroute/stop_allowance.h>
 
 #include "http_status_pvt.h"
 #include "request_validation_pvt.h"
@@ -23,6 +24,8 @@
     /// With less time left, a further attempt cannot succeed.
     constexpr auto minAttemptTime = milliseconds(100);
     constexpr auto defaultRetryAfter = milliseconds(500);
+    /// A request that a stopping host refuses can be served by any other host.
+    constexpr auto stoppingRetryAfter = milliseconds(50);
     /// No further hedged attempt is requested after this many refusals.
     constexpr unsigned maxHedgeRefusals = 2;
     /// A hedged attempt is not requested before the request has been sent completely, which is
@@ -114,6 +117,8 @@
         LocalResponse refusal { statusTooLarge, RequestOutcome::NotRun, reasons::bodyTooLarge };
         co_return co_await respond(std::move(refusal));
     }
+    if (!fitsBeforeStop())
+        co_return co_await refuseStopping();
     const Duration limit = timeLimit(m_request, m_entry.options.names, m_plan.timeout);
     m_context.deadline
         = m_context.arrival + std::chrono::duration_cast<SteadyTime::duration>(limit);
@@ -158,6 +163,10 @@
             }
             if (!placement->instance)
                 co_return co_await finishRefused(*placement);
+            if (!fitsBeforeStop()) {
+                m_entry.placementProvider->end(placement->dispatch, {});
+                co_return co_await refuseStopping();
+            }
             start(*placement);
         }
         const auto ended = co_await awaitAttemptEnd();
@@ -188,6 +197,28 @@
     }
 }
 
+bool FleetRequest::fitsBeforeStop() const
+{
+    if (!m_entry.lameDuck)
+        return true;
+    const Duration needed
+        = stopAllowance(m_plan.objective, m_plan.timeout, m_entry.stopGrace.load());
+    return std::chrono::steady_clock::now()
+        + std::chrono::duration_cast<SteadyTime::duration>(needed)
+        <= m_entry.abortAt.load();
+}
+
+asio::awaitable<bool> FleetRequest::refuseStopping()
+{
+    if (m_fallback)
+        co_return co_await sendBuffered(*m_fallback);
+    LocalResponse response { statusUnavailable, RequestOutcome::NotRun, reasons::stopping };
+    if (m_possibleRuns > 0)
+        response = { statusBadGateway, RequestOutcome::Unknown, reasons::stopping };
+    response.retryAfter = retryAfterText(stoppingRetryAfter);
+    co_return co_await respond(std::move(response));
+}
+
 RequestOutcome FleetRequest::localOutcome() const
 {
     return m_possibleRuns > 0 ? RequestOutcome::Unknown : RequestOutcome::NotRun;
@@ -311,7 +342,7 @@
     const auto left = m_context.deadline - std::chrono::steady_clock::now();
     return m_active.size() == 1 && m_active.front()->spawned() && !m_ending && !m_winner
         && !m_callerDisconnected && m_possibleRuns + 1 < m_plan.attempts && m_body.replayable()
-        && left >= minAttemptTime;
+        && left >= minAttemptTime && fitsBeforeStop();
 }
 
 SteadyTime FleetRequest::updateHedge()
--- a/src/libnet/fleet_request_pvt.h
+++ b/src/libnet/fleet_request_pvt.h
@@ -34,6 +34,10 @@
     asio::awaitable<void> abandonAttempts(AttemptEnd end);
     asio::awaitable<bool> finish(AttemptOutcome outcome);
     asio::awaitable<bool> finishRefused(const AttemptPlacement& refused);
+    /// Answers a request for which the planned stop of this host leaves no time.
+    asio::awaitable<bool> refuseStopping();
+    /// False if an attempt started now might be cut by a planned stop of this host.
+    bool fitsBeforeStop() const;
     asio::awaitable<bool> sendBuffered(const BufferedResponse& buffered);
     asio::awaitable<bool> respond(LocalResponse response);
 
--- a/src/libnet/local_response_pvt.h
+++ b/src/libnet/local_response_pvt.h
@@ -27,6 +27,7 @@
     inline constexpr const char* shed = "shed";
     inline constexpr const char* noConfiguration = "no-configuration";
     inline constexpr const char* noRoute = "no-route";
+    inline constexpr const char* stopping = "stopping";
     inline constexpr const char* bodyTooLarge = "body-too-large";
     inline constexpr const char* noAnswer = "no-answer";
     inline constexpr const char* badAnswer = "bad-answer";
