The scheduler's queue works by class and settles for a dearer slot after an eighth of the objective

Three things together: - Attempts that were not run (no connection from some hosts, shed) raised the probability of a failure, which costs a claim 14 s, so half of the service looked as bad as what loses orders, and all waited for the other half. - A queue that stands serves nobody more: the best instances are full whether 10 or 2,000 wait before them. It stood until each wait reached its limit of 1.25 s. - At its limit a wait got the best slot only for the first 64 of a tick and service (1,280 a second); the others got the first free one in the list, which are those that others avoid. 64 looks a tick served the rest. Ruled out: slots counted twice across the change of leader (granted = arrivals x latency), a full leader (0.27 to 0.50 of its loop busy). Change: a moving average of declined attempts apart from failures; a request waits an eighth of its objective for a cheaper slot, then takes any but a grave one, and any at its limit; requests of one class (kind, place, size) share a ranking of the instances (20 ms) and one decision a tick, so that work grows with classes and grants. The bounds of 32 offers and 64 looks are gone.

--- a/src/include/laburnumroute/fleet_scheduler.h
+++ b/src/include/laburnumroute/fleet_scheduler.h
@@ -18,14 +18,19 @@
 ///   outcomes of all hosts.
 /// - Instances that have just started and are still cold (warming up): they get at most two
 ///   requests at a time.
-/// - Hundreds of queued requests at a large site: a dispatch, end or tick scans instances for a
-///   bounded number of queued requests, and a scan evaluates each instance once.
+/// - Thousands of queued requests at a large site: queued requests of one class (RequestClass) see
+///   the same costs, so the work for a dispatch, end or tick grows with the number of classes and
+///   of grants, not with the queue.
+/// - More requests than the best instances can take while others have free slots: a queue that
+///   stands in front of the best ones delays every request and serves none more, so a request
+///   waits only briefly for a better slot than one that is free.
 #pragma once
 
 #include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -76,10 +81,10 @@
     /// The connection `link` to an entry host closed: drops its queued requests without replies.
     /// Its placements can still be ended; without an end their slots are freed within about 2 s.
     void dropLink(LinkId link, TimePoint now);
-    /// Grants any free slot to requests that have waited for their maximum time, or refuses them,
-    /// and serves other waiters. Reports attempts that run for more than three typical latencies
-    /// (at least 1 s) to the estimators. Frees slots whose attempts were not ended 1 s after their
-    /// deadline.
+    /// Grants a free slot to requests that have waited long enough for a better one, grants any
+    /// free slot to requests that have waited for their maximum time, or refuses them, and serves
+    /// other waiters. Reports attempts that run for more than three typical latencies (at least 1
+    /// s) to the estimators. Frees slots whose attempts were not ended 1 s after their deadline.
     void tick(TimePoint now, std::vector<PlacementReply>& replies);
 
     /// Instances that are not usable or fail the next request with a probability above 0.12, for
@@ -96,6 +101,7 @@
     /// Cached result of the estimator, valid for healthCacheTime.
     struct Health {
         double failureProbability = 0.0;
+        double declineProbability = 0.0;
         /// Latency as a multiple of the service's typical latency.
         double slowness = 1.0;
         TimePoint at;
@@ -132,16 +138,51 @@
     /// Priority and arrival number: lower priority values first, then first in, first out.
     using WaiterOrder = std::pair<std::uint32_t, std::uint64_t>;
 
+    /// Requests of one class see the same cost of every instance, nearly: sizes are rounded up.
+    struct RequestClass {
+        RequestKind kind = RequestKind::Unsafe;
+        DataCentreId dataCentre;
+        RegionId region;
+        std::uint32_t bodyKiB = 0;
+
+        friend auto operator<=>(const RequestClass&, const RequestClass&) = default;
+    };
+
     struct Waiter {
         PlacementRequest request;
         TimePoint since;
+        /// From then on any free slot but a grave one is taken, see SelectionPolicy.
+        TimePoint settleAt;
         TimePoint until;
-        /// A slot that costs more (see cost()) is not worth taking; result of the latest scan.
-        double maxCost = 0.0;
-        std::optional<TimePoint> scannedAt;
     };
     using Waiters = std::map<WaiterOrder, Waiter>;
 
+    /// The highest costs at which a slot is worth taking: while a request waits for a cheaper one
+    /// than is free, and after that (SelectionPolicy::Settle).
+    struct CostLimits {
+        double waiting = 0.0;
+        double settled = 0.0;
+    };
+
+    /// The queued requests of one class.
+    struct ClassQueue {
+        std::set<WaiterOrder> waiters;
+        /// Result of the latest scan.
+        CostLimits limits;
+    };
+
+    struct RankedInstance {
+        double cost = 0.0;
+        Instance* instance = nullptr;
+    };
+    /// The usable instances of a service by their cost for a class of requests at time `at`.
+    /// Costs rise with grants and are evaluated again; the rare ones that fall since then are seen
+    /// in the next ranking.
+    struct Ranking {
+        std::vector<RankedInstance> instances;
+        TimePoint at;
+    };
+
     /// Total slots of a service's usable instances, cached for capacityCacheTime.
     struct Capacity {
         std::uint32_t slots = 0;
@@ -154,8 +195,8 @@
         std::vector<Instance*> instances;
         Waiters waiters;
         std::map<std::uint32_t, std::size_t> waitersByPriority;
-        /// Where the next tick resumes scanning, after the waiters at the head of the queue.
-        WaiterOrder nextScan;
+        std::map<RequestClass, ClassQueue> classes;
+        mutable std::map<RequestClass, Ranking> rankings;
         std::optional<Capacity> capacity;
         RetryWindow retries;
         /// Smoothed latency of successful attempts; 0 before the first.
@@ -167,11 +208,10 @@
         double cost = 0.0;
         std::uint32_t slots = 0;
     };
-    /// Result of a scan. `instance` is null when no instance qualifies. With CostAware, `maxCost`
-    /// is the highest cost at which a slot is worth taking.
+    /// Result of a scan. `instance` is null when no instance qualifies.
     struct Choice {
         Instance* instance = nullptr;
-        double maxCost = 0.0;
+        CostLimits limits;
     };
 
     Service& serviceOf(const ServiceId& id);
@@ -179,14 +219,20 @@
     Duration typicalLatencyOf(const Service& service) const;
     const Health& healthOf(const Instance& instance, TimePoint now) const;
     const Capacity& capacityOf(Service& service, TimePoint now) const;
-    /// CostAware skips a free slot when waiting for a cheaper one costs less; AnyFree takes any.
-    enum class SelectionPolicy { CostAware, AnyFree };
+    /// CostAware skips a free slot when waiting for a cheaper one costs less. Settle takes any free
+    /// slot but one that costs graveCostMs more than the best instance, free or not: a request
+    /// there is likely to be lost, and an instance that fails at once would attract the whole
+    /// queue. AnyFree takes any.
+    enum class SelectionPolicy { CostAware, Settle, AnyFree };
 
+    static RequestClass classOf(const PlacementRequest& request);
+    const Ranking& rankingOf(
+        const PlacementRequest& request, const Service& service, TimePoint now) const;
     std::vector<const Instance*> excludedBy(const PlacementRequest& request) const;
     Choice choose(const PlacementRequest& request, const Service& service, TimePoint now,
         SelectionPolicy policy) const;
-    static double computeMaxCost(
-        std::vector<FullInstance>& full, Duration typicalLatency, std::size_t waiters);
+    static double computeMaxCost(const std::vector<FullInstance>& full, Duration typicalLatency,
+        Duration maxWait, std::size_t waiters);
     /// Expected delay in milliseconds (placement_cost_pvt.h), less a bonus when a probe is due.
     double cost(const Instance& instance, const Service& service, const PlacementRequest& request,
         TimePoint now) const;
@@ -201,25 +247,24 @@
     bool usable(const Instance& instance, TimePoint now) const;
     void grant(const PlacementRequest& request, Instance& instance, TimePoint now,
         std::vector<PlacementReply>& replies);
+    void checkPlacements(TimePoint now);
+    void recordOutcome(const Placement& placement, const PlacementReport& report, TimePoint now);
+    void release(const Placement& placement);
+
+    // The queue (fleet_scheduler_queue.cpp).
     void grantWaiter(Service& service, Waiters::iterator waiter, Instance& instance, TimePoint now,
         std::vector<PlacementReply>& replies);
-    void enqueue(const PlacementRequest& request, const std::optional<Choice>& scanned,
-        TimePoint now, std::vector<PlacementReply>& replies);
+    void enqueue(const PlacementRequest& request, std::optional<CostLimits> limits, TimePoint now,
+        std::vector<PlacementReply>& replies);
     bool isAnyUsable(const PlacementRequest& request, Service& service, TimePoint now) const;
     Waiters::iterator removeWaiter(Service& service, Waiters::iterator waiter);
-    bool scan(Service& service, Waiters::iterator waiter, TimePoint now,
-        std::vector<PlacementReply>& replies);
     void offer(
         Service& service, Instance& instance, TimePoint now, std::vector<PlacementReply>& replies);
-    std::vector<Instance*> instancesWithFreeSlot(const Service& service, TimePoint now) const;
-    std::size_t expireWaiters(Service& service, std::vector<Instance*>& free, TimePoint now,
-        std::vector<PlacementReply>& replies);
-    void serveWaiters(
-        Service& service, std::size_t scans, TimePoint now, std::vector<PlacementReply>& replies);
-    void checkPlacements(TimePoint now);
-    void recordOutcome(const Placement& placement, const PlacementReport& report, TimePoint now);
+    /// The first queued request of the class that takes a slot at `instance`; end() if none does.
+    Waiters::iterator firstTaker(Service& service, const RequestClass& requestClass,
+        const Instance& instance, TimePoint now);
+    void serveWaiters(Service& service, TimePoint now, std::vector<PlacementReply>& replies);
     Duration expectedWait(Service& service, std::size_t ahead, TimePoint now) const;
-    void release(const Placement& placement);
 
     RetryBudgetLimits m_retryLimits;
     /// Time of the latest restart(); the clock's epoch before the first.
--- a/src/include/laburnumroute/health_estimator.h
+++ b/src/include/laburnumroute/health_estimator.h
@@ -6,6 +6,10 @@
 /// the probability by their likelihood ratio; without outcomes it decays to the instance's
 /// long-term rate, so that an avoided instance is tried again, and one that was gray before is
 /// tried last.
+///
+/// Load pattern: some hosts lose their path to half of the instances, or a whole service sheds.
+/// Such attempts have not run and are repeated elsewhere, so they count apart from failures: an
+/// instance that declines often costs time, not requests.
 #pragma once
 
 #include <laburnumroute/clock.h>
@@ -32,8 +36,10 @@
     /// Clears all evidence, for a new incarnation.
     void reset() { *this = HealthEstimator(); }
 
-    /// Probability that the next request fails.
+    /// Probability that the next request fails, given that the instance accepts it.
     double failureProbability(TimePoint now) const;
+    /// Probability that the next attempt is not run: shed, or not connected in time.
+    double declineProbability(TimePoint now) const;
     /// Estimated latency as a multiple of the service's typical latency.
     double slowness(TimePoint now) const;
     /// Time of the latest success; the clock's epoch if there was none.
@@ -48,6 +54,7 @@
     };
 
     void updateBelief(double likelihoodRatio, TimePoint now);
+    void updateDecline(double observed, double gain, TimePoint now);
     void updateRecord(double failures, TimePoint now);
     Record recordAt(TimePoint now) const;
     /// Share of requests that failed over a longer time.
@@ -57,6 +64,8 @@
     double m_grayProbability = 0.0;
     TimePoint m_beliefUpdated {};
     Record m_record;
+    double m_declined = 0.0;
+    TimePoint m_declineUpdated {};
     double m_logSlowness = 0.0;
     TimePoint m_slownessUpdated {};
     TimePoint m_lastSuccess {};
--- a/src/libplace/fleet_scheduler.cpp
+++ b/src/libplace/fleet_scheduler.cpp
@@ -2,13 +2,16 @@
 
 #include <algorithm>
 #include <array>
+#include <bit>
 #include <cmath>
 #include <limits>
 
+#include "fleet_scheduler_pvt.h"
 #include "placement_cost_pvt.h"
 
 namespace laburnum {
 
+using namespace pvt;
 using std::chrono::milliseconds;
 
 namespace {
@@ -65,36 +68,39 @@
     constexpr double overdueFactor = 3.0;
     constexpr auto overdueFloor = milliseconds(1000);
 
-    /// A request waits for a slot for at most its remaining time divided by this.
-    constexpr int maxWaitDivisor = 4;
-    constexpr auto minRetryAfter = milliseconds(250);
-    constexpr auto maxRetryAfter = milliseconds(1500);
     /// Validity of the load that an instance reports.
     constexpr double reportedLoadSeconds = 1.0;
     /// Longest time for which attempts of a closed link are assumed to go on.
     constexpr auto orphanTimeout = milliseconds(1000);
     constexpr double doubtfulProbability = 0.12;
-
-    // Bounds on the work per event. With 200 instances of a service the scans of a tick take 2 ms.
-    /// Full scans per tick and service, at most half of them in vain for the head of the queue.
-    constexpr std::size_t scansPerTick = 64;
-    /// Waiters that a freed slot is offered to, and full scans on the same occasion.
-    constexpr std::size_t offersPerRelease = 32;
-    constexpr std::size_t scansPerRelease = 1;
-    /// Validity of a scan's cost limit for a waiter.
-    constexpr auto scanValidity = milliseconds(200);
+    constexpr double doubtfulDeclineProbability = 0.5;
+
+    /// A slot that costs this much more than the best instance is likely to lose the request: it
+    /// corresponds to a failure probability of about 0.35 for a request that must not run twice.
+    constexpr double graveCostMs = 5000.0;
+    /// Wait for a cheaper slot than one that is free, as a share of the objective.
+    constexpr int cheaperWaitDivisor = 8;
+    constexpr auto defaultCheaperWait = milliseconds(250);
+
+    /// Services up to this size are ranked for each decision.
+    constexpr std::size_t exactRankingSize = 64;
+    constexpr auto rankingValidity = milliseconds(20);
+    /// Rankings that are not used any more are dropped after this time.
+    constexpr auto rankingLifetime = milliseconds(1000);
     /// Health estimates drift by about one percent in this time, and outcomes invalidate them.
     constexpr auto healthCacheTime = milliseconds(10);
     constexpr auto capacityCacheTime = milliseconds(10);
 
     double toMs(Duration d) { return std::chrono::duration<double, std::milli>(d).count(); }
-    Duration fromSeconds(double s)
-    {
-        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(s));
-    }
 
 } // namespace
 
+Duration pvt::maxWaitForCheaper(Duration objective)
+{
+    return objective > Duration::zero() ? objective / cheaperWaitDivisor
+                                        : Duration(defaultCheaperWait);
+}
+
 const char* placementRefusalName(PlacementRefusal refusal) noexcept
 {
     switch (refusal) {
@@ -139,6 +145,7 @@
     instance.lastAnnouncement = now;
     Service& service = serviceOf(record.service);
     service.capacity.reset();
+    service.rankings.clear();
     service.instances.insert(
         std::upper_bound(service.instances.begin(), service.instances.end(), &instance,
             [](const Instance* a, const Instance* b) { return a->record.id < b->record.id; }),
@@ -149,6 +156,7 @@
 {
     Service& service = serviceOf(instance.record.service);
     service.capacity.reset();
+    service.rankings.clear();
     std::erase(service.instances, &instance);
 }
 
@@ -206,8 +214,8 @@
     const Instance& instance, TimePoint now) const
 {
     if (!instance.health || now - instance.health->at > healthCacheTime)
-        instance.health
-            = { instance.estimator.failureProbability(now), instance.estimator.slowness(now), now };
+        instance.health = { instance.estimator.failureProbability(now),
+            instance.estimator.declineProbability(now), instance.estimator.slowness(now), now };
     return *instance.health;
 }
 
@@ -242,6 +250,7 @@
         && now - instance.estimator.lastSuccess() > successValidity)
         probability = std::max(probability, silentFailureProbability);
     const double total = work + pvt::failureCost(request.kind, probability)
+        + pvt::declineCost(health.declineProbability)
         + pvt::distanceCost(instance.record, request.dataCentre, request.region, request.bodyKiB);
     // The bonus requires a free slot: an instance whose slots are in use needs no probe, and no
     // request should wait for it on that account.
@@ -299,6 +308,32 @@
     return excluded;
 }
 
+FleetScheduler::RequestClass FleetScheduler::classOf(const PlacementRequest& request)
+{
+    return { request.kind, request.dataCentre, request.region, std::bit_ceil(request.bodyKiB) };
+}
+
+const FleetScheduler::Ranking& FleetScheduler::rankingOf(
+    const PlacementRequest& request, const Service& service, TimePoint now) const
+{
+    const auto [found, inserted] = service.rankings.try_emplace(classOf(request));
+    Ranking& ranking = found->second;
+    const Duration validity
+        = service.instances.size() > exactRankingSize ? rankingValidity : Duration::zero();
+    if (!inserted && now - ranking.at <= validity && validity > Duration::zero())
+        return ranking;
+    ranking.at = now;
+    ranking.instances.clear();
+    m_evaluations += service.instances.size();
+    for (Instance* instance : service.instances) {
+        if (usable(*instance, now))
+            ranking.instances.push_back({ cost(*instance, service, request, now), instance });
+    }
+    std::stable_sort(ranking.instances.begin(), ranking.instances.end(),
+        [](const RankedInstance& a, const RankedInstance& b) { return a.cost < b.cost; });
+    return ranking;
+}
+
 FleetScheduler::Choice FleetScheduler::choose(const PlacementRequest& request,
     const Service& service, TimePoint now, SelectionPolicy policy) const
 {
@@ -306,36 +341,41 @@
     Instance* best = nullptr;
     double bestCost = std::numeric_limits<double>::infinity();
     std::vector<FullInstance> full;
-    m_evaluations += service.instances.size();
-    for (Instance* instance : service.instances) {
+    for (const auto& [rankedCost, instance] : rankingOf(request, service, now).instances) {
+        if (rankedCost >= bestCost)
+            break;
         if (std::find(excluded.begin(), excluded.end(), instance) != excluded.end()
             || !usable(*instance, now))
             continue;
-        const bool freeSlot = hasFreeSlot(*instance, now);
-        if (!freeSlot && policy == SelectionPolicy::AnyFree)
+        if (!hasFreeSlot(*instance, now)) {
+            if (instance->record.slots > 0)
+                full.push_back({ rankedCost, instance->record.slots });
             continue;
-        const double candidate = cost(*instance, service, request, now);
-        if (!freeSlot) {
-            if (instance->record.slots > 0 && candidate + waitMarginMs < bestCost)
-                full.push_back({ candidate, instance->record.slots });
-        } else if (candidate < bestCost) {
+        }
+        ++m_evaluations;
+        const double current = cost(*instance, service, request, now);
+        if (current < bestCost) {
             best = instance;
-            bestCost = candidate;
+            bestCost = current;
         }
     }
     if (policy == SelectionPolicy::AnyFree)
-        return { best };
+        return { best, {} };
     std::erase_if(full, [&](const FullInstance& f) { return f.cost + waitMarginMs >= bestCost; });
-    const double maxCost = computeMaxCost(full, typicalLatencyOf(service), service.waiters.size());
-    return { bestCost <= maxCost ? best : nullptr, maxCost };
+    const double graveCost
+        = full.empty() ? std::numeric_limits<double>::infinity() : full.front().cost + graveCostMs;
+    const double maxCost = std::min(graveCost,
+        computeMaxCost(full, typicalLatencyOf(service), maxWaitForCheaper(request.objective),
+            service.waiters.size()));
+    const double limit = policy == SelectionPolicy::Settle ? graveCost : maxCost;
+    return { bestCost <= limit ? best : nullptr, { maxCost, graveCost } };
 }
 
-/// Returns the cost up to which a free slot is preferable to waiting for a full instance.
-double FleetScheduler::computeMaxCost(
-    std::vector<FullInstance>& full, Duration typicalLatency, std::size_t waiters)
+/// Returns the cost up to which a free slot is preferable to waiting up to `maxWait` for one of the
+/// full instances, which are ordered by cost.
+double FleetScheduler::computeMaxCost(const std::vector<FullInstance>& full,
+    Duration typicalLatency, Duration maxWait, std::size_t waiters)
 {
-    std::sort(full.begin(), full.end(),
-        [](const FullInstance& a, const FullInstance& b) { return a.cost < b.cost; });
     double maxCost = std::numeric_limits<double>::infinity();
     std::uint32_t slots = 0;
     for (const FullInstance& each : full) {
@@ -343,7 +383,9 @@
         // Requests already waiting are served first, and only by these instances.
         const double waitMs
             = toMs(typicalLatency) * static_cast<double>(waiters + 1) / std::max(slots, 1U);
-        maxCost = std::min(maxCost, std::max(each.cost, full.front().cost + waitMs) + waitMarginMs);
+        if (waitMs <= toMs(maxWait))
+            maxCost
+                = std::min(maxCost, std::max(each.cost, full.front().cost + waitMs) + waitMarginMs);
     }
     return maxCost;
 }
@@ -374,13 +416,14 @@
     // first unless the new request has a higher priority.
     const bool mayOvertake = now - m_startedAt >= startupPhase || service.waiters.empty()
         || service.waiters.begin()->first.first > request.priority;
-    std::optional<Choice> choice;
+    std::optional<CostLimits> limits;
     if (mayOvertake) {
-        choice = choose(request, service, now, SelectionPolicy::CostAware);
-        if (choice->instance != nullptr)
-            return grant(request, *choice->instance, now, replies);
+        const Choice choice = choose(request, service, now, SelectionPolicy::CostAware);
+        if (choice.instance != nullptr)
+            return grant(request, *choice.instance, now, replies);
+        limits = choice.limits;
     }
-    enqueue(request, choice, now, replies);
+    enqueue(request, limits, now, replies);
 }
 
 /// Grants or refuses a hedge; it never waits, since another attempt is in flight.
@@ -402,137 +445,6 @@
     replies.push_back({ PlacementReplyKind::Refused, request.key, {}, refusal, delay });
 }
 
-Duration FleetScheduler::expectedWait(Service& service, std::size_t ahead, TimePoint now) const
-{
-    const double typicalSeconds = std::chrono::duration<double>(typicalLatencyOf(service)).count();
-    return fromSeconds(typicalSeconds * static_cast<double>(ahead + 1)
-        / std::max(capacityOf(service, now).slots, 1U));
-}
-
-bool FleetScheduler::isAnyUsable(
-    const PlacementRequest& request, Service& service, TimePoint now) const
-{
-    if (capacityOf(service, now).instances > request.avoid.size())
-        return true;
-    const auto excluded = excludedBy(request);
-    return std::any_of(
-        service.instances.begin(), service.instances.end(), [&](const Instance* instance) {
-            return usable(*instance, now)
-                && std::find(excluded.begin(), excluded.end(), instance) == excluded.end();
-        });
-}
-
-void FleetScheduler::enqueue(const PlacementRequest& request, const std::optional<Choice>& scanned,
-    TimePoint now, std::vector<PlacementReply>& replies)
-{
-    Service& service = serviceOf(request.service);
-    const bool anyUsable = isAnyUsable(request, service, now);
-    std::size_t ahead = 0;
-    for (const auto& [priority, count] : service.waitersByPriority)
-        ahead += priority <= request.priority ? count : 0;
-    const Duration wait = expectedWait(service, ahead, now);
-    const Duration maxWait = request.remaining / maxWaitDivisor;
-    if (!anyUsable || wait > maxWait) {
-        if (const auto free = choose(request, service, now, SelectionPolicy::AnyFree);
-            free.instance != nullptr)
-            return grant(request, *free.instance, now, replies);
-        const Duration delay = std::clamp<Duration>(wait, minRetryAfter, maxRetryAfter);
-        return refuse(request, anyUsable ? PlacementRefusal::Busy : PlacementRefusal::NoInstance,
-            delay, replies);
-    }
-    const WaiterOrder order { request.priority, ++m_lastWaiterNumber };
-    Waiter waiter { request, now, now + maxWait };
-    if (scanned) {
-        waiter.maxCost = scanned->maxCost;
-        waiter.scannedAt = now;
-    }
-    service.waiters.emplace(order, std::move(waiter));
-    ++service.waitersByPriority[request.priority];
-    m_waiterIndex[request.key] = { &service, order };
-    replies.push_back(
-        { PlacementReplyKind::Waiting, request.key, {}, PlacementRefusal::None, maxWait });
-}
-
-FleetScheduler::Waiters::iterator FleetScheduler::removeWaiter(
-    Service& service, Waiters::iterator waiter)
-{
-    m_waiterIndex.erase(waiter->second.request.key);
-    --service.waitersByPriority[waiter->first.first];
-    return service.waiters.erase(waiter);
-}
-
-void FleetScheduler::grantWaiter(Service& service, Waiters::iterator waiter, Instance& instance,
-    TimePoint now, std::vector<PlacementReply>& replies)
-{
-    PlacementRequest request = waiter->second.request;
-    request.remaining -= now - waiter->second.since;
-    removeWaiter(service, waiter);
-    grant(request, instance, now, replies);
-}
-
-/// Scans all instances for a waiter; returns true if it was granted a slot.
-bool FleetScheduler::scan(
-    Service& service, Waiters::iterator waiter, TimePoint now, std::vector<PlacementReply>& replies)
-{
-    const Choice choice = choose(waiter->second.request, service, now, SelectionPolicy::CostAware);
-    if (choice.instance == nullptr) {
-        waiter->second.maxCost = choice.maxCost;
-        waiter->second.scannedAt = now;
-        return false;
-    }
-    grantWaiter(service, waiter, *choice.instance, now, replies);
-    return true;
-}
-
-/// Offers a freed slot at `instance` to the waiters in queue order.
-void FleetScheduler::offer(
-    Service& service, Instance& instance, TimePoint now, std::vector<PlacementReply>& replies)
-{
-    std::size_t scans = 0;
-    auto waiter = service.waiters.begin();
-    for (std::size_t offers = 0; offers < offersPerRelease && waiter != service.waiters.end();
-         ++offers) {
-        if (!usable(instance, now) || !hasFreeSlot(instance, now))
-            return;
-        const auto next = std::next(waiter);
-        const Waiter& waits = waiter->second;
-        const auto& avoid = waits.request.avoid;
-        const bool excluded
-            = std::find(avoid.begin(), avoid.end(), instance.record.id) != avoid.end();
-        if (!excluded && scans < scansPerRelease
-            && (!waits.scannedAt || now - *waits.scannedAt > scanValidity)) {
-            ++scans;
-            scan(service, waiter, now, replies);
-        } else if (!excluded && waits.scannedAt) {
-            ++m_evaluations;
-            if (cost(instance, service, waits.request, now) <= waits.maxCost)
-                grantWaiter(service, waiter, instance, now, replies);
-        }
-        waiter = next;
-    }
-}
-
-/// Scans for slots that opened with time or became cheaper.
-void FleetScheduler::serveWaiters(
-    Service& service, std::size_t scans, TimePoint now, std::vector<PlacementReply>& replies)
-{
-    std::size_t unserved = 0;
-    auto waiter = service.waiters.begin();
-    for (; scans > 0 && unserved < scansPerTick / 2 && waiter != service.waiters.end(); --scans) {
-        const auto next = std::next(waiter);
-        unserved += scan(service, waiter, now, replies) ? 0 : 1;
-        waiter = next;
-    }
-    if (waiter != service.waiters.end() && waiter->first < service.nextScan)
-        waiter = service.waiters.lower_bound(service.nextScan);
-    for (; scans > 0 && waiter != service.waiters.end(); --scans) {
-        const auto next = std::next(waiter);
-        scan(service, waiter, now, replies);
-        waiter = next;
-    }
-    service.nextScan = waiter != service.waiters.end() ? waiter->first : WaiterOrder();
-}
-
 void FleetScheduler::release(const Placement& placement)
 {
     const auto instance = m_instances.find(placement.instance);
@@ -640,62 +552,14 @@
     }
 }
 
-std::vector<FleetScheduler::Instance*> FleetScheduler::instancesWithFreeSlot(
-    const Service& service, TimePoint now) const
-{
-    std::vector<Instance*> free;
-    m_evaluations += service.instances.size();
-    for (Instance* instance : service.instances) {
-        if (usable(*instance, now) && hasFreeSlot(*instance, now))
-            free.push_back(instance);
-    }
-    return free;
-}
-
-/// Ends waits that reached their limit, granting any free slot. Returns the number of scans.
-std::size_t FleetScheduler::expireWaiters(Service& service, std::vector<Instance*>& free,
-    TimePoint now, std::vector<PlacementReply>& replies)
-{
-    std::size_t scans = 0;
-    for (auto waiter = service.waiters.begin(); waiter != service.waiters.end();) {
-        const auto current = waiter++;
-        const PlacementRequest& request = current->second.request;
-        if (now < current->second.until)
-            continue;
-        Instance* fallback = nullptr;
-        if (!free.empty() && scans < scansPerTick) {
-            ++scans;
-            fallback = choose(request, service, now, SelectionPolicy::AnyFree).instance;
-        } else if (!free.empty()) {
-            const auto excluded = excludedBy(request);
-            const auto found = std::find_if(free.begin(), free.end(), [&](const Instance* each) {
-                return std::find(excluded.begin(), excluded.end(), each) == excluded.end();
-            });
-            fallback = found != free.end() ? *found : nullptr;
-        }
-        if (fallback != nullptr) {
-            grantWaiter(service, current, *fallback, now, replies);
-            if (!hasFreeSlot(*fallback, now))
-                std::erase(free, fallback);
-        } else {
-            refuse(request, PlacementRefusal::Busy, minRetryAfter, replies);
-            removeWaiter(service, current);
-        }
-    }
-    return scans;
-}
-
 void FleetScheduler::tick(TimePoint now, std::vector<PlacementReply>& replies)
 {
     exemptWorst(now);
     checkPlacements(now);
     for (auto& [id, service] : m_services) {
-        if (service.waiters.empty())
-            continue;
-        auto free = instancesWithFreeSlot(service, now);
-        const std::size_t scans = expireWaiters(service, free, now, replies);
-        if (!free.empty())
-            serveWaiters(service, scansPerTick - scans, now, replies);
+        std::erase_if(service.rankings,
+            [&](const auto& item) { return now - item.second.at > rankingLifetime; });
+        serveWaiters(service, now, replies);
     }
 }
 
@@ -704,7 +568,8 @@
     std::vector<InstanceId> ids;
     for (const auto& [id, instance] : m_instances) {
         if (!usable(instance, now)
-            || instance.estimator.failureProbability(now) > doubtfulProbability)
+            || instance.estimator.failureProbability(now) > doubtfulProbability
+            || instance.estimator.declineProbability(now) > doubtfulDeclineProbability)
             ids.push_back(id);
     }
     return ids;
--- /dev/null
+++ b/src/libplace/fleet_scheduler_pvt.h
@@ -0,0 +1,20 @@
+/// Limits that the parts of FleetScheduler share.
+#pragma once
+
+#include <laburnumroute/clock.h>
+
+namespace laburnum::pvt {
+
+/// Bounds of the time after which a refused request should come back.
+inline constexpr auto minRetryAfter = std::chrono::milliseconds(250);
+inline constexpr auto maxRetryAfter = std::chrono::milliseconds(1500);
+
+inline Duration fromSeconds(double s)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(s));
+}
+
+/// Longest wait of a request with this latency objective for a cheaper slot than one that is free.
+Duration maxWaitForCheaper(Duration objective);
+
+} // namespace laburnum::pvt
--- /dev/null
+++ b/src/libplace/fleet_scheduler_queue_test.cpp
@@ -0,0 +1,132 @@
+// The queue of the fleet scheduler: how long a request waits for what.
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+#include <laburnumroute/fleet_scheduler.h>
+
+using namespace laburnum;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ServiceId service("s");
+constexpr TimePoint start(100s);
+
+/// A scheduler with instances "i0", "i1", ... of one slot each. Each has had three attempts: at the
+/// first `reliable` they succeeded, at the others the first `failures` failed.
+class QueueFixture {
+public:
+    QueueFixture(unsigned reliable, unsigned others, int failures)
+    {
+        m_scheduler.restart(start - 10s);
+        for (unsigned i = 0; i < reliable + others; ++i) {
+            InstanceRecord record;
+            record.id = InstanceId("i" + std::to_string(i));
+            record.service = service;
+            record.slots = 1;
+            m_scheduler.upsert(record, start);
+        }
+        for (int round = 0; round < 3; ++round) {
+            for (unsigned i = 0; i < reliable + others; ++i) {
+                const bool fails = i >= reliable && round < failures;
+                end(i, fails ? PlacementOutcome::Failure : PlacementOutcome::Success);
+            }
+        }
+    }
+
+    DispatchKey dispatch(TimePoint now, std::vector<PlacementReply>& replies)
+    {
+        PlacementRequest request;
+        request.key = { LinkId(1), DispatchId(++m_lastDispatch) };
+        request.service = service;
+        request.remaining = 4s;
+        request.objective = 2s;
+        m_scheduler.dispatch(request, now, replies);
+        return request.key;
+    }
+    FleetScheduler& scheduler() { return m_scheduler; }
+
+private:
+    /// An attempt at instance `i` that ended a second before the start.
+    void end(unsigned i, PlacementOutcome outcome)
+    {
+        const DispatchKey key { LinkId(2), DispatchId(++m_lastDispatch) };
+        m_scheduler.adopt(
+            { key, InstanceId("i" + std::to_string(i)), service, 0s, 4s }, start - 1s);
+        std::vector<PlacementReply> replies;
+        m_scheduler.end(key, { outcome, 400ms }, start - 1s, replies);
+    }
+
+    FleetScheduler m_scheduler { { 0.2, 20.0, std::chrono::seconds(10) } };
+    std::uint32_t m_lastDispatch = 0;
+};
+
+/// Index of the instance in each grant.
+std::vector<unsigned> grantedInstances(const std::vector<PlacementReply>& replies)
+{
+    std::vector<unsigned> result;
+    for (const PlacementReply& reply : replies) {
+        if (reply.kind == PlacementReplyKind::Granted)
+            result.push_back(static_cast<unsigned>(std::stoul(reply.instance.value().substr(1))));
+    }
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("load pattern: a queue for the best instances does not grow while others are free")
+{
+    // Thirty instances of which ten are best, and 20 of which one failure was seen.
+    QueueFixture fixture(10, 20, 1);
+    std::vector<PlacementReply> replies;
+    for (int i = 0; i < 30; ++i)
+        fixture.dispatch(start, replies);
+    // Ten take the best ones, at most the share that these free within an eighth of the objective
+    // waits for them, and the rest does not wait at all.
+    const auto instances = grantedInstances(replies);
+    CHECK(
+        std::count_if(instances.begin(), instances.end(), [](unsigned i) { return i < 10; }) == 10);
+    CHECK(fixture.scheduler().waiting() <= 7);
+    // Those that wait settle for what is free.
+    replies.clear();
+    fixture.scheduler().tick(start + 260ms, replies);
+    CHECK(fixture.scheduler().waiting() == 0);
+    CHECK(grantedInstances(replies).size() == replies.size());
+}
+
+TEST_CASE("load pattern: an instance that fails at once does not attract the queue")
+{
+    // One instance fails everything; the others are full.
+    QueueFixture fixture(10, 1, 3);
+    std::vector<PlacementReply> replies;
+    for (int i = 0; i < 16; ++i)
+        fixture.dispatch(start, replies);
+    for (const unsigned instance : grantedInstances(replies))
+        CHECK(instance < 10);
+    CHECK(fixture.scheduler().waiting() == 6);
+    replies.clear();
+    fixture.scheduler().tick(start + 300ms, replies);
+    CHECK(replies.empty());
+    // At the end of the wait, a quarter of the remaining time, any slot is better than none.
+    fixture.scheduler().tick(start + 1s, replies);
+    CHECK(fixture.scheduler().waiting() == 0);
+    CHECK(grantedInstances(replies) == std::vector<unsigned> { 10 });
+}
+
+TEST_CASE("load pattern: a freed slot goes to the first of the queue whose class it suits")
+{
+    QueueFixture fixture(2, 0, 0);
+    std::vector<PlacementReply> replies;
+    const DispatchKey first = fixture.dispatch(start, replies);
+    fixture.dispatch(start, replies);
+    const DispatchKey third = fixture.dispatch(start, replies);
+    fixture.dispatch(start, replies);
+    REQUIRE(fixture.scheduler().waiting() == 2);
+    replies.clear();
+    fixture.scheduler().end(first, { PlacementOutcome::Success, 400ms }, start + 400ms, replies);
+    REQUIRE(replies.size() == 1);
+    CHECK(replies.front().kind == PlacementReplyKind::Granted);
+    CHECK(replies.front().key == third);
+}
--- a/src/libplace/health_estimator.cpp
+++ b/src/libplace/health_estimator.cpp
@@ -13,8 +13,6 @@
     constexpr double healthyFailureRate = 0.012;
     constexpr double failureLikelihoodRatio = grayFailureRate / healthyFailureRate;
     constexpr double successLikelihoodRatio = (1.0 - grayFailureRate) / (1.0 - healthyFailureRate);
-    /// Lower than for a failure, because a full instance sheds requests without being gray.
-    constexpr double shedLikelihoodRatio = 5.0;
     // Latencies of healthy instances are log-normal with this deviation, except for a few requests
     // that take far longer. About a third of the gray instances hang.
     constexpr double latencySigma = 0.5;
@@ -23,12 +21,14 @@
     /// Upper bound, reached at about three typical latencies; a longer wait adds no evidence.
     constexpr double maxTimeoutLikelihoodRatio = 15.0;
     constexpr double refusedLikelihoodRatio = 400.0;
-    /// Low, because the path from one host may be cut while the instance is healthy.
-    constexpr double unreachableLikelihoodRatio = 8.0;
-    /// Weight of each outcome as a failure in the long-term record.
-    constexpr double shedFailureWeight = 0.3;
+    /// Weight of a timeout as a failure in the long-term record.
     constexpr double timeoutFailureWeight = 0.6;
-    constexpr double unreachableFailureWeight = 0.2;
+    /// Weights of a new outcome in the moving average of declined attempts. A shed answer comes
+    /// from the instance itself; a connection may fail because of the path from one host.
+    constexpr double shedGain = 0.3;
+    constexpr double unreachableGain = 0.3;
+    constexpr double acceptedGain = 0.3;
+    constexpr double declineHalfLifeSeconds = 3.0;
 
     /// Time constant with which the gray probability decays to its long-term value; a gray spell
     /// lasts several seconds.
@@ -109,8 +109,16 @@
     m_beliefUpdated = now;
 }
 
+void HealthEstimator::updateDecline(double observed, double gain, TimePoint now)
+{
+    const double previous = declineProbability(now);
+    m_declined = previous + gain * (observed - previous);
+    m_declineUpdated = now;
+}
+
 void HealthEstimator::onSuccess(Duration latency, Duration typical, TimePoint now)
 {
+    updateDecline(0.0, acceptedGain, now);
     updateBelief(successLikelihoodRatio, now);
     updateRecord(0.0, now);
     m_lastSuccess = now;
@@ -128,11 +136,7 @@
     updateRecord(1.0, now);
 }
 
-void HealthEstimator::onShed(TimePoint now)
-{
-    updateBelief(shedLikelihoodRatio, now);
-    updateRecord(shedFailureWeight, now);
-}
+void HealthEstimator::onShed(TimePoint now) { updateDecline(1.0, shedGain, now); }
 
 void HealthEstimator::onTimeout(Duration waited, Duration typical, TimePoint now)
 {
@@ -149,10 +153,11 @@
 
 void HealthEstimator::onRefused(TimePoint now) { updateBelief(refusedLikelihoodRatio, now); }
 
-void HealthEstimator::onUnreachable(TimePoint now)
+void HealthEstimator::onUnreachable(TimePoint now) { updateDecline(1.0, unreachableGain, now); }
+
+double HealthEstimator::declineProbability(TimePoint now) const
 {
-    updateBelief(unreachableLikelihoodRatio, now);
-    updateRecord(unreachableFailureWeight, now);
+    return decayed(m_declined, m_declineUpdated, now, declineHalfLifeSeconds);
 }
 
 double HealthEstimator::failureProbability(TimePoint now) const
--- a/src/libplace/health_estimator_test.cpp
+++ b/src/libplace/health_estimator_test.cpp
@@ -70,3 +70,24 @@
         REQUIRE(first <= 47);
     }
 }
+
+TEST_CASE("load pattern: attempts that were not run count apart from failures")
+{
+    // A tenth of the attempts does not reach the instance, because of some hosts' paths.
+    HealthEstimator estimator;
+    TimePoint now(100s);
+    for (int i = 0; i < 60; ++i, now += 200ms) {
+        if (i % 10 == 5)
+            estimator.onUnreachable(now);
+        else
+            estimator.onSuccess(400ms, 400ms, now);
+    }
+    CHECK(estimator.failureProbability(now) < 0.04);
+    CHECK(estimator.declineProbability(now) < 0.2);
+    // It sheds most of its work: costly, but no request is lost there.
+    for (int i = 0; i < 6; ++i)
+        estimator.onShed(now);
+    CHECK(estimator.declineProbability(now) > 0.7);
+    CHECK(estimator.failureProbability(now) < 0.04);
+    CHECK(estimator.declineProbability(now + 10s) < 0.1);
+}
--- a/src/libplace/local_scheduler.cpp
+++ b/src/libplace/local_scheduler.cpp
@@ -152,6 +152,7 @@
     if (isPathBroken(record.id, now))
         probability = std::max(probability, brokenPathFailureProbability);
     return pvt::failureCost(request.kind, probability)
+        + pvt::declineCost(estimator.declineProbability(now))
         + pvt::distanceCost(record, m_location.dataCentre, m_location.region, request.bodyKiB)
         + ownRequestCostMs * inFlight(record.id);
 }
--- a/src/libplace/placement_cost_pvt.h
+++ b/src/libplace/placement_cost_pvt.h
@@ -14,6 +14,9 @@
 inline constexpr double unsafeFailureMs = 14000.0;
 /// Cost of a failed attempt that can be repeated at another instance.
 inline constexpr double safeFailureMs = 2000.0;
+/// Cost of an attempt that is not run: the time until a connection is given up, another placement,
+/// and a share of the retry budget.
+inline constexpr double declinedMs = 1200.0;
 /// Another data centre: one or two milliseconds each way, over shared links.
 inline constexpr double otherDataCentreMs = 15.0;
 inline constexpr double otherDataCentreMsPerKib = 8.0;
@@ -27,6 +30,9 @@
     return probability * (kind == RequestKind::Safe ? safeFailureMs : unsafeFailureMs);
 }
 
+/// Expected cost of an attempt that the instance declines with `probability`.
+inline double declineCost(double probability) { return probability * declinedMs; }
+
 /// Network cost from a host at `dataCentre` in `region` to the instance.
 inline double distanceCost(const InstanceRecord& record, const DataCentreId& dataCentre,
     const RegionId& region, std::uint32_t bodyKiB)
--- /dev/null
+++ b/testsuite/fakes/placement_load.h
@@ -0,0 +1,124 @@
+/// The load of a large site on one FleetScheduler, without a network: callers of several data
+/// centres, instances that fail, shed and cannot be reached from some hosts, and a loss of the
+/// leader. Deterministic for a seed.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <queue>
+#include <vector>
+
+#include <laburnumroute/fleet_scheduler.h>
+#include <laburnumroute/random.h>
+
+namespace laburnum::fakes {
+
+/// Size of a site, in proportions of the users' largest: 443 entry hosts, 720 instances and 3,300
+/// requests a second.
+struct PlacementLoadOptions {
+    unsigned hosts = 443;
+    unsigned instances = 720;
+    double requestsPerSecond = 3300.0;
+    /// While the leader is lost, hosts place alone; the attempts of the last seconds are adopted by
+    /// its successor. Relative to the start; equal times mean no loss.
+    Duration leaderLost {};
+    Duration leaderBack {};
+    /// A part of the hosts can't reach an instance during this time.
+    Duration pathsLost {};
+    Duration pathsBack {};
+    double pathLossShare = 0.0;
+    /// The busiest service sheds this share of its requests during this time.
+    Duration shedFrom {};
+    Duration shedUntil {};
+    double shedShare = 0.0;
+};
+
+/// What was seen in one second.
+struct PlacementSecond {
+    unsigned arrived = 0;
+    unsigned answered = 0;
+    /// Answered within the objective of 2 s.
+    unsigned inTime = 0;
+    /// Failed by an instance.
+    unsigned failed = 0;
+    unsigned refused = 0;
+    /// From arrival to the first grant.
+    std::vector<Duration> firstGrant;
+    /// Mean number of requests that wait.
+    double waiting = 0.0;
+    /// Mean share of slots that are free at instances that can serve, while requests of their
+    /// service wait.
+    double idleWhileWaiting = 0.0;
+    /// Median of `firstGrant`; zero if there is none.
+    Duration medianFirstGrant();
+};
+
+/// Runs once. Each step is 1 ms of virtual time.
+class PlacementLoad {
+public:
+    PlacementLoad(const PlacementLoadOptions& options, std::uint64_t seed);
+
+    std::vector<PlacementSecond> run(Duration time);
+    /// Instances evaluated for each request that arrived.
+    double evaluationsPerRequest() const;
+
+private:
+    struct Service {
+        ServiceId id;
+        RequestKind kind = RequestKind::Unsafe;
+        double share = 0.0;
+        double meanSeconds = 0.0;
+        std::uint32_t bodyKiB = 0;
+        std::vector<unsigned> instances;
+    };
+    struct Instance {
+        InstanceRecord record;
+        std::size_t service = 0;
+        unsigned running = 0;
+        bool isGrayAtTimes = false;
+        Duration phase {};
+    };
+    struct Request {
+        std::size_t service = 0;
+        unsigned host = 0;
+        TimePoint arrived;
+        bool isGranted = false;
+        bool wasSent = false;
+        std::vector<InstanceId> avoid;
+    };
+    struct End {
+        TimePoint at;
+        DispatchKey key;
+        unsigned instance = 0;
+        PlacementReport report;
+        bool operator>(const End& other) const { return at > other.at; }
+    };
+
+    void arrive(TimePoint now);
+    void dispatch(const DispatchKey& key, TimePoint now);
+    void handleReplies(const std::vector<PlacementReply>& replies, TimePoint now);
+    void attempt(const DispatchKey& key, unsigned instance, TimePoint now);
+    PlacementReport outcome(const Request& request, unsigned instance, TimePoint now);
+    void endDue(TimePoint now);
+    void finish(const End& end, TimePoint now);
+    void restartLeader(TimePoint now);
+    void measure(TimePoint now);
+    bool within(TimePoint now, Duration from, Duration until) const;
+    PlacementSecond& second(TimePoint at);
+
+    const PlacementLoadOptions m_options;
+    Random m_random;
+    FleetScheduler m_scheduler;
+    std::vector<Service> m_services;
+    std::vector<Instance> m_instances;
+    std::map<InstanceId, unsigned> m_byId;
+    std::map<DispatchKey, Request> m_requests;
+    std::priority_queue<End, std::vector<End>, std::greater<>> m_ends;
+    std::vector<PlacementSecond> m_seconds;
+    std::uint32_t m_lastDispatch = 0;
+    std::uint64_t m_arrived = 0;
+    bool m_hasLeader = true;
+};
+
+} // namespace laburnum::fakes
--- /dev/null
+++ b/testsuite/load/placement_load_test.cpp
@@ -0,0 +1,58 @@
+// Placement at the size of the users' largest site, replayed on the scheduler alone.
+
+#include <catch2/catch.hpp>
+
+#include <numeric>
+
+#include "fakes/placement_load.h"
+
+using namespace laburnum;
+using namespace laburnum::fakes;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Longest median time from arrival to the first grant, outside a shortage.
+constexpr Duration medianLimit = 200ms;
+
+unsigned total(const std::vector<PlacementSecond>& seconds, unsigned PlacementSecond::*field)
+{
+    return std::accumulate(seconds.begin(), seconds.end(), 0U,
+        [&](unsigned sum, const PlacementSecond& each) { return sum + each.*field; });
+}
+
+/// The troubles of a bad day: control hosts without power, paths to half of the pairs of host and
+/// instance lost, then a service that sheds half of its work.
+PlacementLoadOptions badDay()
+{
+    PlacementLoadOptions options;
+    options.leaderLost = 500ms;
+    options.leaderBack = 3100ms;
+    options.pathsLost = 3200ms;
+    options.pathsBack = 16s;
+    options.pathLossShare = 0.1;
+    options.shedFrom = 13s;
+    options.shedUntil = 21500ms;
+    options.shedShare = 0.55;
+    return options;
+}
+
+} // namespace
+
+TEST_CASE("load pattern: slots of a large site do not stay idle while thousands of requests wait")
+{
+    PlacementLoad load(badDay(), 1);
+    auto seconds = load.run(30s);
+    for (std::size_t i = 0; i < seconds.size(); ++i) {
+        const bool isShedding = i >= 13 && i < 22;
+        CAPTURE(i, seconds[i].waiting, seconds[i].idleWhileWaiting, seconds[i].refused,
+            seconds[i].failed, seconds[i].inTime);
+        if (!isShedding && i != 3)
+            CHECK(seconds[i].medianFirstGrant() < medianLimit);
+    }
+    // After the last trouble there is no second wave.
+    std::vector<PlacementSecond> after(seconds.begin() + 23, seconds.end());
+    CHECK(total(after, &PlacementSecond::refused) == 0);
+    CHECK(total(after, &PlacementSecond::inTime)
+        > total(after, &PlacementSecond::arrived) * 92 / 100);
+}
