Instances that fail at once are held back; waits for better ones shrink while the queue stands

A lookup's failure cost 2 s, so a sure failure (0.7 x 2 s) was no dearer than a queue, and what exceeded the queue took any free slot, which only such instances have. Waits stood at the limit of a quarter second (555 to 1,360 waiting, median 0.3 s). Ruled out: probes (one in 0.7 s), reports that come late (20 ms). Change: an instance with a failure probability above 0.35 gets one request in 200 ms; a lookup's failure costs 5 s (a repeat of a limited budget); the wait for a cheaper slot is scaled down at each tick in which the queue did not empty. Tests first: 43 of 80 lookups lost at the failing instance, at most 4 now; the standing queue waits a fifth of a second or less.

--- a/src/include/laburnumroute/fleet_scheduler.h
+++ b/src/include/laburnumroute/fleet_scheduler.h
@@ -23,7 +23,9 @@
 ///   of grants, not with the queue.
 /// - More requests than the best instances can take while others have free slots: a queue that
 ///   stands in front of the best ones delays every request and serves none more, so a request
-///   waits only briefly for a better slot than one that is free.
+///   waits only briefly for a better slot than one that is free, and less the longer the queue
+///   stands.
+/// - Instances that fail at once are always free: they get few requests, however many wait.
 #pragma once
 
 #include <compare>
@@ -196,6 +198,10 @@
         Waiters waiters;
         std::map<std::uint32_t, std::size_t> waitersByPriority;
         std::map<RequestClass, ClassQueue> classes;
+        /// Scales the wait for cheaper slots; falls while the queue stands, see updateWaitFactor().
+        double waitFactor = 1.0;
+        /// Whether the queue was empty at some moment since the last tick.
+        bool queueEmptied = true;
         mutable std::map<RequestClass, Ranking> rankings;
         std::optional<Capacity> capacity;
         RetryWindow retries;
@@ -220,9 +226,9 @@
     const Health& healthOf(const Instance& instance, TimePoint now) const;
     const Capacity& capacityOf(Service& service, TimePoint now) const;
     /// CostAware skips a free slot when waiting for a cheaper one costs less. Settle takes any free
-    /// slot but one that costs graveCostMs more than the best instance, free or not: a request
-    /// there is likely to be lost, and an instance that fails at once would attract the whole
-    /// queue. AnyFree takes any.
+    /// slot but a grave one, which costs more than the best full instance by as much as a gray
+    /// spell does: a request there is likely to be lost, and an instance that fails at once would
+    /// attract the whole queue. AnyFree takes any. None takes one that is held back.
     enum class SelectionPolicy { CostAware, Settle, AnyFree };
 
     static RequestClass classOf(const PlacementRequest& request);
@@ -244,6 +250,10 @@
     static void refuse(const PlacementRequest& request, PlacementRefusal refusal, Duration delay,
         std::vector<PlacementReply>& replies);
     bool hasFreeSlot(const Instance& instance, TimePoint now) const;
+    /// True if the instance is likely to be in a gray spell and has just got a request.
+    bool isHeldBack(const Instance& instance, TimePoint now) const;
+    /// Longest wait for a cheaper slot than one that is free.
+    static Duration maxWaitForCheaper(const PlacementRequest& request, const Service& service);
     bool usable(const Instance& instance, TimePoint now) const;
     void grant(const PlacementRequest& request, Instance& instance, TimePoint now,
         std::vector<PlacementReply>& replies);
@@ -264,6 +274,7 @@
     Waiters::iterator firstTaker(Service& service, const RequestClass& requestClass,
         const Instance& instance, TimePoint now);
     void serveWaiters(Service& service, TimePoint now, std::vector<PlacementReply>& replies);
+    static void updateWaitFactor(Service& service);
     Duration expectedWait(Service& service, std::size_t ahead, TimePoint now) const;
 
     RetryBudgetLimits m_retryLimits;
--- a/src/libplace/fleet_scheduler.cpp
+++ b/src/libplace/fleet_scheduler.cpp
@@ -75,9 +75,10 @@
     constexpr double doubtfulProbability = 0.12;
     constexpr double doubtfulDeclineProbability = 0.5;
 
-    /// A slot that costs this much more than the best instance is likely to lose the request: it
-    /// corresponds to a failure probability of about 0.35 for a request that must not run twice.
-    constexpr double graveCostMs = 5000.0;
+    /// Least time between two requests at an instance that is likely to be in a gray spell. An
+    /// instance that fails at once is always free, and would otherwise get whatever finds the
+    /// others full.
+    constexpr auto graveInterval = milliseconds(200);
     /// Wait for a cheaper slot than one that is free, as a share of the objective.
     constexpr int cheaperWaitDivisor = 8;
     constexpr auto defaultCheaperWait = milliseconds(250);
@@ -95,12 +96,6 @@
 
 } // namespace
 
-Duration pvt::maxWaitForCheaper(Duration objective)
-{
-    return objective > Duration::zero() ? objective / cheaperWaitDivisor
-                                        : Duration(defaultCheaperWait);
-}
-
 const char* placementRefusalName(PlacementRefusal refusal) noexcept
 {
     switch (refusal) {
@@ -210,6 +205,20 @@
     return instance.busy + externalLoad < slots;
 }
 
+bool FleetScheduler::isHeldBack(const Instance& instance, TimePoint now) const
+{
+    return now - instance.lastGranted < graveInterval
+        && healthOf(instance, now).failureProbability > graveProbability;
+}
+
+Duration FleetScheduler::maxWaitForCheaper(const PlacementRequest& request, const Service& service)
+{
+    const Duration wait = request.objective > Duration::zero()
+        ? request.objective / cheaperWaitDivisor
+        : Duration(defaultCheaperWait);
+    return std::chrono::duration_cast<Duration>(wait * service.waitFactor);
+}
+
 const FleetScheduler::Health& FleetScheduler::healthOf(
     const Instance& instance, TimePoint now) const
 {
@@ -354,7 +363,7 @@
         }
         ++m_evaluations;
         const double current = cost(*instance, service, request, now);
-        if (current < bestCost) {
+        if (current < bestCost && !isHeldBack(*instance, now)) {
             best = instance;
             bestCost = current;
         }
@@ -362,10 +371,11 @@
     if (policy == SelectionPolicy::AnyFree)
         return { best, {} };
     std::erase_if(full, [&](const FullInstance& f) { return f.cost + waitMarginMs >= bestCost; });
-    const double graveCost
-        = full.empty() ? std::numeric_limits<double>::infinity() : full.front().cost + graveCostMs;
+    const double graveCost = full.empty()
+        ? std::numeric_limits<double>::infinity()
+        : full.front().cost + pvt::failureCost(request.kind, graveProbability);
     const double maxCost = std::min(graveCost,
-        computeMaxCost(full, typicalLatencyOf(service), maxWaitForCheaper(request.objective),
+        computeMaxCost(full, typicalLatencyOf(service), maxWaitForCheaper(request, service),
             service.waiters.size()));
     const double limit = policy == SelectionPolicy::Settle ? graveCost : maxCost;
     return { bestCost <= limit ? best : nullptr, { maxCost, graveCost } };
@@ -560,6 +570,7 @@
         std::erase_if(service.rankings,
             [&](const auto& item) { return now - item.second.at > rankingLifetime; });
         serveWaiters(service, now, replies);
+        updateWaitFactor(service);
     }
 }
 
--- a/src/libplace/fleet_scheduler_pvt.h
+++ b/src/libplace/fleet_scheduler_pvt.h
@@ -1,4 +1,4 @@
-/// Limits that the parts of FleetScheduler share.
+/// Limits and helpers that the parts of FleetScheduler share.
 #pragma once
 
 #include <laburnumroute/clock.h>
@@ -14,7 +14,4 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(s));
 }
 
-/// Longest wait of a request with this latency objective for a cheaper slot than one that is free.
-Duration maxWaitForCheaper(Duration objective);
-
 } // namespace laburnum::pvt
--- a/src/libplace/fleet_scheduler_queue.cpp
+++ b/src/libplace/fleet_scheduler_queue.cpp
@@ -18,6 +18,11 @@
     /// the class is passed over.
     constexpr std::size_t maxExcludingWaiters = 8;
 
+    /// Changes of the wait factor at a tick (50 ms) before which the queue emptied, or did not: a
+    /// burst of some hundred milliseconds may wait, a queue that stands for a second may not.
+    constexpr double waitFactorGain = 0.02;
+    constexpr double waitFactorLoss = 0.85;
+
     bool excludes(const PlacementRequest& request, const InstanceId& id)
     {
         return std::find(request.avoid.begin(), request.avoid.end(), id) != request.avoid.end();
@@ -64,7 +69,7 @@
             delay, replies);
     }
     const WaiterOrder order { request.priority, ++m_lastWaiterNumber };
-    const Duration cheaperWait = std::min(maxWait, maxWaitForCheaper(request.objective));
+    const Duration cheaperWait = std::min(maxWait, maxWaitForCheaper(request, service));
     service.waiters.emplace(order, Waiter { request, now, now + cheaperWait, now + maxWait });
     ++service.waitersByPriority[request.priority];
     ClassQueue& queue = service.classes[classOf(request)];
@@ -85,7 +90,9 @@
     queue->second.waiters.erase(waiter->first);
     if (queue->second.waiters.empty())
         service.classes.erase(queue);
-    return service.waiters.erase(waiter);
+    const auto next = service.waiters.erase(waiter);
+    service.queueEmptied = service.queueEmptied || service.waiters.empty();
+    return next;
 }
 
 void FleetScheduler::grantWaiter(Service& service, Waiters::iterator waiter, Instance& instance,
@@ -121,7 +128,8 @@
 void FleetScheduler::offer(
     Service& service, Instance& instance, TimePoint now, std::vector<PlacementReply>& replies)
 {
-    while (!service.waiters.empty() && usable(instance, now) && hasFreeSlot(instance, now)) {
+    while (!service.waiters.empty() && usable(instance, now) && hasFreeSlot(instance, now)
+        && !isHeldBack(instance, now)) {
         auto taker = service.waiters.end();
         for (const auto& [requestClass, queue] : service.classes) {
             const auto candidate = firstTaker(service, requestClass, instance, now);
@@ -135,6 +143,16 @@
     }
 }
 
+/// Called at each tick. Shortens the waits for cheaper slots while the queue stands.
+void FleetScheduler::updateWaitFactor(Service& service)
+{
+    if (service.queueEmptied)
+        service.waitFactor = std::min(1.0, service.waitFactor + waitFactorGain);
+    else
+        service.waitFactor *= waitFactorLoss;
+    service.queueEmptied = service.waiters.empty();
+}
+
 /// Serves the queued requests in order: with a slot that is worth taking, from settleAt on with any
 /// that is not grave, and at the end of the wait with any. What remains then is refused.
 void FleetScheduler::serveWaiters(
--- a/src/libplace/fleet_scheduler_queue_test.cpp
+++ b/src/libplace/fleet_scheduler_queue_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <map>
 
 #include <laburnumroute/fleet_scheduler.h>
 
@@ -36,11 +37,13 @@
         }
     }
 
-    DispatchKey dispatch(TimePoint now, std::vector<PlacementReply>& replies)
+    DispatchKey dispatch(
+        TimePoint now, std::vector<PlacementReply>& replies, RequestKind kind = RequestKind::Unsafe)
     {
         PlacementRequest request;
         request.key = { LinkId(1), DispatchId(++m_lastDispatch) };
         request.service = service;
+        request.kind = kind;
         request.remaining = 4s;
         request.objective = 2s;
         m_scheduler.dispatch(request, now, replies);
@@ -130,3 +133,67 @@
     CHECK(replies.front().kind == PlacementReplyKind::Granted);
     CHECK(replies.front().key == third);
 }
+
+TEST_CASE("load pattern: lookups that find the others full are not lost at an instance that fails")
+{
+    // Ten instances hold their requests for a second; the eleventh fails each at once.
+    QueueFixture fixture(10, 1, 3);
+    unsigned lost = 0;
+    for (TimePoint now = start; now < start + 800ms; now += 10ms) {
+        std::vector<PlacementReply> replies;
+        fixture.dispatch(now, replies, RequestKind::Safe);
+        if ((now - start) % 50ms == 0ms)
+            fixture.scheduler().tick(now, replies);
+        for (const PlacementReply& reply : replies) {
+            if (reply.kind != PlacementReplyKind::Granted || reply.instance != InstanceId("i10"))
+                continue;
+            ++lost;
+            std::vector<PlacementReply> ignored;
+            fixture.scheduler().end(reply.key, { PlacementOutcome::Failure, 5ms }, now, ignored);
+        }
+    }
+    // It gets at most one each 200 ms.
+    CHECK(lost <= 4);
+}
+
+TEST_CASE("load pattern: waits for better instances end while the queue for them stands")
+{
+    // Ten instances are better than 40 of which a failure was seen; 30 requests a second more than
+    // the ten can serve.
+    QueueFixture fixture(10, 40, 1);
+    std::vector<std::pair<TimePoint, DispatchKey>> running;
+    std::map<DispatchKey, TimePoint> arrivals;
+    Duration longestWait {};
+    const auto note = [&](const std::vector<PlacementReply>& replies, TimePoint now) {
+        for (const PlacementReply& reply : replies) {
+            if (reply.kind != PlacementReplyKind::Granted)
+                continue;
+            running.emplace_back(now + 400ms, reply.key);
+            if (now > start + 3s)
+                longestWait = std::max(longestWait, now - arrivals.at(reply.key));
+        }
+    };
+    for (TimePoint now = start; now < start + 6s; now += 10ms) {
+        std::vector<PlacementReply> replies;
+        if ((now - start) % 20ms == 0ms)
+            arrivals[fixture.dispatch(now, replies)] = now;
+        note(replies, now);
+        for (std::size_t i = 0; i < running.size();) {
+            if (running[i].first > now) {
+                ++i;
+                continue;
+            }
+            const DispatchKey key = running[i].second;
+            running.erase(running.begin() + static_cast<std::ptrdiff_t>(i));
+            replies.clear();
+            fixture.scheduler().end(key, { PlacementOutcome::Success, 400ms }, now, replies);
+            note(replies, now);
+        }
+        if ((now - start) % 50ms == 0ms) {
+            replies.clear();
+            fixture.scheduler().tick(now, replies);
+            note(replies, now);
+        }
+    }
+    CHECK(longestWait <= 250ms);
+}
--- a/src/libplace/placement_cost_pvt.h
+++ b/src/libplace/placement_cost_pvt.h
@@ -12,8 +12,9 @@
 /// Cost of a failed attempt that cannot be repeated: the caller loses all of its time and has to
 /// find out whether the request was executed.
 inline constexpr double unsafeFailureMs = 14000.0;
-/// Cost of a failed attempt that can be repeated at another instance.
-inline constexpr double safeFailureMs = 2000.0;
+/// Cost of a failed attempt that can be repeated at another instance, as long as the retry budget
+/// lasts.
+inline constexpr double safeFailureMs = 5000.0;
 /// Cost of an attempt that is not run: the time until a connection is given up, another placement,
 /// and a share of the retry budget.
 inline constexpr double declinedMs = 1200.0;
@@ -24,6 +25,9 @@
 inline constexpr double otherRegionMs = 400.0;
 inline constexpr double otherRegionMsPerKib = 40.0;
 
+/// An instance that fails with at least this probability is likely to be in a gray spell.
+inline constexpr double graveProbability = 0.35;
+
 /// Expected cost of failure for an attempt that fails with `probability`.
 inline double failureCost(RequestKind kind, double probability)
 {
--- a/src/libplace/stop_allowance_test.cpp
+++ b/src/libplace/stop_allowance_test.cpp
@@ -49,7 +49,8 @@
     CHECK(tally.refused < 10'000);
 }
 
-TEST_CASE("the time reserved for an attempt at a stop follows the objective, the timeout, the grace")
+TEST_CASE(
+    "the time reserved for an attempt at a stop follows the objective, the timeout, the grace")
 {
     CHECK(stopAllowance(1200ms, 8s, 10s) == 2400ms);
     CHECK(stopAllowance(2500ms, 8s, 6s) == 3s);
