A slow link of a host is not taken for a silent leader

Ruled out: the leader's own delay (0.3 to 0.5 of its loop busy, longest turn 21 ms). Change: the limit grows by 4 ms for each KiB of bodies that may be on their way at this host, half a second at most, and a leader that was heard after the request was sent has 500 ms. A silent one is suspected after 250 ms as before. Test first: the reply at 410 ms found the request placed alone.

--- a/src/include/laburnumroute/controller_client.h
+++ b/src/include/laburnumroute/controller_client.h
@@ -105,6 +105,8 @@
     struct PendingRequest {
         PlacementRequest request;
         TimePoint since;
+        /// When it was sent to the present leader.
+        TimePoint sentAt;
         /// Without a reply by then the local scheduler decides.
         TimePoint replyDue;
     };
@@ -113,6 +115,7 @@
         ServiceId service;
         TimePoint since;
         TimePoint until;
+        std::uint32_t bodyKiB = 0;
     };
 
     void searchLeader(TimePoint now, ControllerClientActions& actions);
@@ -123,6 +126,7 @@
     void loseLeader(const char* reason, TimePoint now, ControllerClientActions& actions);
     void sendRequest(DispatchId id, const PendingRequest& pending, TimePoint now,
         ControllerClientActions& actions) const;
+    Duration transferTime(TimePoint now) const;
     void placeLocally(DispatchId dispatch, TimePoint now, ControllerClientActions& actions);
     void onGranted(DispatchId dispatch, const InstanceId& instance, TimePoint now,
         ControllerClientActions& actions);
@@ -153,6 +157,8 @@
     LinkId m_lastLink;
     std::optional<LinkId> m_leader;
     TimePoint m_lastHeartbeat {};
+    /// When the leader sent its latest frame of any kind.
+    TimePoint m_lastHeard {};
     TimePoint m_nextSearch {};
     std::size_t m_nextCandidate;
     /// The leader missed the deadline of a placement request and has sent nothing since. Meanwhile
--- a/src/libhub/controller_client.cpp
+++ b/src/libhub/controller_client.cpp
@@ -11,8 +11,17 @@
 
 namespace {
 
-    /// A leader replies within a round trip of 40 ms. One that takes longer than this is suspected.
+    /// A leader replies within a round trip of 40 ms. One that takes longer than this is suspected,
+    /// if this host's own link has had time for the bodies of its uploads: a reply waits behind
+    /// them.
     constexpr auto replyTimeout = milliseconds(250);
+    /// The slowest link of an entry host has 2 Mbit/s.
+    constexpr auto transferTimePerKiB = milliseconds(4);
+    constexpr auto maxTransferTime = milliseconds(500);
+    /// Age up to which an attempt's body may still be on its way.
+    constexpr auto transferWindow = milliseconds(1000);
+    /// A leader that was heard after a request was sent is not suspected before this time.
+    constexpr auto heardReplyTimeout = milliseconds(500);
     /// Added to the queue time that the leader announced.
     constexpr auto queueGrace = milliseconds(300);
     /// The leader sends a heartbeat every 500 ms; without one for this long it is abandoned.
@@ -179,7 +188,8 @@
     sendPlacementChanges(link, now, actions);
     // Resend the requests that the previous leader did not answer.
     for (auto& [id, pending] : m_pendingRequests) {
-        pending.replyDue = now + replyTimeout;
+        pending.sentAt = now;
+        pending.replyDue = now + replyTimeout + transferTime(now);
         sendRequest(id, pending, now, actions);
     }
 }
@@ -294,8 +304,10 @@
         onConfig(bytes, actions);
         onInstances(bytes);
     }
-    if (m_leader == link)
+    if (m_leader == link) {
         m_leaderSuspected = false;
+        m_lastHeard = now;
+    }
 }
 
 void ControllerClient::onNeighbours(const std::vector<std::string>& addresses)
@@ -331,8 +343,13 @@
         loseLeader("silent", now, actions);
     searchLeader(now, actions);
     std::vector<DispatchId> late;
-    for (const auto& [id, pending] : m_pendingRequests) {
-        if (now >= pending.replyDue)
+    for (auto& [id, pending] : m_pendingRequests) {
+        if (now < pending.replyDue)
+            continue;
+        const TimePoint extended = pending.sentAt + heardReplyTimeout;
+        if (m_leader && m_lastHeard > pending.sentAt && now < extended)
+            pending.replyDue = extended;
+        else
             late.push_back(id);
     }
     for (const DispatchId id : late) {
@@ -341,6 +358,19 @@
     }
 }
 
+/// Time that this host's link may need for the bodies of its requests that may still be on their
+/// way.
+Duration ControllerClient::transferTime(TimePoint now) const
+{
+    std::uint64_t kib = 0;
+    for (const auto& [id, pending] : m_pendingRequests)
+        kib += now - pending.since < transferWindow ? pending.request.bodyKiB : 0;
+    for (const auto& [id, placement] : m_placements)
+        kib += now - placement.since < transferWindow ? placement.bodyKiB : 0;
+    constexpr std::uint64_t maxKiB = maxTransferTime / transferTimePerKiB;
+    return std::min(kib, maxKiB) * transferTimePerKiB;
+}
+
 DispatchId ControllerClient::dispatch(
     PlacementRequest request, TimePoint now, ControllerClientActions& actions)
 {
@@ -350,7 +380,10 @@
         m_localScheduler.onRequest(request.service, now);
     for (const InstanceId& unreachable : m_localScheduler.unreachableInstances(now))
         request.avoid.push_back(unreachable);
-    m_pendingRequests[id] = { std::move(request), now, now + replyTimeout };
+    const Duration ownTransfer
+        = std::min<Duration>(maxTransferTime, request.bodyKiB * transferTimePerKiB);
+    const TimePoint due = now + replyTimeout + std::max(transferTime(now), ownTransfer);
+    m_pendingRequests[id] = { std::move(request), now, now, due };
     if (m_leader && !m_leaderSuspected)
         sendRequest(id, m_pendingRequests[id], now, actions);
     else
@@ -387,8 +420,8 @@
     if (record == nullptr)
         return placeLocally(dispatch, now, actions);
     const PendingRequest& pending = found->second;
-    m_placements[dispatch]
-        = { instance, pending.request.service, now, pending.since + pending.request.remaining };
+    m_placements[dispatch] = { instance, pending.request.service, now,
+        pending.since + pending.request.remaining, pending.request.bodyKiB };
     m_localScheduler.begin(instance);
     answer({ dispatch, *record }, actions);
 }
@@ -412,7 +445,7 @@
             actions);
     }
     const TimePoint until = pending.since + request.remaining;
-    m_placements[dispatch] = { *instance, request.service, now, until };
+    m_placements[dispatch] = { *instance, request.service, now, until, request.bodyKiB };
     m_localScheduler.begin(*instance);
     if (m_leader)
         actions.frames.emplace_back(*m_leader,
--- a/src/libhub/controller_test.cpp
+++ b/src/libhub/controller_test.cpp
@@ -429,3 +429,35 @@
         CHECK(fleet.controller(next)->scheduler().doubtful(fleet.now()).empty());
     }
 }
+
+TEST_CASE("load pattern: a reply behind an upload on a slow link does not make the leader suspect")
+{
+    const HostLocation place { e(1), DataCentreId("d"), RegionId("r") };
+    ControllerClient client(place, { c(1), c(2) }, 1);
+    const TimePoint start { 10s };
+    ControllerClientActions joined;
+    client.tick(start, joined);
+    const auto [link, leader] = joined.opens.front();
+    client.linkOpened(link, start, joined);
+    client.receive(link, pvt::pack(pvt::WelcomeFrame {}), start, joined);
+    PlacementRequest upload = placementRequest("s");
+    upload.bodyKiB = 60;
+    ControllerClientActions actions;
+    const DispatchId first = client.dispatch(upload, start, actions);
+    const DispatchId second = client.dispatch(placementRequest("s"), start + 10ms, actions);
+    client.tick(start + 400ms, actions);
+    CHECK(actions.answers.empty());
+    // The replies come after the body; the next request still goes to the leader.
+    client.receive(link,
+        pvt::pack(pvt::RefusedFrame {
+            first.value(), static_cast<std::uint8_t>(PlacementRefusal::Busy), 300 }),
+        start + 410ms, actions);
+    client.tick(start + 500ms, actions);
+    REQUIRE(actions.answers.size() == 1);
+    CHECK_FALSE(actions.answers.front().alone);
+    // A leader that stays silent is suspected all the same.
+    client.tick(start + 520ms, actions);
+    REQUIRE(actions.answers.size() == 2);
+    CHECK(actions.answers.back().dispatch == second);
+    CHECK(actions.answers.back().alone);
+}
