--- a/src/libhub/controller.cpp
+++ b/src/libhub/controller.cpp
@@ -6,6 +6,7 @@
 #include <laburnumroute/json.h>
 
 #include "controller_messages_pvt.h"
+#include "text_delta_pvt.h"
 
 namespace laburnum {
 
@@ -498,7 +499,7 @@
         std::string& bytes = m_configFrames[base != nullptr ? base->number : 0];
         if (bytes.empty())
             bytes = pack(ConfigFrame { config.number, base != nullptr ? base->number : 0,
-                deflateText(config.content, base != nullptr ? base->content : "") });
+                encodeDelta(config.content, base != nullptr ? base->content : "") });
         return bytes;
     }
 
--- a/src/libhub/controller_client.cpp
+++ b/src/libhub/controller_client.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "controller_messages_pvt.h"
+#include "text_delta_pvt.h"
 
 namespace laburnum {
 
@@ -236,7 +237,7 @@
     if (!frame || frame->number <= m_config.number)
         return;
     const bool hasBase = frame->base != 0 && frame->base == m_config.number;
-    auto content = inflateText(frame->deflated, hasBase ? m_config.content : "", maxConfigBytes);
+    auto content = decodeDelta(frame->delta, hasBase ? m_config.content : "", maxConfigBytes);
     if (!content) {
         actions.decisions.push_back({ "config", "unreadable" });
         return;
--- a/src/libhub/controller_messages_pvt.h
+++ b/src/libhub/controller_messages_pvt.h
@@ -98,10 +98,10 @@
 struct ConfigFrame {
     static constexpr std::uint8_t type = 34;
     std::uint64_t number = 0;
-    /// Number of the configuration used as compression dictionary; 0 for none.
+    /// Number of the configuration that `delta` refers to (text_delta_pvt.h); 0 for none.
     std::uint64_t base = 0;
-    std::string deflated;
-    MSGPACK_DEFINE(number, base, deflated)
+    std::string delta;
+    MSGPACK_DEFINE(number, base, delta)
 };
 
 struct InstancesFrame {
