Slots in transit are granted as well, by what the reports show

A slot is counted from its grant to the report of its end; on links of 2.1 Mbit/s and between regions a quarter of that is the way there and back. Change: each service measures the share of the held time that the reported latency does not explain, and grants that many slots more; where links are fast it is none. Test first: 6 of 10, then 7 with a quarter in transit; 'never overload one' stays.

--- a/src/include/laburnumroute/fleet_scheduler.h
+++ b/src/include/laburnumroute/fleet_scheduler.h
@@ -25,6 +25,9 @@
 ///   stands in front of the best ones delays every request and serves none more, so a request
 ///   waits only briefly for a better slot than one that is free, and less the longer the queue
 ///   stands.
+/// - Hosts behind slow or distant links: a slot counts as used from its grant to the report of its
+///   end, but the instance works on the request only for a part of that time. What is on its way
+///   takes no slot, as far as the reports show.
 /// - Instances that fail at once are always free: they get few requests, however many wait.
 #pragma once
 
@@ -114,6 +117,8 @@
         HealthEstimator estimator;
         /// Slots in use by this scheduler's placements.
         std::uint32_t busy = 0;
+        /// Slots granted beyond those of the record, see updateTransitSlots().
+        std::uint32_t transitSlots = 0;
         TimePoint lastAnnouncement;
         TimePoint coldUntil;
         TimePoint lastGranted;
@@ -207,6 +212,9 @@
         RetryWindow retries;
         /// Smoothed latency of successful attempts; 0 before the first.
         double typicalSeconds = 0.0;
+        /// Smoothed share of the time between grant and end in which no instance worked on the
+        /// request.
+        double transitShare = 0.0;
     };
 
     /// An instance without a free slot, and the cost of a slot there.
@@ -260,6 +268,8 @@
     void checkPlacements(TimePoint now);
     void recordOutcome(const Placement& placement, const PlacementReport& report, TimePoint now);
     void release(const Placement& placement);
+    static void updateTransitShare(Service& service, Duration held, Duration latency);
+    static void updateTransitSlots(Service& service);
 
     // The queue (fleet_scheduler_queue.cpp).
     void grantWaiter(Service& service, Waiters::iterator waiter, Instance& instance, TimePoint now,
--- a/src/libplace/fleet_scheduler.cpp
+++ b/src/libplace/fleet_scheduler.cpp
@@ -64,6 +64,9 @@
     /// Assumed latency of a service before its first success.
     constexpr double initialTypicalSeconds = 0.4;
     constexpr double typicalGain = 0.05;
+    /// Bounds the share of time in transit, which is measured over about a hundred attempts.
+    constexpr double maxTransitShare = 0.4;
+    constexpr double transitGain = 0.01;
     /// An attempt is overdue after this many typical latencies, but never before overdueFloor.
     constexpr double overdueFactor = 3.0;
     constexpr auto overdueFloor = milliseconds(1000);
@@ -201,7 +204,7 @@
     const double externalLoad = age < reportedLoadSeconds ? instance.externalLoad : 0.0;
     const std::uint32_t slots = instance.coldUntil > now
         ? std::min(coldSlots, instance.record.slots)
-        : instance.record.slots;
+        : instance.record.slots + instance.transitSlots;
     return instance.busy + externalLoad < slots;
 }
 
@@ -497,6 +500,7 @@
             service.typicalSeconds = initialTypicalSeconds;
         service.typicalSeconds += typicalGain
             * (std::min(seconds, 4 * service.typicalSeconds) - service.typicalSeconds);
+        updateTransitShare(service, now - placement.since, report.latency);
     }
     if (found == m_instances.end())
         return;
@@ -516,6 +520,24 @@
     instance.health.reset();
 }
 
+void FleetScheduler::updateTransitShare(Service& service, Duration held, Duration latency)
+{
+    if (held <= Duration::zero())
+        return;
+    const double worked = std::chrono::duration<double>(std::min(latency, held)).count();
+    const double share = 1.0 - worked / std::chrono::duration<double>(held).count();
+    service.transitShare += transitGain * (std::min(share, maxTransitShare) - service.transitShare);
+}
+
+/// Called at each tick.
+void FleetScheduler::updateTransitSlots(Service& service)
+{
+    const double perSlot = service.transitShare / (1.0 - service.transitShare);
+    for (Instance* instance : service.instances)
+        instance->transitSlots
+            = static_cast<std::uint32_t>(perSlot * static_cast<double>(instance->record.slots));
+}
+
 void FleetScheduler::adopt(const ActivePlacement& placement, TimePoint now)
 {
     const auto found = m_instances.find(placement.instance);
@@ -567,6 +589,7 @@
     exemptWorst(now);
     checkPlacements(now);
     for (auto& [id, service] : m_services) {
+        updateTransitSlots(service);
         std::erase_if(service.rankings,
             [&](const auto& item) { return now - item.second.at > rankingLifetime; });
         serveWaiters(service, now, replies);
--- a/src/libplace/fleet_scheduler_queue_test.cpp
+++ b/src/libplace/fleet_scheduler_queue_test.cpp
@@ -197,3 +197,45 @@
     }
     CHECK(longestWait <= 250ms);
 }
+
+TEST_CASE("load pattern: requests on their way over slow links take no slots")
+{
+    FleetScheduler scheduler({ 0.2, 20.0, std::chrono::seconds(10) });
+    scheduler.restart(start - 10s);
+    InstanceRecord record;
+    record.id = InstanceId("i0");
+    record.service = service;
+    record.slots = 6;
+    scheduler.upsert(record, start);
+    std::uint32_t dispatch = 0;
+    std::vector<PlacementReply> replies;
+    const auto grantedOfTen = [&](TimePoint now) {
+        replies.clear();
+        scheduler.onAnnouncement(record.id, 0s, now);
+        scheduler.tick(now, replies);
+        const std::uint32_t first = dispatch + 1;
+        for (int i = 0; i < 10; ++i) {
+            PlacementRequest request;
+            request.key = { LinkId(1), DispatchId(++dispatch) };
+            request.service = service;
+            request.remaining = 4s;
+            scheduler.dispatch(request, now, replies);
+        }
+        const std::size_t granted = scheduler.granted();
+        for (std::uint32_t i = first; i <= dispatch; ++i)
+            scheduler.cancel({ LinkId(1), DispatchId(i) }, now, replies);
+        return granted;
+    };
+    const auto endMany = [&](Duration latency) {
+        for (std::uint32_t i = 0; i < 500; ++i) {
+            const DispatchKey key { LinkId(2), DispatchId(++dispatch) };
+            scheduler.adopt({ key, record.id, service, 400ms, 4s }, start);
+            scheduler.end(key, { PlacementOutcome::Success, latency }, start, replies);
+        }
+    };
+    // Each slot is held for 400 ms; the instance works all the time, then for 300 ms of it.
+    endMany(400ms);
+    CHECK(grantedOfTen(start) == 6);
+    endMany(300ms);
+    CHECK(grantedOfTen(start + 50ms) == 7);
+}
