Instances that were unreachable are probed again once they announce themselves; at most three are exempt

A new incarnation kept the mark of the old one. Besides, a tenth of a service is exempt from the idle limit, 6 of 68 here, and all of them may be among the ten that count as sound. Ruled out: hold-backs (instances in spells got a probe each 1.5 s). Change: an announcement after the failed connection makes the instance due, a new incarnation clears its marks, and at most three instances of a service are exempt.

--- a/src/include/laburnumroute/fleet_scheduler.h
+++ b/src/include/laburnumroute/fleet_scheduler.h
@@ -123,9 +123,9 @@
         TimePoint coldUntil;
         TimePoint lastGranted;
         TimePoint lastFailure;
-        /// One of the at most 10 % of the service's instances that are most likely to fail.
-        /// Their idle limit, the time without a grant after which an instance gets a request as a
-        /// probe, is longer.
+        /// One of the at most three, and at most 10 %, of the service's instances that are most
+        /// likely to fail. Their idle limit, the time without a grant after which an instance gets
+        /// a request as a probe, is longer.
         bool idleExempt = false;
         TimePoint lastUnreachable;
         /// Slots in use beyond `busy`, derived from the load that the instance reported.
--- a/src/libplace/fleet_scheduler.cpp
+++ b/src/libplace/fleet_scheduler.cpp
@@ -52,6 +52,8 @@
     /// limit. Small, because the floor of 0.7 may be evaluated over a sample of ten instances, and
     /// over losses that follow its two-second window.
     constexpr double idleExemptShare = 0.1;
+    /// The same as a number: all exempt instances of a large service may be in such a sample.
+    constexpr std::size_t idleExemptLimit = 3;
     constexpr double idleExemptProbability = 0.15;
     /// Idle limit of exempt instances; a gray spell lasts about nine seconds.
     constexpr auto maxIdleExempt = milliseconds(12000);
@@ -136,6 +138,7 @@
     if (!inserted && instance.record.incarnation != record.incarnation) {
         instance.estimator.reset();
         instance.health.reset();
+        instance.lastFailure = instance.lastUnreachable = TimePoint();
     }
     if (!inserted)
         detach(instance);
@@ -273,7 +276,8 @@
 bool FleetScheduler::isProbeDue(
     const Instance& instance, const PlacementRequest& request, TimePoint now) const
 {
-    if (instance.lastUnreachable > instance.estimator.lastSuccess())
+    if (instance.lastUnreachable > instance.estimator.lastSuccess()
+        && instance.lastAnnouncement <= instance.lastUnreachable)
         return false;
     const Duration cooldown
         = request.kind == RequestKind::Safe ? failureCooldownSafe : failureCooldown;
@@ -301,8 +305,9 @@
                 byProbability.emplace_back(probability, instance);
         }
         std::sort(byProbability.begin(), byProbability.end(), std::greater<>());
-        const auto maxExempt = static_cast<std::size_t>(
+        const auto share = static_cast<std::size_t>(
             idleExemptShare * static_cast<double>(capacityOf(service, now).instances));
+        const std::size_t maxExempt = std::min(share, idleExemptLimit);
         byProbability.resize(std::min(maxExempt, byProbability.size()));
         for (const auto& [probability, instance] : byProbability)
             instance->idleExempt = true;
--- a/src/libplace/fleet_scheduler_test.cpp
+++ b/src/libplace/fleet_scheduler_test.cpp
@@ -603,6 +603,68 @@
     REQUIRE(replies.front().kind == PlacementReplyKind::Granted);
 }
 
+TEST_CASE("load pattern: instances that were unreachable and announce themselves get work again")
+{
+    const bool restarted = GENERATE(true, false);
+    CAPTURE(restarted);
+    FleetScheduler scheduler(limits);
+    TimePoint now(100s);
+    for (unsigned i = 0; i < 20; ++i)
+        scheduler.upsert(record(i), now);
+    std::uint32_t dispatch = 0;
+    std::map<InstanceId, TimePoint> lastUsed;
+    const auto isGone = [&](const InstanceId& id) {
+        return now < TimePoint(106s) && (id == InstanceId("i3") || id == InstanceId("i4"));
+    };
+    bool returned = false;
+    for (; now < TimePoint(112s); now += 50ms) {
+        std::vector<PlacementReply> replies;
+        if (now >= TimePoint(106s) && !std::exchange(returned, true) && restarted) {
+            for (unsigned i = 3; i <= 4; ++i) {
+                InstanceRecord again = record(i);
+                again.incarnation = 1;
+                scheduler.upsert(again, now);
+            }
+        }
+        for (unsigned i = 0; i < 20; ++i) {
+            if (!isGone(record(i).id))
+                scheduler.onAnnouncement(record(i).id, 0s, now);
+        }
+        scheduler.tick(now, replies);
+        for (int i = 0; i < 2; ++i)
+            scheduler.dispatch(makeRequest(++dispatch, RequestKind::Safe), now, replies);
+        std::vector<PlacementReply> ignored;
+        for (const PlacementReply& reply : replies) {
+            if (reply.kind != PlacementReplyKind::Granted)
+                continue;
+            lastUsed[reply.instance] = now;
+            scheduler.end(reply.key,
+                { isGone(reply.instance) ? PlacementOutcome::Unreachable
+                                         : PlacementOutcome::Success,
+                    40ms },
+                now, ignored);
+        }
+    }
+    // The floor is judged over two seconds, over instances that have been back for some.
+    CHECK(lastUsed[InstanceId("i3")] > TimePoint(110s));
+    CHECK(lastUsed[InstanceId("i4")] > TimePoint(110s));
+}
+
+TEST_CASE("load pattern: few instances of a large service are idle, also in a sample of ten")
+{
+    Replay replay(180, 4);
+    // A third of the instances fails at times, in spells of two seconds.
+    for (unsigned i = 0; i < 60; ++i) {
+        const auto phase = std::chrono::milliseconds(200 * i);
+        replay.instance(i).fails
+            = [phase](Duration at) { return (at + phase) % Duration(12s) < 2s ? 0.8 : 0.0; };
+    }
+    const Tally tally = replay.run(30s, [](Duration) { return 700.0; });
+    REQUIRE(tally.refused == 0);
+    // Idle for two seconds of work and two of cooldown: three of ten may be.
+    CHECK(tally.maxIdle <= 3);
+}
+
 TEST_CASE("a cold instance gets fewer requests")
 {
     FleetScheduler scheduler(limits);
