--- a/src/libplace/fleet_scheduler_queue_test.cpp
+++ b/src/libplace/fleet_scheduler_queue_test.cpp
@@ -7,6 +7,8 @@
 
 #include <laburnumroute/fleet_scheduler.h>
 
+#include "placement_cost_pvt.h"
+
 using namespace laburnum;
 using namespace std::chrono_literals;
 
@@ -239,3 +241,19 @@
     endMany(300ms);
     CHECK(grantedOfTen(start + 50ms) == 7);
 }
+
+TEST_CASE("load pattern: instances with a bad record are used when the others are full")
+{
+    // Every third instance fails for one second of three; its last failure is some seconds ago.
+    HealthEstimator noisy;
+    for (TimePoint now = start - 60s; now < start; now += 250ms) {
+        if ((now - start + 60s) % Duration(3s) < 1s)
+            noisy.onFailure(now);
+        else
+            noisy.onSuccess(400ms, 400ms, now);
+    }
+    CHECK(noisy.failureProbability(start + 8s) < pvt::graveProbability);
+    // During a spell it is likely to fail.
+    noisy.onFailure(start + 8s);
+    CHECK(noisy.failureProbability(start + 8s) > pvt::graveProbability);
+}
--- a/src/libplace/placement_cost_pvt.h
+++ b/src/libplace/placement_cost_pvt.h
@@ -25,8 +25,9 @@
 inline constexpr double otherRegionMs = 400.0;
 inline constexpr double otherRegionMsPerKib = 40.0;
 
-/// An instance that fails with at least this probability is likely to be in a gray spell.
-inline constexpr double graveProbability = 0.35;
+/// An instance that fails with at least this probability is likely to be in a gray spell. Above
+/// what the worst long-term record alone gives (HealthEstimator).
+inline constexpr double graveProbability = 0.45;
 
 /// Expected cost of failure for an attempt that fails with `probability`.
 inline double failureCost(RequestKind kind, double probability)
