--- a/src/libplace/fleet_scheduler.cpp
+++ b/src/libplace/fleet_scheduler.cpp
@@ -88,6 +88,8 @@
     constexpr int cheaperWaitDivisor = 8;
     constexpr auto defaultCheaperWait = milliseconds(250);
 
+    /// Larger requests share a class.
+    constexpr std::uint32_t maxClassKiB = std::uint32_t { 1 } << 20U;
     /// Services up to this size are ranked for each decision.
     constexpr std::size_t exactRankingSize = 64;
     constexpr auto rankingValidity = milliseconds(20);
@@ -327,7 +329,8 @@
 
 FleetScheduler::RequestClass FleetScheduler::classOf(const PlacementRequest& request)
 {
-    return { request.kind, request.dataCentre, request.region, std::bit_ceil(request.bodyKiB) };
+    return { request.kind, request.dataCentre, request.region,
+        std::bit_ceil(std::min(request.bodyKiB, maxClassKiB)) };
 }
 
 const FleetScheduler::Ranking& FleetScheduler::rankingOf(
--- a/src/libplace/fleet_scheduler_queue_test.cpp
+++ b/src/libplace/fleet_scheduler_queue_test.cpp
@@ -257,3 +257,21 @@
     noisy.onFailure(start + 8s);
     CHECK(noisy.failureProbability(start + 8s) > pvt::graveProbability);
 }
+
+TEST_CASE("a request of any stated size gets a slot")
+{
+    FleetScheduler scheduler({ 0.2, 20.0, std::chrono::seconds(10) });
+    InstanceRecord record;
+    record.id = InstanceId("i0");
+    record.service = service;
+    record.slots = 2;
+    scheduler.upsert(record, start);
+    PlacementRequest request;
+    request.key = { LinkId(1), DispatchId(1) };
+    request.service = service;
+    request.remaining = 4s;
+    request.bodyKiB = UINT32_MAX;
+    std::vector<PlacementReply> replies;
+    scheduler.dispatch(request, start, replies);
+    CHECK(grantedInstances(replies) == std::vector<unsigned> { 0 });
+}
--- a/testsuite/bench/placement_load_bench.cpp
+++ b/testsuite/bench/placement_load_bench.cpp
@@ -14,38 +14,14 @@
     using namespace std::chrono_literals;
 
     constexpr auto watchTime = 30s;
-    constexpr unsigned referenceHosts = 443;
-
-    fakes::PlacementLoadOptions siteOf(unsigned hosts)
-    {
-        fakes::PlacementLoadOptions options;
-        options.instances = options.instances * hosts / referenceHosts;
-        options.requestsPerSecond = options.requestsPerSecond * hosts / referenceHosts;
-        options.hosts = hosts;
-        return options;
-    }
-
-    void addTroubles(fakes::PlacementLoadOptions& options)
-    {
-        options.leaderLost = 500ms;
-        options.leaderBack = 3100ms;
-        options.pathsLost = 3200ms;
-        options.pathsBack = 16s;
-        options.pathLossShare = 0.1;
-        options.shedFrom = 13s;
-        options.shedUntil = 21500ms;
-        options.shedShare = 0.55;
-    }
-
     class PlacementLoadCase final : public Case {
     public:
         void run(const Reporter& reporter, std::uint64_t seed) override
         {
             for (const unsigned hosts : { 45U, 126U, 443U, 1000U }) {
-                auto options = siteOf(hosts);
-                measure(options, std::to_string(hosts) + " hosts, calm/", reporter, seed);
-                addTroubles(options);
-                measure(options, std::to_string(hosts) + " hosts, bad day/", reporter, seed);
+                const std::string site = std::to_string(hosts) + " hosts, ";
+                measure(fakes::siteOfHosts(hosts), site + "calm/", reporter, seed);
+                measure(fakes::badDayOfHosts(hosts), site + "bad day/", reporter, seed);
             }
         }
 
--- a/testsuite/fakes/placement_load.cpp
+++ b/testsuite/fakes/placement_load.cpp
@@ -46,6 +46,30 @@
 
 } // namespace
 
+PlacementLoadOptions siteOfHosts(unsigned hosts)
+{
+    PlacementLoadOptions options;
+    const double share = static_cast<double>(hosts) / options.hosts;
+    options.instances = static_cast<unsigned>(options.instances * share);
+    options.requestsPerSecond *= share;
+    options.hosts = hosts;
+    return options;
+}
+
+PlacementLoadOptions badDayOfHosts(unsigned hosts)
+{
+    PlacementLoadOptions options = siteOfHosts(hosts);
+    options.leaderLost = 500ms;
+    options.leaderBack = 3100ms;
+    options.pathsLost = 3200ms;
+    options.pathsBack = 16s;
+    options.pathLossShare = 0.1;
+    options.shedFrom = 13s;
+    options.shedUntil = 21500ms;
+    options.shedShare = 0.55;
+    return options;
+}
+
 Duration PlacementSecond::medianFirstGrant()
 {
     if (firstGrant.empty())
--- a/testsuite/fakes/placement_load.h
+++ b/testsuite/fakes/placement_load.h
@@ -34,6 +34,12 @@
     double shedShare = 0.0;
 };
 
+/// A site of this many entry hosts in the same proportions, in calm.
+PlacementLoadOptions siteOfHosts(unsigned hosts);
+/// The same with the troubles of a bad day: control hosts without power, paths from hosts to
+/// instances lost, then a service that sheds half of its work.
+PlacementLoadOptions badDayOfHosts(unsigned hosts);
+
 /// What was seen in one second.
 struct PlacementSecond {
     unsigned arrived = 0;
--- a/testsuite/load/placement_load_test.cpp
+++ b/testsuite/load/placement_load_test.cpp
@@ -21,27 +21,11 @@
         [&](unsigned sum, const PlacementSecond& each) { return sum + each.*field; });
 }
 
-/// The troubles of a bad day: control hosts without power, paths to half of the pairs of host and
-/// instance lost, then a service that sheds half of its work.
-PlacementLoadOptions badDay()
-{
-    PlacementLoadOptions options;
-    options.leaderLost = 500ms;
-    options.leaderBack = 3100ms;
-    options.pathsLost = 3200ms;
-    options.pathsBack = 16s;
-    options.pathLossShare = 0.1;
-    options.shedFrom = 13s;
-    options.shedUntil = 21500ms;
-    options.shedShare = 0.55;
-    return options;
-}
-
 } // namespace
 
 TEST_CASE("load pattern: slots of a large site do not stay idle while thousands of requests wait")
 {
-    PlacementLoad load(badDay(), 1);
+    PlacementLoad load(badDayOfHosts(443), 1);
     auto seconds = load.run(30s);
     for (std::size_t i = 0; i < seconds.size(); ++i) {
         const bool isShedding = i >= 13 && i < 22;
