A host tries the named leader again instead of waiting for a control host to repeat it

Change: the named leader is remembered until one is joined and opened first whenever it is not connected. Test first: 2 tries in 3 s, 4 or more now.

--- a/src/include/laburnumroute/controller_client.h
+++ b/src/include/laburnumroute/controller_client.h
@@ -149,6 +149,8 @@
     HostLocation m_location;
     std::vector<HostId> m_seeds;
     std::vector<HostId> m_discoveredHosts;
+    /// The leader according to the latest redirect, until one is joined.
+    std::optional<HostId> m_namedLeader;
     std::optional<Endpoint> m_neighbour;
     std::set<Endpoint> m_neighbours;
     LocalScheduler m_localScheduler;
--- a/src/libhub/controller_client.cpp
+++ b/src/libhub/controller_client.cpp
@@ -100,6 +100,9 @@
     }
     for (const LinkId id : stale)
         close(id, actions);
+    // The host that named the leader does not repeat it, and a first connection may fail.
+    if (m_namedLeader && !isConnectedTo(*m_namedLeader))
+        return open(*m_namedLeader, now, actions);
     const auto hosts = candidateHosts();
     for (std::size_t i = 0; i < hosts.size() && m_links.size() < maxSearchLinks; ++i) {
         const HostId& host = hosts[m_nextCandidate++ % hosts.size()];
@@ -171,6 +174,7 @@
     if (m_leader)
         close(*m_leader, actions);
     m_leader = link;
+    m_namedLeader.reset();
     m_leaderSuspected = false;
     m_lastHeartbeat = now;
     m_discoveredHosts.clear();
@@ -227,7 +231,10 @@
         m_leader.reset();
         loseLeader("redirected", now, actions);
     }
-    if (!leader.empty() && (!m_leader || m_leaderSuspected) && !isConnectedTo(HostId(leader)))
+    if (leader.empty() || (m_leader && !m_leaderSuspected))
+        return;
+    m_namedLeader = HostId(leader);
+    if (!isConnectedTo(HostId(leader)))
         open(HostId(leader), now, actions);
 }
 
--- a/src/libhub/controller_test.cpp
+++ b/src/libhub/controller_test.cpp
@@ -461,3 +461,27 @@
     CHECK(actions.answers.back().dispatch == second);
     CHECK(actions.answers.back().alone);
 }
+
+TEST_CASE("load pattern: the named leader is tried again when its connection is lost in the crowd")
+{
+    // All hosts of a site search at once after a change of leader, and some links lose packets.
+    const HostLocation place { e(1), DataCentreId("d"), RegionId("r") };
+    ControllerClient client(place, { c(1), c(2), c(3) }, 1);
+    TimePoint now { 10s };
+    unsigned triesOfLeader = 0;
+    for (; now < TimePoint(13s); now += 50ms) {
+        ControllerClientActions actions;
+        client.tick(now, actions);
+        for (std::size_t i = 0; i < actions.opens.size(); ++i) {
+            const auto [link, host] = actions.opens[i];
+            if (host == c(5)) {
+                ++triesOfLeader;
+                continue;
+            }
+            client.linkOpened(link, now, actions);
+            client.receive(link, pvt::pack(pvt::RedirectFrame { c(5).value(), {} }), now, actions);
+        }
+    }
+    // A connection is given up after 700 ms; the three others stay open for 3 s.
+    CHECK(triesOfLeader >= 4);
+}
