--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -114,7 +114,7 @@
         with open(self.folder / "output.log", "ab") as output:
             self.popen = subprocess.Popen(
                 command, cwd=ROOT, stdout=output, stderr=output,
-                env={"PATH": os.environ["PATH"], "LABURNUMROUTE_BOOT": str(self.settings)})
+                env={"PATH": os.environ["PATH"], "LABURNUMROUTE_BOOT": str(self.settings), **{k: v for k, v in os.environ.items() if "SAN_OPTIONS" in k}})
 
     def send_signal(self, number):
         self.popen.send_signal(number)
