--- a/review/2/case.py
+++ b/review/2/case.py
@@ -27,7 +27,7 @@
         self.deployment, self.folder, self.processes, self.ids, self.ready = deployment, folder, {}, {}, {}
 
     def start(self, i, instance_id):
-        options = {"id": instance_id, "service": "huvo11a", "address": f"127.0.3.{i + 1}",
+        options = {"id": instance_id, "service": "huvo11a", "address": f"{dep.NET}.3.{i + 1}",
                    "port": self.deployment.instance_port, "work_ms": WORK_MS, "zone": list(dep.ZONES)[i % 5],
                    "controls": [(c.address, self.deployment.calls_port) for c in self.deployment.controls],
                    "runs": str(self.folder / f"runs-{i}"), "answers": str(self.folder / f"calls-{i}")}
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""Instances are lost for good, silently, while they send their answers. See claim.txt."""
+"""Instances fall silent for a time while they send their answers. See claim.txt."""
 
 import json
 import os
@@ -18,6 +18,7 @@
 
 INSTANCES, LOST = 29, 4            # 4 of 29 are 13.8 %; srv_crash takes a share of .14 at most in the site file
 REQUESTS, PER_S, LOST_AFTER = 480, 60, 240
+DOWN_S = 4.5                       # for_s of srv_crash in the site file
 TIMEOUT_S, GRACE_S = 4.0, 0.5      # timeout_ms of the route; "half a second later"
 CLIENT_MS = 10000                  # the client's own time budget
 LEAST = 8                          # "Eight or more of them, and over a quarter"
@@ -28,7 +29,7 @@
     controls = [(c.address, deployment.calls_port) for c in deployment.controls]
     processes = []
     for i in range(INSTANCES):
-        options = {"id": f"i-{i:02}", "service": "huvo11a", "address": f"127.0.3.{i + 1}", "work_ms": 1800, "pieces": 6, "body_bytes": 2400,
+        options = {"id": f"i-{i:02}", "service": "huvo11a", "address": f"{dep.NET}.3.{i + 1}", "work_ms": 1800, "pieces": 6, "body_bytes": 2400,
                    "framing": "chunked", "controls": controls, "zone": list(dep.ZONES)[i % 5]}
         processes.append(subprocess.Popen([sys.executable, str(HERE.parent / "standins" / "server.py"),
                                            json.dumps(options)], stdout=subprocess.DEVNULL))
@@ -74,10 +75,15 @@
             time.sleep(0.1)
         time.sleep(3.5)  # longer than stable_window_ms
 
+        def back():
+            for process in instances[:LOST]:
+                process.send_signal(signal.SIGCONT)
+
         def lose():
             if trouble:
                 for process in instances[:LOST]:
                     process.send_signal(signal.SIGSTOP)
+                threading.Timer(DOWN_S, back).start()
 
         begin, outcomes = send_load(deployment.entries[0], deployment.front_port, lose)
         for o in outcomes:
