A difference applies only to the base that a host holds; otherwise the host states its versions

Cause: the leader took the number in a link's HelloFrame as the configuration that the host holds. Links to other control hosts are opened while a leader is suspected and outlive the suspicion, so the number may be old when one of them takes over. Its difference then refers to another base, the host drops the frame, and the leader counts it as delivered.

Ruled out: frames damaged on the way (they decode against the former base), hosts without a leader.

Change: a host applies a difference, of the configuration or of the instances, only to its base. Otherwise it sends a VersionsFrame with what it holds, and the leader goes on from there; an undecodable one requests the whole configuration.

--- a/src/include/laburnumroute/controller_client.h
+++ b/src/include/laburnumroute/controller_client.h
@@ -101,6 +101,8 @@
         bool open = false;
         /// Placements listed in the HelloFrame, the first frame on a link.
         std::set<DispatchId> announcedPlacements;
+        /// The control host was asked for updates, and none has applied since.
+        bool updatesRequested = false;
     };
     struct PendingRequest {
         PlacementRequest request;
@@ -138,8 +140,9 @@
     void sendPlacementChanges(LinkId link, TimePoint now, ControllerClientActions& actions) const;
     void onRedirect(LinkId link, const std::string& leader, const std::vector<std::string>& hosts,
         TimePoint now, ControllerClientActions& actions);
-    void onConfig(std::string_view frame, ControllerClientActions& actions);
-    void onInstances(std::string_view frame);
+    void onConfig(LinkId link, std::string_view frame, ControllerClientActions& actions);
+    void onInstances(LinkId link, std::string_view frame, ControllerClientActions& actions);
+    void requestUpdates(LinkId link, std::uint64_t configNumber, ControllerClientActions& actions);
     void onNeighbours(const std::vector<std::string>& addresses);
     void notifyNeighbours(
         const InstanceId& id, PlacementOutcome outcome, ControllerClientActions& actions) const;
--- a/src/libhub/controller.cpp
+++ b/src/libhub/controller.cpp
@@ -153,7 +153,7 @@
                 || (m_backlog.size() >= backlogLimit && isFrame<PlacementRequestFrame>(frame));
             if (!isDropped)
                 m_backlog.push_back({ link, std::string(frame), now });
-        } else if (isFrame<HelloFrame>(frame)) {
+        } else if (isFrame<HelloFrame>(frame) || isFrame<VersionsFrame>(frame)) {
             m_backlog.push_back({ link, std::string(frame), now });
         }
     }
@@ -222,6 +222,8 @@
     /// The connection of an entry host.
     struct Session {
         HelloFrame hello;
+        /// Versions that the host held according to its latest statement, or was sent since. The
+        /// host states them again (VersionsFrame) if they are wrong.
         std::uint64_t configNumber = 0;
         LogIndex instancesIndex;
         bool hasInstances = false;
@@ -248,6 +250,8 @@
     {
         if (const auto hello = unpack<HelloFrame>(queued.frame))
             return onHello(queued.link, *hello, now, actions);
+        if (const auto versions = unpack<VersionsFrame>(queued.frame))
+            return onVersions(queued.link, *versions, actions);
         if (!m_isLeader)
             return;
         if (const auto dispatch = unpack<PlacementRequestFrame>(queued.frame)) {
@@ -410,6 +414,20 @@
             redirectSessions(actions);
     }
 
+    /// The entry host holds other versions than this host assumed.
+    void onVersions(LinkId link, const VersionsFrame& versions, ControllerActions& actions)
+    {
+        const auto found = m_sessions.find(link);
+        if (found == m_sessions.end())
+            return;
+        Session& session = found->second;
+        session.configNumber = versions.configNumber;
+        session.instancesIndex = LogIndex(versions.instancesIndex);
+        session.hasInstances = versions.hasInstances;
+        if (m_isLeader)
+            update(link, session, actions);
+    }
+
     void welcome(LinkId link, Session& session, TimePoint now, ControllerActions& actions)
     {
         session.isSubscribed = true;
@@ -515,6 +533,7 @@
         frame.index = state.instancesIndex().value();
         const auto changed = known ? state.changedSince(*known) : std::nullopt;
         frame.full = !changed;
+        frame.base = known.value_or(LogIndex(0)).value();
         for (const auto& [id, record] : state.instances()) {
             if (!changed || changed->contains(id))
                 frame.instances.push_back(toRow(record));
--- a/src/libhub/controller_client.cpp
+++ b/src/libhub/controller_client.cpp
@@ -174,6 +174,7 @@
     if (m_leader)
         close(*m_leader, actions);
     m_leader = link;
+    m_links.at(link).updatesRequested = false;
     m_namedLeader.reset();
     m_leaderSuspected = false;
     m_lastHeartbeat = now;
@@ -238,26 +239,58 @@
         open(HostId(leader), now, actions);
 }
 
-void ControllerClient::onConfig(std::string_view bytes, ControllerClientActions& actions)
+/// Asks the control host at `link` for the updates from the given versions on, once until a
+/// configuration or instances from it apply.
+void ControllerClient::requestUpdates(
+    LinkId link, std::uint64_t configNumber, ControllerClientActions& actions)
+{
+    Link& sender = m_links.at(link);
+    if (std::exchange(sender.updatesRequested, true))
+        return;
+    Decision decision { "updates", "requested" };
+    decision.facts["host"] = sender.host.value();
+    decision.facts["config"] = Json::UInt64(configNumber);
+    decision.facts["instances"] = Json::UInt64(m_instancesIndex.value());
+    actions.decisions.push_back(std::move(decision));
+    actions.frames.emplace_back(
+        link, pack(VersionsFrame { configNumber, m_instancesIndex.value(), m_hasInstances }));
+}
+
+void ControllerClient::onConfig(
+    LinkId link, std::string_view bytes, ControllerClientActions& actions)
 {
     const auto frame = unpack<ConfigFrame>(bytes);
     if (!frame || frame->number <= m_config.number)
         return;
-    const bool hasBase = frame->base != 0 && frame->base == m_config.number;
-    auto content = decodeDelta(frame->delta, hasBase ? m_config.content : "", maxConfigBytes);
+    // The sender's knowledge of this host dates from the HelloFrame on its link. Another leader may
+    // have sent newer configurations since.
+    if (frame->base != 0 && frame->base != m_config.number)
+        return requestUpdates(link, m_config.number, actions);
+    auto content
+        = decodeDelta(frame->delta, frame->base != 0 ? m_config.content : "", maxConfigBytes);
     if (!content) {
-        actions.decisions.push_back({ "config", "unreadable" });
+        Decision decision { "config", "unreadable" };
+        decision.facts["number"] = Json::UInt64(frame->number);
+        decision.facts["base"] = Json::UInt64(frame->base);
+        actions.decisions.push_back(std::move(decision));
+        if (frame->base != 0)
+            requestUpdates(link, 0, actions);
         return;
     }
+    m_links.at(link).updatesRequested = false;
     m_config = { frame->number, std::move(*content) };
     actions.configChanged = true;
 }
 
-void ControllerClient::onInstances(std::string_view bytes)
+void ControllerClient::onInstances(
+    LinkId link, std::string_view bytes, ControllerClientActions& actions)
 {
     const auto frame = unpack<InstancesFrame>(bytes);
     if (!frame)
         return;
+    if (!frame->full && (!m_hasInstances || LogIndex(frame->base) > m_instancesIndex))
+        return requestUpdates(link, m_config.number, actions);
+    m_links.at(link).updatesRequested = false;
     std::set<InstanceId> received;
     for (const auto& row : frame->instances) {
         received.insert(InstanceId(row.id));
@@ -309,8 +342,8 @@
     } else if (const auto redirect = unpack<RedirectFrame>(bytes)) {
         onRedirect(link, redirect->leader, redirect->controlHosts, now, actions);
     } else {
-        onConfig(bytes, actions);
-        onInstances(bytes);
+        onConfig(link, bytes, actions);
+        onInstances(link, bytes, actions);
     }
     if (m_leader == link) {
         m_leaderSuspected = false;
--- a/src/libhub/controller_messages_pvt.h
+++ b/src/libhub/controller_messages_pvt.h
@@ -77,6 +77,17 @@
     MSGPACK_DEFINE(placement)
 };
 
+/// The versions of the data that the entry host holds. Sent when a difference does not apply to
+/// them; the leader then sends the updates from these versions on.
+struct VersionsFrame {
+    static constexpr std::uint8_t type = 21;
+    /// 0 requests the whole configuration.
+    std::uint64_t configNumber = 0;
+    std::uint64_t instancesIndex = 0;
+    bool hasInstances = false;
+    MSGPACK_DEFINE(configNumber, instancesIndex, hasInstances)
+};
+
 // From control hosts to entry hosts.
 
 /// This control host is the leader and serves placement requests from now on.
@@ -111,7 +122,10 @@
     bool full = false;
     std::vector<InstanceRow> instances;
     std::vector<std::string> removed;
-    MSGPACK_DEFINE(index, full, instances, removed)
+    /// The changes after this index are included; the receiver must hold at least it. Unused if
+    /// `full`.
+    std::uint64_t base = 0;
+    MSGPACK_DEFINE(index, full, instances, removed, base)
 };
 
 struct GrantedFrame {
--- a/src/libhub/controller_test.cpp
+++ b/src/libhub/controller_test.cpp
@@ -2,6 +2,7 @@
 
 #include "controller_messages_pvt.h"
 #include "fakes/controller_fleet.h"
+#include "text_delta_pvt.h"
 
 using namespace laburnum;
 using namespace laburnum::fakes;
@@ -485,3 +486,155 @@
     // A connection is given up after 700 ms; the three others stay open for 3 s.
     CHECK(triesOfLeader >= 4);
 }
+
+namespace {
+
+/// An entry host with a link to its leader and one to another control host, which was opened while
+/// the leader was suspected. The leader has sent configuration 1 before that, and 2 after it.
+struct SuspectedLeader {
+    SuspectedLeader()
+    {
+        ControllerClientActions actions;
+        client.tick(now, actions);
+        leader = actions.opens.front().first;
+        client.linkOpened(leader, now, actions);
+        receive(leader, pvt::WelcomeFrame {});
+        receive(leader, configFrame(1, 0));
+        receive(leader, pvt::InstancesFrame { 10, true, {}, {}, 0 });
+        client.dispatch(placementRequest("s"), now, actions);
+        now += 300ms;
+        client.tick(now, actions);
+        now += 20ms;
+        actions = {};
+        client.tick(now, actions);
+        REQUIRE(actions.opens.size() == 1);
+        other = actions.opens.front().first;
+        client.linkOpened(other, now, actions);
+        REQUIRE(pvt::unpack<pvt::HelloFrame>(actions.frames.back().second)->configNumber == 1);
+        receive(leader, configFrame(2, 1));
+        REQUIRE(client.config().content == "content 2");
+    }
+
+    static pvt::ConfigFrame configFrame(std::uint64_t number, std::uint64_t base)
+    {
+        const auto text = [](std::uint64_t n) {
+            return n == 0 ? std::string() : "content " + std::to_string(n);
+        };
+        return { number, base, pvt::encodeDelta(text(number), text(base)) };
+    }
+
+    template <class Frame> ControllerClientActions receive(LinkId link, const Frame& frame)
+    {
+        ControllerClientActions actions;
+        client.receive(link, pvt::pack(frame), now, actions);
+        return actions;
+    }
+
+    ControllerClient client { { e(1), DataCentreId("d"), RegionId("r") }, { c(1), c(2) }, 1 };
+    TimePoint now { 10s };
+    LinkId leader;
+    LinkId other;
+};
+
+std::vector<pvt::VersionsFrame> versionsIn(const ControllerClientActions& actions, LinkId link)
+{
+    std::vector<pvt::VersionsFrame> frames;
+    for (const auto& [to, bytes] : actions.frames) {
+        const auto versions = pvt::unpack<pvt::VersionsFrame>(bytes);
+        if (versions && to == link)
+            frames.push_back(*versions);
+    }
+    return frames;
+}
+
+bool isUnreadable(const ControllerClientActions& actions)
+{
+    return std::any_of(actions.decisions.begin(), actions.decisions.end(),
+        [](const Decision& decision) { return decision.reason == "unreadable"; });
+}
+
+} // namespace
+
+// Guards against entry hosts that serve by an old configuration after a change of leader.
+TEST_CASE("a difference to a configuration that is not held makes the host state its versions")
+{
+    SuspectedLeader host;
+    host.receive(host.other, pvt::WelcomeFrame {});
+    // The new leader knows this host by its HelloFrame, which is older than configuration 2.
+    const auto first = host.receive(host.other, SuspectedLeader::configFrame(3, 1));
+    CHECK_FALSE(isUnreadable(first));
+    const auto stated = versionsIn(first, host.other);
+    REQUIRE(stated.size() == 1);
+    CHECK(stated[0].configNumber == 2);
+    CHECK(stated[0].instancesIndex == 10);
+    CHECK(stated[0].hasInstances);
+    // Frames on their way meanwhile cause no further request.
+    CHECK(host.receive(host.other, SuspectedLeader::configFrame(4, 3)).frames.empty());
+    CHECK(host.client.config().number == 2);
+    host.receive(host.other, SuspectedLeader::configFrame(4, 2));
+    CHECK(host.client.config().content == "content 4");
+    host.receive(host.other, SuspectedLeader::configFrame(5, 4));
+    CHECK(host.client.config().content == "content 5");
+    // A later gap is reported again.
+    const auto gap = host.receive(host.other, SuspectedLeader::configFrame(7, 6));
+    REQUIRE(versionsIn(gap, host.other).size() == 1);
+}
+
+TEST_CASE("a damaged difference to the held configuration makes the host request the whole one")
+{
+    SuspectedLeader host;
+    auto damaged = SuspectedLeader::configFrame(3, 2);
+    damaged.delta.resize(damaged.delta.size() / 2);
+    const auto actions = host.receive(host.leader, damaged);
+    CHECK(isUnreadable(actions));
+    const auto stated = versionsIn(actions, host.leader);
+    REQUIRE(stated.size() == 1);
+    CHECK(stated[0].configNumber == 0);
+    host.receive(host.leader, SuspectedLeader::configFrame(3, 0));
+    CHECK(host.client.config().content == "content 3");
+}
+
+TEST_CASE("changes to instances that are not held make the host state its versions")
+{
+    SuspectedLeader host;
+    const auto row = pvt::toRow(instanceRecord("a", "s", 80));
+    const auto actions
+        = host.receive(host.leader, pvt::InstancesFrame { 13, false, { row }, {}, 12 });
+    REQUIRE(versionsIn(actions, host.leader).size() == 1);
+    CHECK(versionsIn(actions, host.leader)[0].instancesIndex == 10);
+    CHECK(host.client.localScheduler().instances().empty());
+    host.receive(host.leader, pvt::InstancesFrame { 13, false, { row }, {}, 10 });
+    CHECK(host.client.localScheduler().instances().size() == 1);
+}
+
+// Guards against the same fault with real control hosts: a change that the former leader committed
+// and did not send, known to a leader whose HelloFrame of the host is old.
+TEST_CASE("hosts that briefly suspected their leader follow the next leader's configurations")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        ControllerFleet fleet({ .seed = seed });
+        startFleet(fleet);
+        REQUIRE(fleet.callAnywhere(config(1)));
+        REQUIRE(fleet.runUntil(1s, [&] { return allHaveConfig(fleet, 4, 1); }));
+        const HostId old = *fleet.leader();
+        // The requests get no reply, so the hosts open links to other control hosts.
+        fleet.freeze(old);
+        for (unsigned i = 1; i <= 4; ++i)
+            fleet.dispatch(e(i), placementRequest("s"));
+        fleet.run(420ms);
+        fleet.freeze(old, false);
+        fleet.run(600ms);
+        REQUIRE(fleet.leader() == old);
+        REQUIRE(fleet.callAnywhere(config(2)));
+        REQUIRE(fleet.runUntil(1s, [&] { return allHaveConfig(fleet, 4, 2); }));
+        for (unsigned i = 1; i <= 4; ++i)
+            fleet.cut(e(i), old);
+        REQUIRE(fleet.callAnywhere(config(3)));
+        fleet.kill(old);
+        REQUIRE(fleet.runUntil(5s, [&] { return fleet.leader().has_value(); }));
+        CHECK(fleet.runUntil(2500ms, [&] { return allHaveConfig(fleet, 4, 3); }));
+        REQUIRE(fleet.callAnywhere(config(4)));
+        CHECK(fleet.runUntil(2500ms, [&] { return allHaveConfig(fleet, 4, 4); }));
+    }
+}
