An identity ends by its instance's own statement; an inferred end can be disproved

Cause: a deregistration without a body was read as the end of all starts of the id, past and to come, so every heartbeat of the next start was stale, and acknowledged. Ruled out: the instances (under new ids they get work). The same inference stood behind a second way in: an announcement with a later start time at an address ended the former holder's identity for good.

Change: an unstated deregistration ends the start that is registered when the leader proposes it, announcements that are not committed yet included. An end that the instance did not state is kept as inferred; an instance that goes on announcing itself for 5 s, with rising versions and without gaps, while no rival for its id or address is heard, is reinstated.

Evicting the order of deregistrations forgot an id too early if it stood there twice: it now stands there once.

--- a/src/include/laburnumroute/controller.h
+++ b/src/include/laburnumroute/controller.h
@@ -28,7 +28,8 @@
     Duration warmupRemaining {};
 };
 
-/// An instance is ending or has ended.
+/// An instance is ending or has ended. If it does not state its incarnation, the registered one
+/// ends.
 struct DeregisterCall {
     Deregistration deregistration;
 };
--- a/src/include/laburnumroute/fleet_state.h
+++ b/src/include/laburnumroute/fleet_state.h
@@ -28,6 +28,9 @@
     InstanceId id;
     /// Incarnations up to and including this one have ended.
     std::uint64_t incarnation = 0;
+    /// The instance itself stated the incarnation. Otherwise it was inferred, and the instance is
+    /// reinstated if it goes on announcing (FleetState::canReinstate).
+    bool isStated = true;
 };
 
 /// A change to the instance set, as sent to entry hosts.
@@ -51,6 +54,8 @@
     /// Commands for the replicated log.
     static std::string encodePutConfig(const NumberedConfig& config);
     static std::string encodePutInstance(const InstanceRecord& record);
+    /// Registers an instance for which canReinstate() holds.
+    static std::string encodeReinstateInstance(const InstanceRecord& record);
     static std::string encodeRemoveInstance(const Deregistration& deregistration);
 
     void apply(LogIndex index, std::string_view command) override;
@@ -72,12 +77,19 @@
     bool wouldChange(const InstanceRecord& record) const;
     /// True when `deregistration` would remove an instance or block its return.
     bool wouldChange(const Deregistration& deregistration) const;
+    /// True when `record` is ignored only because of an inference that its sender can disprove by
+    /// going on: an incarnation that did not itself state its end, or one with an earlier start
+    /// time than the present holder of its id or address.
+    bool canReinstate(const InstanceRecord& record) const;
+    /// The instance, other than that of `record`, which holds the id or address of `record`.
+    const InstanceRecord* rival(const InstanceRecord& record) const;
 
 private:
     bool isStale(const InstanceRecord& record) const;
     bool isDeregistered(const InstanceId& id, std::uint64_t incarnation) const;
     const InstanceRecord* findByEndpoint(const Endpoint& endpoint) const;
     void storeRecord(const InstanceRecord& record);
+    void removeRecord(const InstanceId& id);
     void applyRecord(LogIndex index, const InstanceRecord& record);
     void deregister(LogIndex index, const Deregistration& deregistration);
     void recordChange(LogIndex index, const InstanceId& id);
@@ -87,7 +99,11 @@
     std::map<InstanceId, InstanceRecord> m_instances;
     /// Each address belongs to at most one instance.
     std::map<Endpoint, InstanceId> m_byEndpoint;
-    std::map<InstanceId, std::uint64_t> m_deregistered;
+    struct EndedIncarnation {
+        std::uint64_t incarnation = 0;
+        bool isStated = true;
+    };
+    std::map<InstanceId, EndedIncarnation> m_deregistered;
     std::deque<InstanceId> m_deregistrationOrder;
     LogIndex m_instancesIndex;
     /// m_changes is complete after this index.
--- a/src/libhub/controller.cpp
+++ b/src/libhub/controller.cpp
@@ -46,6 +46,14 @@
         .electionRetryMax = milliseconds(240),
         .leaseDuration = milliseconds(240) };
 
+    /// An instance that is considered ended, and goes on announcing without gaps for this long, is
+    /// reinstated. Announcements that a partition delayed arrive within a shorter time.
+    constexpr auto reinstatementTime = milliseconds(5000);
+    /// Instances announce every 1.5 s.
+    constexpr auto maxAnnouncementGap = milliseconds(3500);
+    /// Limit on the instances under observation for it.
+    constexpr std::size_t maxObservedInstances = 1024;
+
     /// The share of the retry budget that the leader's scheduler grants.
     RetryBudgetLimits fleetRetryLimits(RetryBudgetLimits terms)
     {
@@ -74,6 +82,7 @@
             frame.kind = static_cast<std::uint8_t>(CallKind::Deregister);
             frame.instance.id = deregister->deregistration.id.value();
             frame.instance.incarnation = deregister->deregistration.incarnation;
+            frame.isStated = deregister->deregistration.isStated;
         } else if (const auto* put = std::get_if<PutConfigCall>(&call)) {
             frame.kind = static_cast<std::uint8_t>(CallKind::PutConfig);
             frame.number = put->config.number;
@@ -90,7 +99,8 @@
         case CallKind::Announce:
             return AnnounceCall { fromRow(frame.instance), milliseconds(frame.coldMs) };
         case CallKind::Deregister:
-            return DeregisterCall { { InstanceId(frame.instance.id), frame.instance.incarnation } };
+            return DeregisterCall { { InstanceId(frame.instance.id), frame.instance.incarnation,
+                frame.isStated } };
         case CallKind::PutConfig:
             return PutConfigCall { { frame.number, frame.content } };
         case CallKind::GetConfig:
@@ -288,6 +298,19 @@
         TimePoint deadline;
     };
 
+    /// One start of an instance.
+    using InstanceKey = std::pair<InstanceId, std::uint64_t>;
+
+    /// The announcements of an instance that is considered ended.
+    struct Observation {
+        std::uint64_t version = 0;
+        TimePoint since;
+        TimePoint heard;
+        /// The holder of its id or address; default if there is none.
+        InstanceKey rival;
+        TimePoint rivalHeard;
+    };
+
     template <class Function>
     void runLog(TimePoint now, ControllerActions& actions, Function&& function)
     {
@@ -357,6 +380,7 @@
     {
         m_isLeader = false;
         m_pendingCommits.clear();
+        m_observations.clear();
         scheduler.restart(now);
         recordDecision("lead", "stopped", actions);
         for (auto& [link, session] : m_sessions) {
@@ -672,26 +696,97 @@
                 finish(origin, { true, state.config() }, actions);
             return;
         }
-        if (const auto* announce = std::get_if<AnnounceCall>(&call))
-            scheduler.onAnnouncement(announce->record.id, announce->warmupRemaining, now);
-        if (isApplied(call)) {
-            finish(origin, { true, {} }, actions);
-            return;
-        }
         const bool isPending = std::any_of(
             m_pendingCommits.begin(), m_pendingCommits.end(), [&](const PendingCommit& c) {
                 return c.origin.host == origin.host && c.origin.call == origin.call;
             });
         if (isPending)
             return;
+        if (const auto* announce = std::get_if<AnnounceCall>(&call)) {
+            scheduler.onAnnouncement(announce->record.id, announce->warmupRemaining, now);
+            if (observeAnnouncement(announce->record, now))
+                reinstate(announce->record, now, actions);
+        } else if (auto* deregister = std::get_if<DeregisterCall>(&call)) {
+            resolveIncarnation(deregister->deregistration);
+        }
+        if (isApplied(call)) {
+            finish(origin, { true, {} }, actions);
+            return;
+        }
         const std::string command = commandOf(call);
         m_pendingCommits.push_back({ origin, std::move(call), now + callTimeout });
+        propose(command, now, actions);
+    }
+
+    void propose(const std::string& command, TimePoint now, ControllerActions& actions)
+    {
         runLog(now, actions, [&](Outbox& out) {
             if (const auto proposed = log->propose(command, now, out); !proposed)
                 out.log({ "call", "not-proposed" });
         });
     }
 
+    /// An unstated incarnation is the registered one, or one whose registration is not committed
+    /// yet. Resolved before the change is proposed, so that it does not end a later start.
+    void resolveIncarnation(Deregistration& deregistration) const
+    {
+        if (deregistration.isStated)
+            return;
+        const auto known = state.instances().find(deregistration.id);
+        deregistration.incarnation
+            = known == state.instances().end() ? 0 : known->second.incarnation;
+        for (const PendingCommit& commit : m_pendingCommits) {
+            const auto* announce = std::get_if<AnnounceCall>(&commit.call);
+            if (announce != nullptr && announce->record.id == deregistration.id)
+                deregistration.incarnation
+                    = std::max(deregistration.incarnation, announce->record.incarnation);
+        }
+    }
+
+    /// Returns true once an instance that is considered ended has disproved it: its announcements
+    /// continue, while none comes from the instance that holds its id or address.
+    bool observeAnnouncement(const InstanceRecord& record, TimePoint now)
+    {
+        if (!state.canReinstate(record)) {
+            // The holder of an id or address that is contested.
+            for (auto& [key, observation] : m_observations) {
+                if (observation.rival == InstanceKey { record.id, record.incarnation })
+                    observation.rivalHeard = now;
+            }
+            return false;
+        }
+        const InstanceRecord* rival = state.rival(record);
+        const InstanceKey rivalKey
+            = rival != nullptr ? InstanceKey { rival->id, rival->incarnation } : InstanceKey {};
+        const InstanceKey key { record.id, record.incarnation };
+        const auto found = m_observations.find(key);
+        if (found == m_observations.end() || now - found->second.heard > maxAnnouncementGap
+            || found->second.rival != rivalKey) {
+            std::erase_if(m_observations,
+                [&](const auto& item) { return now - item.second.heard > maxAnnouncementGap; });
+            if (m_observations.size() < maxObservedInstances)
+                m_observations[key] = { record.version, now, now, rivalKey, now };
+            return false;
+        }
+        Observation& observation = found->second;
+        if (record.version <= observation.version)
+            return false;
+        observation.version = record.version;
+        observation.heard = now;
+        return now - std::max(observation.since, observation.rivalHeard) >= reinstatementTime;
+    }
+
+    void reinstate(const InstanceRecord& record, TimePoint now, ControllerActions& actions)
+    {
+        m_observations.erase({ record.id, record.incarnation });
+        Decision decision { "instance", "reinstated" };
+        decision.facts["instance"] = record.id.value();
+        decision.facts["incarnation"] = Json::UInt64(record.incarnation);
+        decision.facts["version"] = Json::UInt64(record.version);
+        actions.decisions.push_back(std::move(decision));
+        propose(FleetState::encodeReinstateInstance(record), now, actions);
+    }
+
     static std::string commandOf(const ControlCall& call)
     {
         if (const auto* announce = std::get_if<AnnounceCall>(&call))
@@ -752,6 +847,7 @@
     TimePoint m_nextHeartbeat {};
     std::map<CallId, PendingCall> m_calls;
     std::vector<PendingCommit> m_pendingCommits;
+    std::map<InstanceKey, Observation> m_observations;
     std::vector<PlacementReply> m_replies;
     std::deque<QueuedFrame> m_backlog;
     std::set<std::string> m_announcedNeighbours;
--- a/src/libhub/controller_messages_pvt.h
+++ b/src/libhub/controller_messages_pvt.h
@@ -197,7 +197,9 @@
     std::uint32_t coldMs = 0;
     std::uint64_t number = 0;
     std::string content;
-    MSGPACK_DEFINE(from, call, kind, instance, coldMs, number, content)
+    /// The instance stated the incarnation that it deregisters.
+    bool isStated = true;
+    MSGPACK_DEFINE(from, call, kind, instance, coldMs, number, content, isStated)
 };
 
 struct CallResultFrame {
--- a/src/libhub/controller_test.cpp
+++ b/src/libhub/controller_test.cpp
@@ -638,3 +638,114 @@
         CHECK(fleet.runUntil(2500ms, [&] { return allHaveConfig(fleet, 4, 4); }));
     }
 }
+
+namespace {
+
+/// Announces `record` every 1.5 s for `time`, with increasing versions.
+void announceFor(ControllerFleet& fleet, InstanceRecord& record, Duration time)
+{
+    const TimePoint end = fleet.now() + time;
+    while (fleet.now() < end) {
+        ++record.version;
+        REQUIRE(fleet.callAnywhere(AnnounceCall { record }));
+        fleet.run(1500ms);
+    }
+}
+
+bool isRegistered(ControllerFleet& fleet, const InstanceRecord& record)
+{
+    const auto& instances = fleet.controller(*fleet.leader())->state().instances();
+    const auto found = instances.find(record.id);
+    return found != instances.end() && found->second.incarnation == record.incarnation;
+}
+
+} // namespace
+
+TEST_CASE("an unstated deregistration ends the start that was registered when it was proposed")
+{
+    ControllerFleet fleet({ .seed = 21 });
+    startFleet(fleet);
+    const auto first = instanceRecord("i", "s", 80, 10, 1);
+    const auto second = instanceRecord("i", "s", 80, 11, 1);
+    const DeregisterCall leave { { InstanceId("i"), 0, false } };
+    REQUIRE(fleet.callAnywhere(leave)); // unknown, which changes nothing
+    REQUIRE(fleet.callAnywhere(AnnounceCall { first }));
+    // The next start registers while the end of the first one is being committed.
+    const auto left = fleet.call(*fleet.leader(), leave);
+    const auto started = fleet.call(*fleet.leader(), AnnounceCall { second });
+    fleet.run(900ms);
+    REQUIRE(fleet.record(left).result->done);
+    REQUIRE(fleet.record(started).result->done);
+    CHECK(isRegistered(fleet, second));
+    // The announcement and the deregistration arrive together, neither is committed.
+    const auto third = instanceRecord("i", "s", 80, 12, 1);
+    fleet.call(*fleet.leader(), AnnounceCall { third });
+    fleet.call(*fleet.leader(), leave);
+    fleet.run(900ms);
+    CHECK_FALSE(isRegistered(fleet, third));
+}
+
+// Guards against a deregistration that arrives late, after its instance has started again.
+TEST_CASE("an instance that goes on announcing after an unstated deregistration is reinstated")
+{
+    ControllerFleet fleet({ .seed = 22 });
+    startFleet(fleet);
+    auto record = instanceRecord("i", "s", 80, 10, 1);
+    REQUIRE(fleet.callAnywhere(AnnounceCall { record }));
+    REQUIRE(fleet.callAnywhere(DeregisterCall { { InstanceId("i"), 0, false } }));
+    CHECK_FALSE(isRegistered(fleet, record));
+    SECTION("delayed announcements that arrive together do not bring it back")
+    {
+        for (int i = 0; i < 8; ++i) {
+            ++record.version;
+            REQUIRE(fleet.callAnywhere(AnnounceCall { record }));
+        }
+        fleet.run(6s);
+        CHECK_FALSE(isRegistered(fleet, record));
+        // Nor does another late one.
+        ++record.version;
+        REQUIRE(fleet.callAnywhere(AnnounceCall { record }));
+        CHECK_FALSE(isRegistered(fleet, record));
+    }
+    SECTION("repeated announcements do not bring it back")
+    {
+        for (int i = 0; i < 6; ++i) {
+            REQUIRE(fleet.callAnywhere(AnnounceCall { record }));
+            fleet.run(1500ms);
+        }
+        CHECK_FALSE(isRegistered(fleet, record));
+    }
+    SECTION("announcements that continue do")
+    {
+        announceFor(fleet, record, 4s);
+        CHECK_FALSE(isRegistered(fleet, record));
+        announceFor(fleet, record, 3s);
+        CHECK(isRegistered(fleet, record));
+    }
+}
+
+TEST_CASE("an instance keeps its address against one that only claimed it once")
+{
+    ControllerFleet fleet({ .seed = 23 });
+    startFleet(fleet);
+    auto record = instanceRecord("i", "s", 80, 10, 1);
+    auto claimant = instanceRecord("other", "s", 80, 20, 1);
+    REQUIRE(fleet.callAnywhere(AnnounceCall { record }));
+    REQUIRE(fleet.callAnywhere(AnnounceCall { claimant }));
+    CHECK_FALSE(isRegistered(fleet, record));
+    SECTION("a silent claimant")
+    {
+        announceFor(fleet, record, 7s);
+        CHECK(isRegistered(fleet, record));
+        CHECK_FALSE(isRegistered(fleet, claimant));
+    }
+    SECTION("a claimant that announces itself")
+    {
+        for (int i = 0; i < 6; ++i) {
+            announceFor(fleet, claimant, 1s);
+            announceFor(fleet, record, 1s);
+        }
+        CHECK_FALSE(isRegistered(fleet, record));
+        CHECK(isRegistered(fleet, claimant));
+    }
+}
--- a/src/libhub/fleet_state.cpp
+++ b/src/libhub/fleet_state.cpp
@@ -21,14 +21,23 @@
     struct PutInstanceCommand {
         static constexpr std::uint8_t type = 2;
         pvt::InstanceRow row;
-        MSGPACK_DEFINE(row)
+        bool reinstates = false;
+        MSGPACK_DEFINE(row, reinstates)
     };
 
     struct RemoveInstanceCommand {
         static constexpr std::uint8_t type = 3;
         std::string id;
         std::uint64_t incarnation = 0;
-        MSGPACK_DEFINE(id, incarnation)
+        bool isStated = true;
+        MSGPACK_DEFINE(id, incarnation, isStated)
+    };
+
+    struct DeregistrationRow {
+        std::string id;
+        std::uint64_t incarnation = 0;
+        bool isStated = true;
+        MSGPACK_DEFINE(id, incarnation, isStated)
     };
 
     struct StateSnapshot {
@@ -36,7 +45,7 @@
         std::uint64_t number = 0;
         std::string content;
         std::vector<pvt::InstanceRow> instances;
-        std::vector<std::pair<std::string, std::uint64_t>> deregistrations;
+        std::vector<DeregistrationRow> deregistrations;
         std::uint64_t instancesIndex = 0;
         MSGPACK_DEFINE(number, content, instances, deregistrations, instancesIndex)
     };
@@ -53,10 +62,15 @@
     return pvt::pack(PutInstanceCommand { pvt::toRow(record) });
 }
 
+std::string FleetState::encodeReinstateInstance(const InstanceRecord& record)
+{
+    return pvt::pack(PutInstanceCommand { pvt::toRow(record), true });
+}
+
 std::string FleetState::encodeRemoveInstance(const Deregistration& deregistration)
 {
-    return pvt::pack(
-        RemoveInstanceCommand { deregistration.id.value(), deregistration.incarnation });
+    return pvt::pack(RemoveInstanceCommand {
+        deregistration.id.value(), deregistration.incarnation, deregistration.isStated });
 }
 
 void FleetState::apply(LogIndex index, std::string_view command)
@@ -71,10 +85,11 @@
         m_config = { put->number, std::move(*content) };
     } else if (const auto instance = pvt::unpack<PutInstanceCommand>(command)) {
         const InstanceRecord record = pvt::fromRow(instance->row);
-        if (wouldChange(record))
+        if (instance->reinstates ? canReinstate(record) : wouldChange(record))
             applyRecord(index, record);
     } else if (const auto removal = pvt::unpack<RemoveInstanceCommand>(command)) {
-        const Deregistration deregistration { InstanceId(removal->id), removal->incarnation };
+        const Deregistration deregistration { InstanceId(removal->id), removal->incarnation,
+            removal->isStated };
         if (wouldChange(deregistration))
             deregister(index, deregistration);
     }
@@ -102,7 +117,7 @@
 bool FleetState::isDeregistered(const InstanceId& id, std::uint64_t incarnation) const
 {
     const auto found = m_deregistered.find(id);
-    return found != m_deregistered.end() && incarnation <= found->second;
+    return found != m_deregistered.end() && incarnation <= found->second.incarnation;
 }
 
 const InstanceRecord* FleetState::findByEndpoint(const Endpoint& endpoint) const
@@ -124,6 +139,27 @@
     return holder != nullptr && holder->id != record.id && holder->incarnation > record.incarnation;
 }
 
+const InstanceRecord* FleetState::rival(const InstanceRecord& record) const
+{
+    const auto known = m_instances.find(record.id);
+    if (known != m_instances.end() && known->second.incarnation != record.incarnation)
+        return &known->second;
+    const InstanceRecord* holder = findByEndpoint(record.endpoint);
+    return holder != nullptr && holder->id != record.id ? holder : nullptr;
+}
+
+bool FleetState::canReinstate(const InstanceRecord& record) const
+{
+    if (record.phase != InstancePhase::Serving || !isStale(record))
+        return false;
+    const auto known = m_instances.find(record.id);
+    if (known != m_instances.end() && known->second.incarnation == record.incarnation)
+        return false; // a late record, or one of a draining instance
+    const auto ended = m_deregistered.find(record.id);
+    return ended == m_deregistered.end() || !ended->second.isStated
+        || record.incarnation > ended->second.incarnation;
+}
+
 bool FleetState::wouldChange(const InstanceRecord& record) const
 {
     if (isStale(record))
@@ -157,18 +193,30 @@
 
 void FleetState::applyRecord(LogIndex index, const InstanceRecord& record)
 {
+    // The start time says that the address has passed on, not that its former holder said so.
     const InstanceRecord* holder = findByEndpoint(record.endpoint);
     if (holder != nullptr && holder->id != record.id)
-        deregister(index, { holder->id, holder->incarnation });
+        deregister(index, { holder->id, holder->incarnation, false });
+    if (isDeregistered(record.id, record.incarnation)) {
+        m_deregistered.erase(record.id);
+        std::erase(m_deregistrationOrder, record.id);
+    }
     storeRecord(record);
     recordChange(index, record.id);
 }
 
+void FleetState::removeRecord(const InstanceId& id)
+{
+    const auto found = m_instances.find(id);
+    if (found == m_instances.end())
+        return;
+    m_byEndpoint.erase(found->second.endpoint);
+    m_instances.erase(found);
+}
+
 void FleetState::storeRecord(const InstanceRecord& record)
 {
-    const auto former = m_instances.find(record.id);
-    if (former != m_instances.end())
-        m_byEndpoint.erase(former->second.endpoint);
+    removeRecord(record.id);
     m_instances[record.id] = record;
     m_byEndpoint[record.endpoint] = record.id;
 }
@@ -176,13 +224,16 @@
 void FleetState::deregister(LogIndex index, const Deregistration& deregistration)
 {
     const auto known = m_instances.find(deregistration.id);
-    if (known != m_instances.end() && known->second.incarnation <= deregistration.incarnation) {
-        m_byEndpoint.erase(known->second.endpoint);
-        m_instances.erase(known);
-    }
-    auto& last = m_deregistered[deregistration.id];
-    last = std::max(last, deregistration.incarnation);
-    m_deregistrationOrder.push_back(deregistration.id);
+    if (known != m_instances.end() && known->second.incarnation <= deregistration.incarnation)
+        removeRecord(deregistration.id);
+    const EndedIncarnation ended { deregistration.incarnation, deregistration.isStated };
+    const auto [last, isNew] = m_deregistered.try_emplace(deregistration.id, ended);
+    if (last->second.incarnation < ended.incarnation)
+        last->second = ended;
+    else if (last->second.incarnation == ended.incarnation)
+        last->second.isStated = last->second.isStated || ended.isStated;
+    if (isNew)
+        m_deregistrationOrder.push_back(deregistration.id);
     if (m_deregistrationOrder.size() > maxDeregistrations) {
         m_deregistered.erase(m_deregistrationOrder.front());
         m_deregistrationOrder.pop_front();
@@ -198,7 +249,8 @@
     for (const InstanceId& id : m_deregistrationOrder) {
         const auto found = m_deregistered.find(id);
         if (found != m_deregistered.end())
-            image.deregistrations.emplace_back(id.value(), found->second);
+            image.deregistrations.push_back(
+                { id.value(), found->second.incarnation, found->second.isStated });
     }
     return pvt::pack(image);
 }
@@ -214,9 +266,9 @@
     m_config = { image->number, image->content };
     for (const auto& row : image->instances)
         storeRecord(pvt::fromRow(row));
-    for (const auto& [id, incarnation] : image->deregistrations) {
-        m_deregistered[InstanceId(id)] = incarnation;
-        m_deregistrationOrder.emplace_back(id);
+    for (const auto& row : image->deregistrations) {
+        m_deregistered[InstanceId(row.id)] = { row.incarnation, row.isStated };
+        m_deregistrationOrder.emplace_back(row.id);
     }
     m_instancesIndex = LogIndex(image->instancesIndex);
     m_changesSince = m_instancesIndex;
--- a/src/libhub/fleet_state_test.cpp
+++ b/src/libhub/fleet_state_test.cpp
@@ -89,6 +89,62 @@
     REQUIRE(state.instances().begin()->first == InstanceId("new"));
 }
 
+// Guards against live instances that are removed for good by what others say.
+TEST_CASE("an end that the instance did not state itself can be taken back, a stated one cannot")
+{
+    FleetState state;
+    Applier apply(state);
+    const auto record = instanceRecord("i", "s", 80, 10, 5);
+    const auto later = instanceRecord("i", "s", 80, 10, 6);
+    apply(FleetState::encodePutInstance(record));
+    REQUIRE_FALSE(state.canReinstate(later)); // a renewal
+    SECTION("stated")
+    {
+        apply(FleetState::encodeRemoveInstance({ InstanceId("i"), 10 }));
+        REQUIRE_FALSE(state.canReinstate(later));
+        apply(FleetState::encodeReinstateInstance(later));
+        REQUIRE(state.instances().empty());
+    }
+    SECTION("inferred from a deregistration without an incarnation")
+    {
+        apply(FleetState::encodeRemoveInstance({ InstanceId("i"), 10, false }));
+        REQUIRE_FALSE(state.wouldChange(later));
+        REQUIRE(state.canReinstate(later));
+        auto draining = later;
+        draining.phase = InstancePhase::Draining;
+        REQUIRE_FALSE(state.canReinstate(draining));
+        FleetState copy;
+        REQUIRE(copy.restore(state.snapshot()));
+        REQUIRE(copy.canReinstate(later));
+        apply(FleetState::encodeReinstateInstance(later));
+        REQUIRE(state.instances().contains(InstanceId("i")));
+        // The end is forgotten, and may be repeated.
+        apply(FleetState::encodeRemoveInstance({ InstanceId("i"), 10, true }));
+        REQUIRE(state.instances().empty());
+        REQUIRE_FALSE(state.canReinstate(later));
+    }
+    SECTION("inferred from another instance at the address")
+    {
+        apply(FleetState::encodePutInstance(instanceRecord("other", "s", 80, 20, 1)));
+        REQUIRE_FALSE(state.wouldChange(later));
+        REQUIRE(state.canReinstate(later));
+        REQUIRE(state.rival(later)->id == InstanceId("other"));
+        apply(FleetState::encodeReinstateInstance(later));
+        REQUIRE(state.instances().size() == 1);
+        REQUIRE(state.instances().contains(InstanceId("i")));
+        REQUIRE(state.canReinstate(instanceRecord("other", "s", 80, 20, 2)));
+    }
+    SECTION("an earlier start time under the same id")
+    {
+        const auto earlier = instanceRecord("i", "s", 80, 9, 1);
+        REQUIRE_FALSE(state.wouldChange(earlier));
+        REQUIRE(state.canReinstate(earlier));
+        REQUIRE(state.rival(earlier)->incarnation == 10);
+        apply(FleetState::encodeReinstateInstance(earlier));
+        REQUIRE(state.instances().at(InstanceId("i")).incarnation == 9);
+    }
+}
+
 TEST_CASE("a snapshot restores the same state, including deregistrations")
 {
     FleetState state;
