--- a/src/libkernel/json.cpp
+++ b/src/libkernel/json.cpp
@@ -4,6 +4,7 @@
 
 #include <json/reader.h>
 #include <json/writer.h>
+#include <nlohmann/json.hpp>
 
 namespace laburnum {
 
@@ -17,6 +18,14 @@
         return builder;
     }
 
+    /// jsoncpp also accepts bytes that are not UTF-8, control characters in strings and numbers
+    /// without digits.
+    bool isStrictJson(std::string_view text)
+    {
+        constexpr std::string_view byteOrderMark = "\xEF\xBB\xBF";
+        return !text.starts_with(byteOrderMark) && nlohmann::json::accept(text);
+    }
+
     Json::CharReaderBuilder makeReaderBuilder()
     {
         Json::CharReaderBuilder builder;
@@ -45,6 +54,9 @@
     } catch (const std::exception& e) {
         return fail(ErrorCode::InvalidArgument, std::string("not JSON: ") + e.what());
     }
+    if (!isStrictJson(text))
+        return fail(ErrorCode::InvalidArgument,
+            "not JSON: a string with bytes that are not UTF-8 or not escaped, or a bad number");
     return value;
 }
 
--- a/src/libkernel/kernel_test.cpp
+++ b/src/libkernel/kernel_test.cpp
@@ -60,3 +60,39 @@
     REQUIRE_FALSE(refused.has_value());
     REQUIRE(refused.error().message.find("slots") != std::string::npos);
 }
+
+// Guards against configurations that are acknowledged although no JSON reader can read them back.
+TEST_CASE("text that is not JSON by RFC 8259 is refused")
+{
+    const auto text = GENERATE(as<std::string>(), "{\"a\":\"\xff\"}", "{\"a\":\"\xc0\xaf\"}",
+        "{\"a\":\"\xed\xa0\x80\"}", "{\"a\":\"\xe2\x82\"}", "{\"\xff\":1}", "{\"a\":\"b\tc\"}",
+        "{\"a\":\"\\ud800\"}", "{\"a\":-}", "{\"a\":01}", "{\"a\":1.}", "{\"a\":.5}", "{\"a\":+1}",
+        "{\"a\":1e}", "{\"a\":1e999}", "{\"a\":NaN}", "{\"a\":1,}", "{\"a\":1}x", "{\"a\":1",
+        "{\"a\":1,\"a\":2}", "/**/{}", "\xef\xbb\xbf{}", "");
+    CAPTURE(text);
+    CHECK_FALSE(parseJson(text));
+    CHECK_FALSE(parseJson(std::string("{\"a\":\"b\0c\"}", 11)));
+}
+
+TEST_CASE("JSON values of all kinds and Unicode text are read")
+{
+    const std::string text
+        = "{\"a\":\"\xc3\xa9\xe2\x82\xac\xf0\x9f\x9a\xa3 \\u0000\\ud83d\\ude00\","
+          "\"b\":[-0,1.5e3,18446744073709551615,true,null,{}]}\n";
+    const auto value = parseJson(text);
+    REQUIRE(value);
+    CHECK((*value)["b"][2].asUInt64() == UINT64_MAX);
+    CHECK((*value)["a"].asString().size() == 2 + 3 + 4 + 1 + 1 + 4);
+}
+
+TEST_CASE("deeply nested JSON is refused, not a stack overflow")
+{
+    for (const std::string open : { "[", "{\"a\":" })
+        for (const std::size_t depth : { 2'000U, 1'000'000U }) {
+            std::string text;
+            for (std::size_t i = 0; i < depth; ++i)
+                text += open;
+            CHECK_FALSE(parseJson(text));
+            CHECK_FALSE(parseJson("{\"x\":" + text));
+        }
+}
