With fleet placement the deadline covers the whole answer

Cause: the deadline ended with the head of the answer; then an idle time of 30 s, started anew by each part, was the only limit. Ruled out: short answers, which are buffered; the wait for a relay grant, whose attempts have the same deadline.

Change: an answer that is relayed has a responseDeadline, which fleet placement sets to the request's deadline, for hedged attempts too. Listed fleets keep their documented limit, the time to the head; a test says so.

--- a/src/libnet/entry_unbounded_input_test.cpp
+++ b/src/libnet/entry_unbounded_input_test.cpp
@@ -314,6 +314,83 @@
     CHECK(connections == 2);
 }
 
+// Guards against callers that wait beyond the timeout for the end of a response whose instance fell
+// silent, or goes on slowly, after the head.
+TEST_CASE("fleet: the deadline ends a response that has begun")
+{
+    struct Case {
+        std::string head;
+        std::string part;
+    };
+    const auto each = GENERATE(values<Case>({ { stampedHead + chunked, "1\r\na\r\n" },
+        { stampedHead + "\r\n", "a" }, { stampedHead + "Content-Length: 900000\r\n\r\n", "a" } }));
+    const bool isSilent = GENERATE(true, false);
+    CAPTURE(each.head, isSilent);
+    ScriptedUpstream failing([&](Connection& connection, int) {
+        connection.readHead();
+        connection.send(each.head + each.part);
+        const auto start = Steady::now();
+        while (since(start) < 2s && (isSilent || connection.trySend(each.part)))
+            std::this_thread::sleep_for(20ms);
+    });
+    OrderedPlacementProvider provider;
+    provider.route.timeout = 300ms;
+    provider.instances = { failing.endpoint() };
+    OrderedFleetFixture fixture(provider);
+    Connection caller = fixture.connect();
+    const auto start = Steady::now();
+    caller.send(request("GET", "Laburnum-Deadline-Ms: 9000\r\n"));
+    const std::string got = caller.readAll();
+    CHECK(got.starts_with("HTTP/1.1 200 "));
+    CHECK_FALSE(got.ends_with("\r\n0\r\n\r\n"));
+    CHECK(got.size() < 900000);
+    CHECK(since(start) >= 300ms);
+    CHECK(since(start) < 300ms + 500ms);
+    CHECK(provider.requestEnds.wait(1).at(0) == "cut unknown");
+}
+
+// Guards against a hedged attempt that keeps the limits of the first one only up to its head.
+TEST_CASE("fleet: the deadline ends a response of a hedged attempt that has begun")
+{
+    ScriptedUpstream silent([](Connection& connection, int) {
+        connection.readHead();
+        connection.readAll();
+    });
+    ScriptedUpstream failing([](Connection& connection, int) {
+        connection.readHead();
+        connection.send(stampedHead + chunked + "1\r\na\r\n");
+        std::this_thread::sleep_for(3s);
+    });
+    OrderedPlacementProvider provider;
+    provider.route.timeout = 1600ms;
+    provider.route.objective = 200ms;
+    provider.instances = { silent.endpoint(), failing.endpoint() };
+    OrderedFleetFixture fixture(provider);
+    Connection caller = fixture.connect();
+    const auto start = Steady::now();
+    caller.send(request());
+    const std::string got = caller.readAll();
+    CHECK(got.starts_with("HTTP/1.1 200 "));
+    CHECK_FALSE(got.ends_with("\r\n0\r\n\r\n"));
+    CHECK(since(start) < 1600ms + 500ms);
+}
+
+TEST_CASE("listed instances: the deadline ends the wait for a response, not a long response")
+{
+    ScriptedUpstream slow([](Connection& connection, int) {
+        connection.readHead();
+        connection.send(stampedHead + chunked + "1\r\na\r\n");
+        std::this_thread::sleep_for(500ms);
+        connection.send("1\r\nb\r\n0\r\n\r\n");
+        connection.readAll();
+    });
+    EntryFixture fixture({}, nullptr, 300ms);
+    fixture.addInstance(slow.endpoint());
+    Connection caller = fixture.connect();
+    caller.send(request());
+    CHECK(caller.readUntil("0\r\n\r\n").ends_with("1\r\nb\r\n0\r\n\r\n"));
+}
+
 TEST_CASE("fleet: a long stamped response is streamed to its caller and blocks no other request")
 {
     const auto stream
--- a/src/libnet/exchange.cpp
+++ b/src/libnet/exchange.cpp
@@ -203,7 +203,9 @@
 
 void Exchange::armIdleTimeout()
 {
-    m_caller.watchdog.watch(m_caller.entry.options.bodyIdleTimeout, [this] {
+    const SteadyTime limit = std::min(
+        m_caller.responseDeadline, deadlineAfter(m_caller.entry.options.bodyIdleTimeout));
+    m_caller.watchdog.watch(limit, [this] {
         m_timedOut = true;
         m_upstream->close();
         m_caller.stream.reset();
--- a/src/libnet/exchange_pvt.h
+++ b/src/libnet/exchange_pvt.h
@@ -59,7 +59,10 @@
     Watchdog& watchdog;
     const HttpHead& request;
     SteadyTime arrival;
+    /// By when the head of the response must have arrived, and a buffered response completely.
     SteadyTime deadline;
+    /// By when the response must have been sent to the caller completely.
+    SteadyTime responseDeadline = SteadyTime::max();
     /// Keep a copy of the response.
     bool captureResponse = false;
     /// `100 Continue` has been sent to the caller.
@@ -137,6 +140,7 @@
     BodyFraming responseFraming(const HttpHead& head) const;
     std::vector<HeaderField> responseFields(const HttpHead& head, BodyFraming framing) const;
     void armDeadline();
+    /// Limits the wait for the next part of a response that is being relayed.
     void armIdleTimeout();
     /// Ends the attempt when the caller disconnects. Active even before the upstream connection is
     /// opened.
--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -122,6 +122,7 @@
     const Duration limit = timeLimit(m_request, m_entry.options.names, m_plan.timeout);
     m_context.deadline
         = m_context.arrival + std::chrono::duration_cast<SteadyTime::duration>(limit);
+    m_context.responseDeadline = m_context.deadline;
     m_context.retryable = retryable();
     m_context.onCallerDisconnect = [this] { onCallerDisconnect(); };
     co_return co_await serve();
--- a/src/libnet/fleet_request_attempt.cpp
+++ b/src/libnet/fleet_request_attempt.cpp
@@ -24,7 +24,7 @@
     : body(first.body)
     , watchdog(first.stream.socket().get_executor())
     , context { first.entry, first.stream, body, watchdog, first.request, first.arrival,
-        first.deadline }
+        first.deadline, first.responseDeadline }
 {
     body.rewind();
     context.retryable = first.retryable;
