A response without request id on a reused connection belongs to no request

Callers saw, by a report of other operators of such systems: 503 "not run" for requests that had run, after an instance wrote an earlier refusal again. Here: a late refusal, or a late 200, that names no request was taken as the current request's own.

Cause: only a response that names another request was recognized as late. Ruled out by tests that pass on the code before: a repeated refusal with the same request id (its connection is closed), one with another id (discarded), an answer that breaks off at any byte of its head.

Change: without the id, a response on a connection that has carried others is a bad response.

Before: `fleet: on a reused connection a response without request id belongs to no request` fails for both responses. After: passes.

--- /dev/null
+++ b/src/libnet/entry_faulty_instance_test.cpp
@@ -0,0 +1,164 @@
+// Instances that repeat an earlier response or break off within the head of one.
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+
+#include "fleet_fixture_test.h"
+
+using namespace laburnum;
+using namespace laburnum::test;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+std::string request(const std::string& id, const std::string& method = "POST")
+{
+    return method + " /s HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+std::string response(const std::string& id)
+{
+    return "HTTP/1.1 200 OK\r\nStamp: x\r\nId: " + id + "\r\nContent-Length: 2\r\n\r\nok";
+}
+
+const std::string refusal = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: 7\r\nContent-Length: 0\r\n\r\n";
+const std::string anonymousRefusal = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+const std::string anonymousResponse
+    = "HTTP/1.1 200 OK\r\nStamp: x\r\nContent-Length: 5\r\n\r\nstray";
+
+/// Connections are reused for requests that must not run twice.
+EntryOptions reusingOptions()
+{
+    EntryOptions options = fleetOptions();
+    options.unsafeReuseTimeout = 5s;
+    return options;
+}
+
+} // namespace
+
+// Guards against a refusal that is read as the response to a later attempt, which the instance
+// runs.
+TEST_CASE("fleet: a repeated refusal is not the response to a second attempt of the request")
+{
+    std::atomic<int> runs { 0 };
+    ScriptedUpstream upstream([&](Connection& connection, int index) {
+        connection.readHead();
+        if (index == 0) {
+            connection.send(refusal);
+            if (connection.readHead().empty())
+                return;
+            ++runs;
+            connection.send(refusal);
+        } else {
+            ++runs;
+            connection.send(response("7"));
+        }
+        connection.readAll();
+    });
+    OrderedPlacementProvider provider;
+    provider.route.kind = RequestKind::Unsafe;
+    provider.instances = { upstream.endpoint(), upstream.endpoint() };
+    OrderedFleetFixture fixture(provider, reusingOptions());
+    CHECK(fixture.exchange(request("7")).starts_with("HTTP/1.1 200 "));
+    CHECK(runs == 1);
+    CHECK(provider.requestEnds.wait(1).at(0) == "answered answered");
+}
+
+TEST_CASE("fleet: a repeated refusal of an earlier request is discarded")
+{
+    ScriptedUpstream upstream([&](Connection& connection, int) {
+        connection.readHead();
+        connection.send(response("6"));
+        connection.readHead();
+        connection.send(refusal + response("8"));
+        connection.readAll();
+    });
+    OrderedPlacementProvider provider;
+    provider.route.kind = RequestKind::Unsafe;
+    provider.instances = { upstream.endpoint(), upstream.endpoint() };
+    OrderedFleetFixture fixture(provider, reusingOptions());
+    CHECK(fixture.exchange(request("6")).ends_with("\r\n\r\nok"));
+    CHECK(fixture.exchange(request("8")).ends_with("\r\n\r\nok"));
+    CHECK(upstream.accepted() == 1);
+}
+
+TEST_CASE("fleet: on a reused connection a response without request id belongs to no request")
+{
+    const auto late = GENERATE(as<std::string>(), anonymousRefusal, anonymousResponse);
+    ScriptedUpstream upstream([&](Connection& connection, int) {
+        connection.readHead();
+        connection.send(response("6"));
+        connection.readHead();
+        connection.send(late);
+        connection.readAll();
+    });
+    OrderedPlacementProvider provider;
+    provider.route.kind = RequestKind::Unsafe;
+    provider.instances = { upstream.endpoint(), upstream.endpoint() };
+    OrderedFleetFixture fixture(provider, reusingOptions());
+    CHECK(fixture.exchange(request("6")).ends_with("\r\n\r\nok"));
+    CAPTURE(late);
+    // It may have run: neither refused nor answered.
+    CHECK(fixture.exchange(request("7")).starts_with("HTTP/1.1 502 "));
+    CHECK(upstream.accepted() == 1);
+}
+
+TEST_CASE("fleet: on a new connection a refusal without request id is the request's own")
+{
+    ScriptedUpstream upstream([&](Connection& connection, int) {
+        connection.readHead();
+        connection.send(anonymousRefusal);
+        connection.readAll();
+    });
+    OrderedPlacementProvider provider;
+    provider.route.kind = RequestKind::Unsafe;
+    provider.instances = { upstream.endpoint() };
+    OrderedFleetFixture fixture(provider, reusingOptions());
+    CHECK(fixture.exchange(request("7")).starts_with("HTTP/1.1 503 "));
+}
+
+// Guards against a cut head that is passed on as a whole response with an empty or short body.
+TEST_CASE("a response that ends within its head is never passed on as a whole one")
+{
+    const auto framing = GENERATE(as<std::string>(), "Content-Length: 2\r\n\r\nok",
+        "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "\r\nok");
+    const bool isReset = GENERATE(false, true);
+    const std::string whole = "HTTP/1.1 200 OK\r\nStamp: x\r\nId: 7\r\n" + framing;
+    const std::size_t headEnd = whole.find("\r\n\r\n") + 4;
+    std::atomic<std::size_t> cutAt { 0 };
+    ScriptedUpstream upstream([&](Connection& connection, int) {
+        connection.readHead();
+        connection.send(whole.substr(0, cutAt));
+        if (isReset)
+            connection.reset();
+        else
+            connection.close();
+    });
+    const auto expectFailure = [&](const std::string& got) {
+        CAPTURE(got, cutAt.load());
+        CHECK_FALSE(got.starts_with("HTTP/1.1 200"));
+        CHECK_FALSE(got.starts_with("HTTP/1.1 503"));
+    };
+    SECTION("fleet")
+    {
+        OrderedPlacementProvider provider;
+        provider.route.kind = RequestKind::Unsafe;
+        for (std::size_t i = 0; i < headEnd; ++i)
+            provider.instances.push_back(upstream.endpoint());
+        OrderedFleetFixture fixture(provider);
+        for (cutAt = 0; cutAt < headEnd; ++cutAt)
+            expectFailure(fixture.exchange(request("7")));
+    }
+    SECTION("listed instances")
+    {
+        EntryFixture fixture;
+        fixture.addInstance(upstream.endpoint());
+        for (cutAt = 0; cutAt < headEnd; ++cutAt) {
+            Connection caller = fixture.connect();
+            caller.send(request("7"));
+            expectFailure(caller.readMessage());
+        }
+    }
+}
--- a/src/libnet/exchange.cpp
+++ b/src/libnet/exchange.cpp
@@ -302,6 +302,15 @@
     co_return Expected<void> {};
 }
 
+/// Instances repeat the request id in their responses. Without one, a response on a connection that
+/// has carried others may be a late one.
+bool Exchange::isAttributable(const HttpHead& head) const
+{
+    const std::string& name = m_caller.entry.options.names.requestId;
+    return name.empty() || !m_reused || !head.field(name).empty()
+        || m_caller.request.field(name).empty();
+}
+
 bool Exchange::provesNotRun(const HttpHead& head) const
 {
     const HeaderNames& names = m_caller.entry.options.names;
@@ -353,6 +362,11 @@
         co_return;
     }
     recordResponseHead(*head);
+    if (!isAttributable(*head)) {
+        m_outcome.end = AttemptEnd::BadResponse;
+        m_upstreamKeepAlive = false;
+        co_return;
+    }
     if (provesNotRun(*head)) {
         m_outcome.end = AttemptEnd::Shed;
         m_outcome.mayHaveRun = false;
--- a/src/libnet/exchange_pvt.h
+++ b/src/libnet/exchange_pvt.h
@@ -22,8 +22,8 @@
     Shed,
     /// The connection was closed without a response.
     NoResponse,
-    /// No valid response: the bytes are not HTTP, maxUnattributedBytes is exceeded, or a status
-    /// below 300 comes without the stamp of an instance.
+    /// No valid response: the bytes are not HTTP, maxUnattributedBytes is exceeded, a status below
+    /// 300 comes without the stamp of an instance, or it is unknown to which request it belongs.
     BadResponse,
     /// The deadline passed.
     TimedOut,
@@ -149,6 +149,8 @@
     bool callerDisconnected();
     AttemptEnd endForError(const Error& error) const;
     bool belongsToOtherRequest(const HttpHead& head) const;
+    /// Whether a response with no other request's id is known to be this request's.
+    bool isAttributable(const HttpHead& head) const;
     bool provesNotRun(const HttpHead& head) const;
     void recordResponseHead(const HttpHead& head);
     void captureBodyPart(const std::string& part);
