A host sends nothing more to an instance that said it is leaving, or pauses

Change: the exchange reads both from responses that are the instance's own; the report of an attempt carries them; the local scheduler closes the instance until its next start, or for that time. Placement requests exclude closed instances, and a grant decided before is returned as unused and asked for elsewhere. Each closure is one log line, `instance: leaving` or `paused`.

With LocalScheduler::recordClosure() emptied, `an instance that closed itself gets nothing until it starts again or its pause is over` fails 6 of 10 checks and `a grant for an instance that closed itself meanwhile is returned and asked for elsewhere` 16 of 76; with it all pass. Also new: `fleet: a response that closes its instance is reported so and passed on unchanged`.

--- a/src/include/laburnumroute/local_scheduler.h
+++ b/src/include/laburnumroute/local_scheduler.h
@@ -50,6 +50,12 @@
     /// seconds, without a success since. Other hosts' reports do not count.
     std::vector<InstanceId> unreachableInstances(TimePoint now) const;
 
+    /// Whether the instance itself wants no requests of this host: it responded that it is leaving,
+    /// until it starts again, or that it pauses, until then. Holds whoever places the request.
+    bool isClosed(const InstanceId& id, TimePoint now) const;
+    /// The instances for which isClosed() holds.
+    std::vector<InstanceId> closedInstances(TimePoint now) const;
+
     /// Draws an instance for `request`, preferring low cost.
     std::optional<InstanceId> choose(const PlacementRequest& request, TimePoint now);
     /// Takes one retry from this host's share of the budget (RetryBudgetShares).
@@ -59,6 +65,7 @@
     void onRequest(const ServiceId& service, TimePoint now);
 
 private:
+    void recordClosure(const InstanceId& id, const PlacementReport& report, TimePoint now);
     void recordOutcome(const InstanceId& id, const PlacementReport& report, TimePoint now);
     double cost(const InstanceRecord& record, const PlacementRequest& request, TimePoint now) const;
     std::uint32_t inFlight(const InstanceId& id) const;
@@ -72,6 +79,9 @@
     std::map<InstanceId, HealthEstimator> m_estimators;
     std::map<InstanceId, TimePoint> m_pathBrokenUntil;
     std::map<InstanceId, TimePoint> m_lastFailure;
+    /// Incarnation of each instance that responded that it is leaving.
+    std::map<InstanceId, std::uint64_t> m_leaving;
+    std::map<InstanceId, TimePoint> m_pausedUntil;
     std::set<InstanceId> m_doubtful;
     TimePoint m_doubtfulAt {};
     std::map<ServiceId, RetryWindow> m_retryWindows;
--- a/src/include/laburnumroute/placement_types.h
+++ b/src/include/laburnumroute/placement_types.h
@@ -106,6 +106,10 @@
     Duration latency {};
     /// Requests running and queued, as the instance reported; negative when not reported.
     std::int32_t reportedLoad = -1;
+    /// The instance responded that it is leaving.
+    bool isLeaving = false;
+    /// The instance responded that it accepts no requests of this host for this long.
+    Duration pause {};
 };
 
 /// A placement in use, reported by its entry host to a new leader.
--- a/src/libhub/controller_client.cpp
+++ b/src/libhub/controller_client.cpp
@@ -421,6 +421,8 @@
         m_localScheduler.onRequest(request.service, now);
     for (const InstanceId& unreachable : m_localScheduler.unreachableInstances(now))
         request.avoid.push_back(unreachable);
+    for (const InstanceId& closed : m_localScheduler.closedInstances(now))
+        request.avoid.push_back(closed);
     const Duration ownTransfer
         = std::min<Duration>(maxTransferTime, request.bodyKiB * transferTimePerKiB);
     const TimePoint due = now + replyTimeout + std::max(transferTime(now), ownTransfer);
@@ -460,7 +462,18 @@
         return; // placed locally meanwhile; the leader was notified
     if (record == nullptr)
         return placeLocally(dispatch, now, actions);
-    const PendingRequest& pending = found->second;
+    PendingRequest& pending = found->second;
+    if (m_localScheduler.isClosed(instance, now)) {
+        // The instance closed while the request waited for its slot.
+        actions.frames.emplace_back(*m_leader,
+            pack(AttemptEndFrame {
+                dispatch.value(), static_cast<std::uint8_t>(PlacementOutcome::Unused), 0, -1 }));
+        pending.request.avoid.push_back(instance);
+        pending.request.resubmitted = true;
+        pending.sentAt = now;
+        pending.replyDue = now + replyTimeout + transferTime(now);
+        return sendRequest(dispatch, pending, now, actions);
+    }
     m_placements[dispatch] = { instance, pending.request.service, now,
         pending.since + pending.request.remaining, pending.request.bodyKiB };
     m_localScheduler.begin(instance);
@@ -520,8 +533,15 @@
     if (found == m_placements.end())
         return;
     const InstanceId instance = found->second.instance;
+    const bool wasClosed = m_localScheduler.isClosed(instance, now);
     m_localScheduler.end(instance, report, now);
     m_placements.erase(found);
+    if (!wasClosed && m_localScheduler.isClosed(instance, now)) {
+        Decision decision { "instance", report.isLeaving ? "leaving" : "paused" };
+        decision.facts["instance"] = instance.value();
+        decision.facts["pause_ms"] = Json::Int64(toMillis(report.pause));
+        actions.decisions.push_back(std::move(decision));
+    }
     const bool failed
         = report.end != PlacementOutcome::Success && report.end != PlacementOutcome::Unused;
     if (failed && (!m_leader || m_leaderSuspected))
--- a/src/libhub/controller_test.cpp
+++ b/src/libhub/controller_test.cpp
@@ -749,3 +749,40 @@
         CHECK(isRegistered(fleet, claimant));
     }
 }
+
+// Guards against requests that waited for a slot of an instance while it said that it is leaving.
+TEST_CASE(
+    "a grant for an instance that closed itself meanwhile is returned and asked for elsewhere")
+{
+    for (const bool isLeaving : { true, false }) {
+        CAPTURE(isLeaving);
+        ControllerFleet fleet({ .seed = 24 });
+        startFleet(fleet);
+        auto only = instanceRecord("a", "s", 80);
+        only.slots = 1;
+        REQUIRE(fleet.callAnywhere(AnnounceCall { only }));
+        fleet.run(500ms);
+        const DispatchId first = fleet.dispatch(e(1), placementRequest("s"));
+        REQUIRE(fleet.runUntil(300ms, [&] { return fleet.answers(e(1)).contains(first); }));
+        const DispatchId second = fleet.dispatch(e(1), placementRequest("s"));
+        fleet.run(100ms);
+        REQUIRE_FALSE(fleet.answers(e(1)).contains(second));
+        REQUIRE(fleet.callAnywhere(AnnounceCall { instanceRecord("b", "s", 81) }));
+        fleet.end(e(1), first,
+            { PlacementOutcome::Success, 50ms, -1, isLeaving, isLeaving ? Duration {} : 5s });
+        for (int i = 0; i < 10; ++i) {
+            const DispatchId next = i == 0 ? second : fleet.dispatch(e(1), placementRequest("s"));
+            REQUIRE(fleet.runUntil(400ms, [&] { return fleet.answers(e(1)).contains(next); }));
+            const auto& answer = fleet.answers(e(1)).at(next);
+            REQUIRE(answer.instance.has_value());
+            CHECK(answer.instance->id == InstanceId("b"));
+            fleet.end(e(1), next, { PlacementOutcome::Success, 50ms });
+        }
+        fleet.run(200ms);
+        CHECK(fleet.controller(*fleet.leader())->scheduler().granted() == 0);
+        // Other hosts have not been told.
+        const DispatchId other = fleet.dispatch(e(2), placementRequest("s"));
+        REQUIRE(fleet.runUntil(400ms, [&] { return fleet.answers(e(2)).contains(other); }));
+        REQUIRE(fleet.answers(e(2)).at(other).instance.has_value());
+    }
+}
--- a/src/libnet/entry_faulty_instance_test.cpp
+++ b/src/libnet/entry_faulty_instance_test.cpp
@@ -1,4 +1,4 @@
-// Instances that repeat an earlier response or break off within the head of one.
+// Instances that repeat an earlier response, break off within the head of one, or close themselves.
 
 #include <catch2/catch.hpp>
 
@@ -162,3 +162,41 @@
         }
     }
 }
+
+TEST_CASE("fleet: a response that closes its instance is reported so and passed on unchanged")
+{
+    struct Case {
+        std::string status;
+        std::string fields;
+        std::string closure;
+    };
+    const std::string stamp = "Stamp: x\r\n";
+    const std::string notRun = "Not-Run: 1\r\n";
+    const auto each
+        = GENERATE_COPY(values<Case>({ { "200 OK", stamp + "Leaving: 1\r\n", "leaving 0" },
+            { "200 OK", stamp + "Leaving: 0\r\n", "open 0" }, { "200 OK", stamp, "open 0" },
+            { "500 Oops", stamp + "Leaving: 1\r\n", "leaving 0" },
+            { "200 OK", stamp + "Retry-After: 3\r\n", "open 0" },
+            { "503 Full", stamp + "Retry-After: 3\r\n", "open 3000" },
+            { "503 Full", notRun + "Retry-After: 1.5\r\nLeaving: 1\r\n", "leaving 1500" },
+            { "503 Full", notRun + "Retry-After: 99999999999\r\n", "open 86400000" },
+            { "503 Full", notRun + "Retry-After: -2\r\n", "open 0" },
+            { "503 Full", notRun + "Retry-After: soon\r\n", "open 0" },
+            { "503 Full", notRun + "Retry-After: nan\r\n", "open 0" },
+            { "503 Full", "Retry-After: 3\r\n", "open 0" } }));
+    CAPTURE(each.status, each.fields);
+    ScriptedUpstream upstream([&](Connection& connection, int) {
+        connection.readHead();
+        connection.send("HTTP/1.1 " + each.status + "\r\nId: 7\r\n" + each.fields
+            + "Content-Length: 0\r\n\r\n");
+        connection.readAll();
+    });
+    OrderedPlacementProvider provider;
+    provider.route.kind = RequestKind::Unsafe;
+    provider.instances = { upstream.endpoint() };
+    OrderedFleetFixture fixture(provider);
+    const std::string got = fixture.exchange(request("7"));
+    CHECK(provider.closures.wait(1).at(0) == each.closure);
+    if (each.fields.starts_with(stamp))
+        CHECK(got.find(each.fields) != std::string::npos);
+}
--- a/src/libnet/exchange.cpp
+++ b/src/libnet/exchange.cpp
@@ -24,6 +24,22 @@
         return steadyNow() + std::chrono::duration_cast<std::chrono::steady_clock::duration>(d);
     }
 
+    /// A longer Retry-After is taken as this.
+    constexpr auto maxPause = std::chrono::hours(24);
+
+    /// Zero unless `text` is a number of seconds, which may have a fraction.
+    Duration parseRetryAfter(std::string_view text)
+    {
+        double seconds = 0.0;
+        const auto [end, code] = std::from_chars(
+            text.data(), text.data() + text.size(), seconds, std::chars_format::fixed);
+        if (code != std::errc() || end != text.data() + text.size() || !(seconds > 0.0))
+            return {};
+        const std::chrono::duration<double> pause(
+            std::min(seconds, std::chrono::duration<double>(maxPause).count()));
+        return std::chrono::duration_cast<Duration>(pause);
+    }
+
     void eraseFields(std::vector<HeaderField>& fields, std::string_view name)
     {
         std::erase_if(
@@ -335,6 +351,18 @@
     m_outcome.reportedLoad = static_cast<std::int32_t>(running + waiting);
 }
 
+void Exchange::recordClosure(const HttpHead& head)
+{
+    const std::string& leaving = m_caller.entry.options.names.leaving;
+    m_outcome.isLeaving = !leaving.empty() && head.field(leaving) == "1";
+    // A 503 without either mark comes from something in front of the instance.
+    const std::string& responseStamp = m_caller.entry.options.names.responseStamp;
+    const bool isInstance
+        = provesNotRun(head) || (!responseStamp.empty() && !head.field(responseStamp).empty());
+    if (head.status == statusUnavailable && isInstance)
+        m_outcome.pause = parseRetryAfter(head.field("retry-after"));
+}
+
 /// Reads a short response completely before anything is sent to the caller.
 asio::awaitable<void> Exchange::bufferResponse(HttpHead head)
 {
@@ -367,6 +395,7 @@
         m_upstreamKeepAlive = false;
         co_return;
     }
+    recordClosure(*head);
     if (provesNotRun(*head)) {
         m_outcome.end = AttemptEnd::Shed;
         m_outcome.mayHaveRun = false;
--- a/src/libnet/exchange_pvt.h
+++ b/src/libnet/exchange_pvt.h
@@ -107,6 +107,10 @@
     /// Running and queued requests as reported in the response; negative if not reported.
     std::int32_t reportedLoad = -1;
     std::optional<BufferedResponse> buffered;
+    /// The response said that the instance is leaving.
+    bool isLeaving = false;
+    /// Retry-After of a 503 of the instance.
+    Duration pause {};
 };
 
 /// Runs one attempt. Must be used from the session's strand.
@@ -153,6 +157,8 @@
     bool isAttributable(const HttpHead& head) const;
     bool provesNotRun(const HttpHead& head) const;
     void recordResponseHead(const HttpHead& head);
+    /// Records whether the instance wants further requests of this host.
+    void recordClosure(const HttpHead& head);
     void captureBodyPart(const std::string& part);
     /// Whether the caller disconnected or its body is malformed.
     bool callerFailed() const;
--- a/src/libnet/fleet_fixture_test.h
+++ b/src/libnet/fleet_fixture_test.h
@@ -72,6 +72,8 @@
         static constexpr std::array names { "success", "failure", "shed", "silence", "refused",
             "unreachable", "unused" };
         reports.add(names.at(static_cast<std::size_t>(report.end)));
+        closures.add(
+            (report.isLeaving ? "leaving " : "open ") + std::to_string(toMillis(report.pause)));
     }
 
     std::uint64_t awaitConfiguration(std::function<void()>) override { return 1; }
@@ -93,6 +95,8 @@
     std::function<void()> onDispatch;
     RecordedLines dispatches;
     RecordedLines reports;
+    /// Whether the instance is leaving and its pause in milliseconds, of each report.
+    RecordedLines closures;
     /// Reason and outcome of each finished request.
     RecordedLines requestEnds;
 
@@ -106,6 +110,7 @@
     result.names.requestId = "Id";
     result.names.notRun = "Not-Run";
     result.names.responseStamp = "Stamp";
+    result.names.leaving = "Leaving";
     return result;
 }
 
--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -476,7 +476,8 @@
 
 PlacementReport FleetRequest::makeReport(const AttemptOutcome& outcome) const
 {
-    PlacementReport report { PlacementOutcome::Failure, outcome.latency, outcome.reportedLoad };
+    PlacementReport report { PlacementOutcome::Failure, outcome.latency, outcome.reportedLoad,
+        outcome.isLeaving, outcome.pause };
     switch (outcome.end) {
     case AttemptEnd::Completed:
     case AttemptEnd::Buffered:
--- a/src/libplace/local_scheduler.cpp
+++ b/src/libplace/local_scheduler.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+    /// Number of instances beyond which expired entries are dropped.
+    constexpr std::size_t maxClosedInstances = 4096;
     /// Time for which a path that failed is avoided; about the duration of a network cut.
     constexpr auto pathAvoidTime = std::chrono::milliseconds(3000);
     constexpr double brokenPathFailureProbability = 0.5;
@@ -59,6 +61,11 @@
     const InstanceRecord* known = find(record.id);
     if (known != nullptr && known->incarnation != record.incarnation)
         m_estimators.erase(record.id);
+    const auto leaving = m_leaving.find(record.id);
+    if (leaving != m_leaving.end() && leaving->second != record.incarnation) {
+        m_leaving.erase(leaving);
+        m_pausedUntil.erase(record.id);
+    }
     m_records[record.id] = record;
 }
 
@@ -92,8 +99,46 @@
         m_lastFailure[id] = now;
 }
 
+bool LocalScheduler::isClosed(const InstanceId& id, TimePoint now) const
+{
+    const auto paused = m_pausedUntil.find(id);
+    return m_leaving.contains(id) || (paused != m_pausedUntil.end() && now < paused->second);
+}
+
+std::vector<InstanceId> LocalScheduler::closedInstances(TimePoint now) const
+{
+    std::vector<InstanceId> ids;
+    ids.reserve(m_leaving.size());
+    for (const auto& [id, incarnation] : m_leaving)
+        ids.push_back(id);
+    for (const auto& [id, until] : m_pausedUntil) {
+        if (now < until && !m_leaving.contains(id))
+            ids.push_back(id);
+    }
+    return ids;
+}
+
+void LocalScheduler::recordClosure(
+    const InstanceId& id, const PlacementReport& report, TimePoint now)
+{
+    const InstanceRecord* record = find(id);
+    if (record == nullptr)
+        return;
+    if (report.isLeaving)
+        m_leaving[id] = record->incarnation;
+    if (report.pause > Duration::zero()) {
+        auto& until = m_pausedUntil[id];
+        until = std::max(until, now + report.pause);
+    }
+    if (m_leaving.size() > maxClosedInstances)
+        std::erase_if(m_leaving, [&](const auto& item) { return !m_records.contains(item.first); });
+    if (m_pausedUntil.size() > maxClosedInstances)
+        std::erase_if(m_pausedUntil, [&](const auto& item) { return now >= item.second; });
+}
+
 void LocalScheduler::end(const InstanceId& id, const PlacementReport& report, TimePoint now)
 {
+    recordClosure(id, report, now);
     const auto found = m_inFlight.find(id);
     if (found != m_inFlight.end() && --found->second == 0)
         m_inFlight.erase(found);
@@ -191,7 +236,7 @@
     double explorationSum = 0.0;
     for (const auto& [id, record] : m_records) {
         const bool fits = record.service == request.service
-            && record.phase == InstancePhase::Serving
+            && record.phase == InstancePhase::Serving && !isClosed(id, now)
             && std::find(request.avoid.begin(), request.avoid.end(), id) == request.avoid.end();
         if (!fits)
             continue;
--- a/src/libplace/local_scheduler_test.cpp
+++ b/src/libplace/local_scheduler_test.cpp
@@ -411,3 +411,48 @@
     // If retries were limited to a tenth of the requests, two would be granted.
     REQUIRE(retries >= 3);
 }
+
+// Guards against work for an instance that said that it is leaving, or wants nothing for a time.
+TEST_CASE("an instance that closed itself gets nothing until it starts again or its pause is over")
+{
+    LocalScheduler scheduler({ HostId("h"), DataCentreId("d"), RegionId("r") }, 1);
+    InstanceRecord record;
+    record.id = InstanceId("i");
+    record.service = service;
+    record.incarnation = 7;
+    scheduler.upsert(record);
+    PlacementRequest request;
+    request.service = service;
+    const TimePoint start { 10s };
+    const auto isUsed = [&](TimePoint now) { return scheduler.choose(request, now).has_value(); };
+    const auto end = [&](const PlacementReport& report) {
+        scheduler.begin(record.id);
+        scheduler.end(record.id, report, start);
+    };
+    SECTION("leaving")
+    {
+        end({ PlacementOutcome::Success, 50ms, -1, true });
+        CHECK_FALSE(isUsed(start + 1h));
+        CHECK(scheduler.closedInstances(start) == std::vector { record.id });
+        // A renewal, or a return after the record was removed, does not open it.
+        scheduler.upsert(record);
+        CHECK_FALSE(isUsed(start));
+        scheduler.remove(record.id);
+        scheduler.upsert(record);
+        CHECK_FALSE(isUsed(start));
+        record.incarnation = 8;
+        scheduler.upsert(record);
+        CHECK(isUsed(start));
+        CHECK(scheduler.closedInstances(start).empty());
+    }
+    SECTION("paused")
+    {
+        end({ PlacementOutcome::Shed, 5ms, -1, false, 3s });
+        CHECK_FALSE(isUsed(start + 2999ms));
+        // A shorter pause does not end a longer one.
+        end({ PlacementOutcome::Shed, 5ms, -1, false, 1s });
+        CHECK_FALSE(isUsed(start + 2999ms));
+        CHECK(isUsed(start + 3s));
+        CHECK(scheduler.closedInstances(start + 3s).empty());
+    }
+}
