A connection that is slow to open is kept while others to the same host are tried

Eight of 443 hosts needed 4 to 12 s to join their leader again.

The limit serves two ends: trying again soon after a loss, and ending what hangs. Ruled out before: the named leader that was tried only once.

Change: after 700 ms a connection no longer prevents another one to the same host, and is closed after 2.1 s.

--- a/src/include/laburnumroute/controller_client.h
+++ b/src/include/laburnumroute/controller_client.h
@@ -123,7 +123,9 @@
     void searchLeader(TimePoint now, ControllerClientActions& actions);
     void open(const HostId& host, TimePoint now, ControllerClientActions& actions);
     void close(LinkId link, ControllerClientActions& actions);
-    bool isConnectedTo(const HostId& host) const;
+    /// The link is open, or may still open in the usual time.
+    static bool isPromising(const Link& link, TimePoint now);
+    bool isConnectedTo(const HostId& host, TimePoint now) const;
     std::vector<HostId> candidateHosts() const;
     void loseLeader(const char* reason, TimePoint now, ControllerClientActions& actions);
     void sendRequest(DispatchId id, const PendingRequest& pending, TimePoint now,
--- a/src/libhub/controller_client.cpp
+++ b/src/libhub/controller_client.cpp
@@ -27,8 +27,12 @@
     constexpr auto queueGrace = milliseconds(300);
     /// The leader sends a heartbeat every 500 ms; without one for this long it is abandoned.
     constexpr auto heartbeatTimeout = milliseconds(1250);
-    /// A connection that is not established within this time is closed.
+    /// A connection that is not established within this time no longer prevents another one to the
+    /// same host.
     constexpr auto connectTimeout = milliseconds(700);
+    /// It is closed after this time. Behind the bodies of uploads on a slow link it takes longer to
+    /// open than `connectTimeout`, and so would each one that replaced it.
+    constexpr auto abandonTimeout = milliseconds(2100);
     /// A connection to a control host that is not the leader is closed after this time, so that the
     /// search can contact the host once more.
     constexpr auto idleLinkTimeout = milliseconds(3000);
@@ -68,10 +72,16 @@
     return hosts;
 }
 
-bool ControllerClient::isConnectedTo(const HostId& host) const
+bool ControllerClient::isPromising(const Link& link, TimePoint now)
 {
-    return std::any_of(
-        m_links.begin(), m_links.end(), [&](const auto& item) { return item.second.host == host; });
+    return link.open || now - link.since <= connectTimeout;
+}
+
+bool ControllerClient::isConnectedTo(const HostId& host, TimePoint now) const
+{
+    return std::any_of(m_links.begin(), m_links.end(), [&](const auto& item) {
+        return item.second.host == host && isPromising(item.second, now);
+    });
 }
 
 void ControllerClient::open(const HostId& host, TimePoint now, ControllerClientActions& actions)
@@ -95,18 +105,20 @@
     m_nextSearch = now + searchInterval;
     std::vector<LinkId> stale;
     for (const auto& [id, link] : m_links) {
-        if (id != m_leader && now - link.since > (link.open ? idleLinkTimeout : connectTimeout))
+        if (id != m_leader && now - link.since > (link.open ? idleLinkTimeout : abandonTimeout))
             stale.push_back(id);
     }
     for (const LinkId id : stale)
         close(id, actions);
     // The host that named the leader does not repeat it, and a first connection may fail.
-    if (m_namedLeader && !isConnectedTo(*m_namedLeader))
+    if (m_namedLeader && !isConnectedTo(*m_namedLeader, now))
         return open(*m_namedLeader, now, actions);
     const auto hosts = candidateHosts();
-    for (std::size_t i = 0; i < hosts.size() && m_links.size() < maxSearchLinks; ++i) {
+    const auto links = static_cast<std::size_t>(std::count_if(m_links.begin(), m_links.end(),
+        [&](const auto& item) { return isPromising(item.second, now); }));
+    for (std::size_t i = 0; i < hosts.size() && links < maxSearchLinks; ++i) {
         const HostId& host = hosts[m_nextCandidate++ % hosts.size()];
-        if (!isConnectedTo(host)) {
+        if (!isConnectedTo(host, now)) {
             open(host, now, actions);
             return;
         }
@@ -235,7 +247,7 @@
     if (leader.empty() || (m_leader && !m_leaderSuspected))
         return;
     m_namedLeader = HostId(leader);
-    if (!isConnectedTo(HostId(leader)))
+    if (!isConnectedTo(HostId(leader), now))
         open(HostId(leader), now, actions);
 }
 
--- a/src/libhub/controller_test.cpp
+++ b/src/libhub/controller_test.cpp
@@ -463,6 +463,44 @@
     CHECK(actions.answers.back().alone);
 }
 
+// Guards against hosts that need seconds to join their leader again while uploads fill their link.
+TEST_CASE("load pattern: a connection that takes longer than usual to open is still used")
+{
+    for (const Duration opensAfter : { 650ms, 750ms, 1200ms, 2000ms }) {
+        const HostLocation place { e(1), DataCentreId("d"), RegionId("r") };
+        ControllerClient client(place, { c(1), c(2), c(3) }, 1);
+        std::multimap<TimePoint, LinkId> opening;
+        std::set<LinkId> closed;
+        std::size_t mostLinks = 0;
+        const TimePoint start { 10s };
+        TimePoint now = start;
+        for (; now < start + 6s && !client.hasLeader(); now += 50ms) {
+            ControllerClientActions actions;
+            while (!opening.empty() && opening.begin()->first <= now) {
+                const LinkId link = opening.begin()->second;
+                opening.erase(opening.begin());
+                if (closed.contains(link))
+                    continue;
+                client.linkOpened(link, now, actions);
+                client.receive(link, pvt::pack(pvt::WelcomeFrame {}), now, actions);
+            }
+            client.tick(now, actions);
+            closed.insert(actions.closes.begin(), actions.closes.end());
+            for (const auto& [link, host] : actions.opens)
+                opening.emplace(now + opensAfter, link);
+            std::size_t links = 0;
+            for (const auto& [due, link] : opening)
+                links += closed.contains(link) ? 0 : 1;
+            mostLinks = std::max(mostLinks, links);
+        }
+        CAPTURE(toMillis(opensAfter));
+        CHECK(client.hasLeader());
+        CHECK(now - start <= opensAfter + 150ms);
+        // Three at a time, each given up after three times the usual time.
+        CHECK(mostLinks <= 9);
+    }
+}
+
 TEST_CASE("load pattern: the named leader is tried again when its connection is lost in the crowd")
 {
     // All hosts of a site search at once after a change of leader, and some links lose packets.
