A placement request excludes closed instances of its own service only

The list now holds known instances of the request's service.

Before: `an instance that closed itself gets nothing ...` would find the instance for another service, and after its record was removed (the signature differs, so the old sources were not run with it). After: passes.

--- a/src/include/laburnumroute/local_scheduler.h
+++ b/src/include/laburnumroute/local_scheduler.h
@@ -53,8 +53,8 @@
     /// Whether the instance itself wants no requests of this host: it responded that it is leaving,
     /// until it starts again, or that it pauses, until then. Holds whoever places the request.
     bool isClosed(const InstanceId& id, TimePoint now) const;
-    /// The instances for which isClosed() holds.
-    std::vector<InstanceId> closedInstances(TimePoint now) const;
+    /// The known instances of `service` for which isClosed() holds.
+    std::vector<InstanceId> closedInstances(const ServiceId& service, TimePoint now) const;
 
     /// Draws an instance for `request`, preferring low cost.
     std::optional<InstanceId> choose(const PlacementRequest& request, TimePoint now);
--- a/src/libhub/controller_client.cpp
+++ b/src/libhub/controller_client.cpp
@@ -433,7 +433,7 @@
         m_localScheduler.onRequest(request.service, now);
     for (const InstanceId& unreachable : m_localScheduler.unreachableInstances(now))
         request.avoid.push_back(unreachable);
-    for (const InstanceId& closed : m_localScheduler.closedInstances(now))
+    for (const InstanceId& closed : m_localScheduler.closedInstances(request.service, now))
         request.avoid.push_back(closed);
     const Duration ownTransfer
         = std::min<Duration>(maxTransferTime, request.bodyKiB * transferTimePerKiB);
--- a/src/libplace/local_scheduler.cpp
+++ b/src/libplace/local_scheduler.cpp
@@ -105,15 +105,20 @@
     return m_leaving.contains(id) || (paused != m_pausedUntil.end() && now < paused->second);
 }
 
-std::vector<InstanceId> LocalScheduler::closedInstances(TimePoint now) const
+std::vector<InstanceId> LocalScheduler::closedInstances(
+    const ServiceId& service, TimePoint now) const
 {
     std::vector<InstanceId> ids;
-    ids.reserve(m_leaving.size());
+    const auto add = [&](const InstanceId& id) {
+        const InstanceRecord* record = find(id);
+        if (record != nullptr && record->service == service)
+            ids.push_back(id);
+    };
     for (const auto& [id, incarnation] : m_leaving)
-        ids.push_back(id);
+        add(id);
     for (const auto& [id, until] : m_pausedUntil) {
         if (now < until && !m_leaving.contains(id))
-            ids.push_back(id);
+            add(id);
     }
     return ids;
 }
--- a/src/libplace/local_scheduler_test.cpp
+++ b/src/libplace/local_scheduler_test.cpp
@@ -433,17 +433,20 @@
     {
         end({ PlacementOutcome::Success, 50ms, -1, true });
         CHECK_FALSE(isUsed(start + 1h));
-        CHECK(scheduler.closedInstances(start) == std::vector { record.id });
+        CHECK(scheduler.closedInstances(service, start) == std::vector { record.id });
+        // Requests for other services are not burdened with it.
+        CHECK(scheduler.closedInstances(ServiceId("other"), start).empty());
         // A renewal, or a return after the record was removed, does not open it.
         scheduler.upsert(record);
         CHECK_FALSE(isUsed(start));
         scheduler.remove(record.id);
+        CHECK(scheduler.closedInstances(service, start).empty());
         scheduler.upsert(record);
         CHECK_FALSE(isUsed(start));
         record.incarnation = 8;
         scheduler.upsert(record);
         CHECK(isUsed(start));
-        CHECK(scheduler.closedInstances(start).empty());
+        CHECK(scheduler.closedInstances(service, start).empty());
     }
     SECTION("paused")
     {
@@ -453,6 +456,6 @@
         end({ PlacementOutcome::Shed, 5ms, -1, false, 1s });
         CHECK_FALSE(isUsed(start + 2999ms));
         CHECK(isUsed(start + 3s));
-        CHECK(scheduler.closedInstances(start + 3s).empty());
+        CHECK(scheduler.closedInstances(service, start + 3s).empty());
     }
 }
