--- a/src/include/laburnumroute/fleet_state.h
+++ b/src/include/laburnumroute/fleet_state.h
@@ -81,7 +81,7 @@
     /// going on: an incarnation that did not itself state its end, or one with an earlier start
     /// time than the present holder of its id or address.
     bool canReinstate(const InstanceRecord& record) const;
-    /// The instance, other than that of `record`, which holds the id or address of `record`.
+    /// The other instance, or start of the same one, that holds the id or address of `record`.
     const InstanceRecord* rival(const InstanceRecord& record) const;
 
 private:
