--- a/review/standins-2/fleet2.py
+++ b/review/standins-2/fleet2.py
@@ -48,11 +48,11 @@
 
 
 def free_ports(count):
-    """Port numbers that are free on all of loopback."""
+    """Port numbers that were free on loopback just now."""
     ports = []
     while len(ports) < count:
         with socket.socket() as probe:
-            probe.bind(("0.0.0.0", 0))
+            probe.bind(("127.0.0.1", 0))
             port = probe.getsockname()[1]
         if port not in ports:
             ports.append(port)
