The largest priority has no successor: the queue's walk over priorities ends with it

Cause: waitingPriorities() continued at firstOf(priority + 1). For the largest priority the sum is 0, so the walk begins again and its list grows until the process is killed. The configuration is in the log, so every leader does the same.

Change: WaiterOrder::lastOf() is the end of a priority, and the walk continues after it.

--- a/src/include/laburnumroute/waiter_order.h
+++ b/src/include/laburnumroute/waiter_order.h
@@ -23,6 +23,14 @@
         return { priority, -std::numeric_limits<double>::infinity(), 0 };
     }
 
+    /// Follows all requests of `priority`. The largest priority has no successor, so the end of a
+    /// priority is not the beginning of the next one.
+    static WaiterOrder lastOf(std::uint32_t priority)
+    {
+        return { priority, std::numeric_limits<double>::infinity(),
+            std::numeric_limits<std::uint64_t>::max() };
+    }
+
     friend auto operator<=>(const WaiterOrder&, const WaiterOrder&) = default;
 };
 
--- a/src/libplace/fleet_scheduler_accounts_test.cpp
+++ b/src/libplace/fleet_scheduler_accounts_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <limits>
 #include <map>
 
 #include <laburnumroute/fleet_scheduler.h>
@@ -182,3 +183,34 @@
     const auto& keys = fixture.grantedKeys();
     CHECK(std::vector<DispatchKey>(keys.begin() + 4, keys.end()) == expected);
 }
+
+// Guards against a loop without end at the largest priority, which has no successor: it ended each
+// leader in turn (review/7). The others are the ends of the range and their neighbours.
+TEST_CASE("load pattern: requests of the lowest and the highest priority are queued and served")
+{
+    constexpr std::uint32_t lowest = std::numeric_limits<std::uint32_t>::max();
+    const std::vector<std::uint32_t> priorities { 0, 1, lowest - 1, lowest };
+    for (std::size_t count = 1; count <= priorities.size(); ++count) {
+        CAPTURE(count);
+        AccountsFixture fixture;
+        for (int i = 0; i < 4; ++i)
+            fixture.dispatch("busy", start);
+        std::vector<DispatchKey> queued;
+        for (std::size_t i = 0; i < count; ++i) {
+            const std::uint32_t priority = priorities[priorities.size() - 1 - i];
+            queued.push_back(fixture.dispatch("a", start, priority));
+            queued.push_back(fixture.dispatch("b", start, priority));
+        }
+        CHECK(fixture.scheduler().waiting() + fixture.refused().size() == queued.size());
+        CHECK(fixture.scheduler().waiting() > 0);
+        for (TimePoint now = start; now <= start + 4s; now += 50ms)
+            fixture.advance(now);
+        CHECK(fixture.scheduler().waiting() == 0);
+        for (const DispatchKey& key : queued) {
+            const auto& granted = fixture.grantedKeys();
+            CHECK(std::count(granted.begin(), granted.end(), key)
+                    + (fixture.refused().contains(key) ? 1 : 0)
+                == 1);
+        }
+    }
+}
--- a/src/libplace/fleet_scheduler_queue.cpp
+++ b/src/libplace/fleet_scheduler_queue.cpp
@@ -229,7 +229,7 @@
     if (service.shares.empty())
         return priorities;
     for (auto first = service.waiters.begin(); first != service.waiters.end();
-         first = service.waiters.lower_bound(WaiterOrder::firstOf(priorities.back() + 1)))
+         first = service.waiters.upper_bound(WaiterOrder::lastOf(priorities.back())))
         priorities.push_back(first->first.priority);
     return priorities;
 }
