Times in frames saturate at 32 bits of milliseconds

What callers would see: a route with a time limit above 49.7 days (a year is accepted) had its requests refused instead of queued, since the limit wrapped around on its way to the leader.

Cause: wireMs() cast to 32 bits. Change: it saturates; all times in frames pass through it.

Evidence, aarch64: "a request with a time limit beyond the range of the wire waits for a slot" failed on the sources before (CHECK answerTo(waiting) == nullptr) and passes now.

--- a/src/libhub/controller_messages_pvt.h
+++ b/src/libhub/controller_messages_pvt.h
@@ -1,6 +1,8 @@
 /// Frames between entry hosts and control hosts, one message per frame. Times are in milliseconds.
 #pragma once
 
+#include <algorithm>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -271,9 +273,11 @@
     MSGPACK_DEFINE(call, done, number, content)
 };
 
+/// 49.7 days at most; longer times are sent as that.
 inline std::uint32_t wireMs(Duration d)
 {
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(toMillis(d), 0));
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(toMillis(d), 0, std::numeric_limits<std::uint32_t>::max()));
 }
 
 } // namespace laburnum::pvt
--- a/src/libhub/controller_ranges_test.cpp
+++ b/src/libhub/controller_ranges_test.cpp
@@ -1,5 +1,6 @@
-// The numbers of an accepted configuration at both ends of their ranges, in the leader that uses
-// them and in the leaders after it: a configuration that ends one leader would end every other.
+// The numbers of an accepted configuration at both ends of their ranges, in the
+// leader that uses them and in the leaders after it: a configuration that ends
+// one leader would end every other.
 
 #include <limits>
 
@@ -66,7 +67,8 @@
         return found == fleet.answers(entryHost).end() ? nullptr : &found->second;
     }
 
-    /// Ends what is placed until all of `ids` are answered; false if that takes too long.
+    /// Ends what is placed until all of `ids` are answered; false if that takes
+    /// too long.
     bool serveAll(const std::vector<DispatchId>& ids)
     {
         return fleet.runUntil(20s, [&] {
@@ -86,9 +88,30 @@
 
 } // namespace
 
-// Guards against accepted numbers that end the leader, or keep it busy, and with it every leader
-// after it (review/7).
-TEST_CASE("leaders serve a configuration with the smallest and the largest numbers, one by one")
+// Guards against times of routes that are truncated on their way to the leader:
+// the request would be refused although it has most of a year left.
+TEST_CASE("a request with a time limit beyond the range of the wire waits for "
+          "a slot")
+{
+    constexpr auto wireRange = std::chrono::milliseconds(std::int64_t { maxUint32 } + 1);
+    for (const Duration timeout : { Duration(wireRange), year }) {
+        RangeFleet ranges;
+        const auto first = ranges.dispatch({});
+        const auto second = ranges.dispatch({});
+        ranges.fleet.run(500ms);
+        const auto waiting = ranges.dispatch({ 0, timeout, timeout });
+        ranges.fleet.run(200ms);
+        CHECK(ranges.answerTo(waiting) == nullptr);
+        CHECK(ranges.serveAll({ first, second, waiting }));
+        REQUIRE(ranges.answerTo(waiting) != nullptr);
+        CHECK(ranges.answerTo(waiting)->instance);
+    }
+}
+
+// Guards against accepted numbers that end the leader, or keep it busy, and
+// with it every leader after it (review/7).
+TEST_CASE("leaders serve a configuration with the smallest and the largest "
+          "numbers, one by one")
 {
     RangeFleet ranges;
     const std::vector<std::uint32_t> priorities { 0, 1, maxUint32 - 1, maxUint32 };
