One conversion from seconds to a Duration, clamped

Conversions beyond 292 years are undefined; arm64 saturates, x86-64 gives the most negative value. An expected wait from the speed of virtual time (FairShares), which decays while a queue stands, can get there on both ends of the accepted rates. Not seen by a caller.

Evidence, aarch64: "durations from seconds are clamped" tests the new function; there is no test of the old ones.

--- a/src/include/laburnumroute/clock.h
+++ b/src/include/laburnumroute/clock.h
@@ -2,8 +2,10 @@
 /// itself; the surrounding I/O code reads the Clock passed to it, which tests can control.
 #pragma once
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <cmath>
 
 namespace laburnum {
 
@@ -27,6 +29,19 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
 }
 
+/// A century. Sums of a point in time and a few such durations do not overflow.
+inline constexpr Duration maxDuration = std::chrono::hours(24 * 365 * 100);
+
+/// Converts to a Duration within maxDuration on either side of zero; zero for NaN. The conversion
+/// of larger values is undefined, and its results differ between processors.
+inline Duration fromSeconds(double seconds)
+{
+    constexpr double limit = std::chrono::duration<double>(maxDuration).count();
+    return std::isnan(seconds) ? Duration::zero()
+                               : std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+                                   std::clamp(seconds, -limit, limit)));
+}
+
 /// Source of the current time.
 class Clock {
 public:
--- a/src/libaccount/usage_caps.cpp
+++ b/src/libaccount/usage_caps.cpp
@@ -15,11 +15,6 @@
 
     double toSeconds(Duration d) { return std::chrono::duration<double>(d).count(); }
 
-    Duration fromSeconds(double s)
-    {
-        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(s));
-    }
-
     /// In whole milliseconds, because the answer to the caller states no more.
     Duration timeUntilToken(double level, double rate)
     {
--- a/src/libkernel/kernel_test.cpp
+++ b/src/libkernel/kernel_test.cpp
@@ -1,3 +1,5 @@
+#include <limits>
+
 #include <catch2/catch.hpp>
 
 #include <laburnumroute/clock.h>
@@ -8,6 +10,18 @@
 
 using namespace laburnum;
 
+// Guards against conversions that overflow, whose results differ between processors.
+TEST_CASE("durations from seconds are clamped")
+{
+    constexpr double infinite = std::numeric_limits<double>::infinity();
+    REQUIRE(fromSeconds(1.5) == std::chrono::milliseconds(1500));
+    REQUIRE(fromSeconds(1e30) == maxDuration);
+    REQUIRE(fromSeconds(infinite) == maxDuration);
+    REQUIRE(fromSeconds(-infinite) == -maxDuration);
+    REQUIRE(fromSeconds(std::numeric_limits<double>::quiet_NaN()) == Duration::zero());
+    REQUIRE(TimePoint(maxDuration) + maxDuration > TimePoint(maxDuration));
+}
+
 TEST_CASE("a manual clock does not advance by itself")
 {
     ManualClock clock;
--- a/src/libplace/fleet_scheduler_pvt.h
+++ b/src/libplace/fleet_scheduler_pvt.h
@@ -12,9 +12,4 @@
 /// Assumed latency of a service before its first success.
 inline constexpr double initialTypicalSeconds = 0.4;
 
-inline Duration fromSeconds(double s)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(s));
-}
-
 } // namespace laburnum::pvt
--- a/src/libplace/hedge_delay.cpp
+++ b/src/libplace/hedge_delay.cpp
@@ -18,9 +18,7 @@
 Duration hedgeDelay(Duration objective)
 {
     const double seconds = std::chrono::duration<double>(objective).count();
-    return std::max<Duration>(minHedgeDelay,
-        std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double>(objectiveShare * seconds)));
+    return std::max<Duration>(minHedgeDelay, fromSeconds(objectiveShare * seconds));
 }
 
 } // namespace laburnum
--- a/src/libroute/outlier_detector.cpp
+++ b/src/libroute/outlier_detector.cpp
@@ -74,7 +74,7 @@
     const double grace = between(std::chrono::duration<double>(fewFalseEjections.grace).count(),
         std::chrono::duration<double>(quickDetection.grace).count());
     return { between(fewFalseEjections.score, quickDetection.score),
-        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(grace)),
+        fromSeconds(grace),
         between(fewFalseEjections.errorSteps, quickDetection.errorSteps),
         between(fewFalseEjections.slownessSteps, quickDetection.slownessSteps) };
 }
