Slots of a service are summed in 64 bits

42,950 instances with the largest accepted number of slots pass 2^32; the expected wait would then be that of a service of few slots. The aim is 46,000 instances. By reading; no test builds a service of that size.

--- a/src/include/laburnumroute/fleet_scheduler.h
+++ b/src/include/laburnumroute/fleet_scheduler.h
@@ -231,7 +231,7 @@
 
     /// Total slots of a service's usable instances, cached for capacityCacheTime.
     struct Capacity {
-        std::uint32_t slots = 0;
+        std::uint64_t slots = 0;
         std::size_t instances = 0;
         TimePoint at;
     };
--- a/src/libplace/fleet_scheduler.cpp
+++ b/src/libplace/fleet_scheduler.cpp
@@ -392,12 +392,12 @@
     Duration typicalLatency, Duration maxWait, std::size_t waiters)
 {
     double maxCost = std::numeric_limits<double>::infinity();
-    std::uint32_t slots = 0;
+    std::uint64_t slots = 0;
     for (const FullInstance& each : full) {
         slots += each.slots;
         // Requests already waiting are served first, and only by these instances.
-        const double waitMs
-            = toMs(typicalLatency) * static_cast<double>(waiters + 1) / std::max(slots, 1U);
+        const double waitMs = toMs(typicalLatency) * static_cast<double>(waiters + 1)
+            / static_cast<double>(std::max<std::uint64_t>(slots, 1));
         if (waitMs <= toMs(maxWait))
             maxCost
                 = std::min(maxCost, std::max(each.cost, full.front().cost + waitMs) + waitMarginMs);
--- a/src/libplace/fleet_scheduler_queue.cpp
+++ b/src/libplace/fleet_scheduler_queue.cpp
@@ -39,7 +39,7 @@
 {
     const double typicalSeconds = std::chrono::duration<double>(typicalLatencyOf(service)).count();
     return fromSeconds(typicalSeconds * static_cast<double>(ahead + 1)
-        / std::max(capacityOf(service, now).slots, 1U));
+        / static_cast<double>(std::max<std::uint64_t>(capacityOf(service, now).slots, 1)));
 }
 
 Duration FleetScheduler::expectedWait(
