Test: disks of control hosts that fill up one after another

A report of other operators: long after the last disk had room again, changes were refused while all processes ran. The fleet in memory reopens failed log stores now, as the process does, and can fill disks.

--- a/testsuite/fakes/controller_fleet.cpp
+++ b/testsuite/fakes/controller_fleet.cpp
@@ -12,6 +12,10 @@
     constexpr auto step = milliseconds(1);
     /// A connection is closed when sent data stays unacknowledged this long.
     constexpr auto unacknowledgedTimeout = milliseconds(1200);
+    /// Interval between attempts of a control host to reopen its log store.
+    constexpr auto reopenInterval = milliseconds(500);
+    /// More failing writes than a test makes.
+    constexpr unsigned manyWrites = 1'000'000'000;
 
 } // namespace
 
@@ -235,8 +239,12 @@
 {
     ControlHost& control = m_controls[host];
     ++control.identities;
+    control.controller.reset();
+    control.reopens = false;
     auto store = LogStore::open(
         control.storage, MemberId(host.value() + '-' + std::to_string(control.identities)));
+    if (!store)
+        return reopenLater(host);
     ControllerOptions options;
     options.host = host;
     options.seeds = seedHosts();
@@ -264,16 +272,47 @@
     m_entries[host].client->setKeyValidity(m_options.keyValidity);
 }
 
+void ControllerFleet::fillDisk(const HostId& host, bool isFull)
+{
+    m_controls.at(host).storage.failWrites(isFull ? manyWrites : 0);
+}
+
+void ControllerFleet::reopenLater(const HostId& host)
+{
+    ControlHost& control = m_controls.at(host);
+    control.controller.reset();
+    control.reopens = true;
+    schedule(reopenInterval, [this, host, identity = control.identities] {
+        const ControlHost& failed = m_controls.at(host);
+        // Not if the host was killed or started meanwhile.
+        if (failed.reopens && failed.identities == identity)
+            reopen(host);
+    });
+}
+
+void ControllerFleet::reopen(const HostId& host)
+{
+    startControl(host);
+    if (isUp(host))
+        closeLinksOf(host);
+}
+
 void ControllerFleet::kill(const HostId& host)
 {
     if (const auto control = m_controls.find(host); control != m_controls.end()) {
         control->second.controller.reset();
+        control->second.reopens = false;
         control->second.deferred.clear();
         control->second.inbox.clear();
         control->second.storage.crash(m_random);
     } else {
         m_entries.at(host).client.reset();
     }
+    closeLinksOf(host);
+}
+
+void ControllerFleet::closeLinksOf(const HostId& host)
+{
     std::vector<LinkId> ended;
     for (const auto& [id, link] : m_links) {
         if (link.entry == host || link.control == host)
@@ -299,6 +338,14 @@
     }
 }
 
+void ControllerFleet::refuseConnections(const HostId& host, bool isRefusing)
+{
+    if (isRefusing)
+        m_refusing.insert(host);
+    else
+        m_refusing.erase(host);
+}
+
 void ControllerFleet::freeze(const HostId& host, bool isFrozen)
 {
     std::vector<std::function<void()>> deferred;
@@ -339,6 +386,8 @@
     while (running->hasBacklog())
         running->work(m_now, actions);
     perform(host, actions);
+    if (running->log().failure())
+        reopenLater(host);
 }
 
 template <class Function> void ControllerFleet::withClient(const HostId& host, Function&& function)
@@ -409,7 +458,7 @@
     schedule(2 * m_options.delay, [this, entry, entryLinkId, control] {
         if (isCut(entry, control) || !isUp(entry))
             return;
-        if (!isUp(control)) {
+        if (!isUp(control) || m_refusing.contains(control)) {
             withClient(entry, [&](ControllerClient& client, ControllerClientActions& out) {
                 client.linkClosed(entryLinkId, m_now, out);
             });
--- a/testsuite/fakes/controller_fleet.h
+++ b/testsuite/fakes/controller_fleet.h
@@ -98,6 +98,13 @@
     void wipe(const HostId& host);
     /// Drops messages between the two hosts, or restores the path.
     void cut(const HostId& a, const HostId& b, bool isCut = true);
+    /// A full disk refuses every write. A control host whose log store fails closes it and tries to
+    /// reopen it, as the process does.
+    void fillDisk(const HostId& host, bool isFull = true);
+    /// A control host that refuses takes no new connections of entry hosts; open ones go on.
+    void refuseConnections(const HostId& host, bool isRefusing = true);
+    /// Resets the connections between this host and control hosts or entry hosts.
+    void resetConnections(const HostId& host) { closeLinksOf(host); }
     /// A frozen host does nothing, its inputs wait, and its connections stay open.
     void freeze(const HostId& host, bool isFrozen = true);
 
@@ -149,6 +156,8 @@
         std::unique_ptr<Controller> controller;
         bool frozen = false;
         unsigned identities = 0;
+        /// The log store failed, and the host will try to open it again.
+        bool reopens = false;
         std::vector<std::function<void()>> deferred;
         // Used only with a simulated processor.
         std::deque<Input> inbox;
@@ -189,6 +198,9 @@
     Duration costOf(const Input& input, const ControllerActions& actions) const;
     void perform(const HostId& host, ControllerActions& actions);
     void perform(const HostId& host, ControllerClientActions& actions);
+    void reopenLater(const HostId& host);
+    void reopen(const HostId& host);
+    void closeLinksOf(const HostId& host);
     void openLink(const HostId& entry, LinkId entryLinkId, const HostId& control);
     void sendToControl(LinkId linkId, std::string frame);
     void sendToEntry(LinkId linkId, std::string frame);
@@ -206,6 +218,7 @@
     std::map<HostId, ControlHost> m_controls;
     std::map<HostId, EntryHost> m_entries;
     std::set<std::pair<HostId, HostId>> m_cuts;
+    std::set<HostId> m_refusing;
     std::map<LinkId, Link> m_links;
     LinkId m_lastLink;
     std::vector<CallRecord> m_calls;
