Late announcements do not take a deregistered instance back

Cause: an end that was inferred is disproved by announcements that go on for 5 s, and announcements from before the deregistration, each 8 s late, counted as going on.

--- a/src/include/laburnumroute/fleet_state.h
+++ b/src/include/laburnumroute/fleet_state.h
@@ -31,6 +31,9 @@
     /// The instance itself stated the incarnation. Otherwise it was inferred, and the instance is
     /// reinstated if it goes on announcing (FleetState::canReinstate).
     bool isStated = true;
+    /// Version of the last announcement of the incarnation that was heard before. Only later ones
+    /// show that the instance goes on.
+    std::uint64_t version = 0;
 };
 
 /// A change to the instance set, as sent to entry hosts.
@@ -102,6 +105,8 @@
     struct EndedIncarnation {
         std::uint64_t incarnation = 0;
         bool isStated = true;
+        /// See Deregistration::version.
+        std::uint64_t version = 0;
     };
     std::map<InstanceId, EndedIncarnation> m_deregistered;
     std::deque<InstanceId> m_deregistrationOrder;
--- a/src/libhub/controller.cpp
+++ b/src/libhub/controller.cpp
@@ -361,6 +361,7 @@
     {
         m_isLeader = true;
         m_schedulerIndex = LogIndex(0);
+        m_lastVersions.clear();
         m_caps.apply(state.config(), now);
         scheduler.restart(now);
         m_caps.onLease(true, now);
@@ -407,6 +408,7 @@
         } else {
             for (const InstanceId& id : *changed) {
                 const auto found = state.instances().find(id);
+                m_lastVersions.erase(id);
                 if (found == state.instances().end())
                     scheduler.remove(id);
                 else
@@ -708,6 +710,7 @@
             return;
         if (const auto* announce = std::get_if<AnnounceCall>(&call)) {
             scheduler.onAnnouncement(announce->record.id, announce->warmupRemaining, now);
+            recordVersion(announce->record);
             if (m_endedInstances.observe(announce->record, now))
                 reinstate(announce->record, now, actions);
         } else if (auto* deregister = std::get_if<DeregisterCall>(&call)) {
@@ -730,6 +733,16 @@
         });
     }
 
+    /// Renewals are not replicated, so only the leader that hears them knows their versions.
+    void recordVersion(const InstanceRecord& record)
+    {
+        const auto known = state.instances().find(record.id);
+        if (known == state.instances().end() || known->second.incarnation != record.incarnation)
+            return;
+        auto& version = m_lastVersions[record.id];
+        version = std::max(version, record.version);
+    }
+
     /// An unstated incarnation is the registered one, or one whose registration is not committed
     /// yet. Resolved before the change is proposed, so that it does not end a later start.
     void resolveIncarnation(Deregistration& deregistration) const
@@ -739,6 +752,9 @@
         const auto known = state.instances().find(deregistration.id);
         deregistration.incarnation
             = known == state.instances().end() ? 0 : known->second.incarnation;
+        if (const auto heard = m_lastVersions.find(deregistration.id);
+            heard != m_lastVersions.end())
+            deregistration.version = heard->second;
         for (const PendingCommit& commit : m_pendingCommits) {
             const auto* announce = std::get_if<AnnounceCall>(&commit.call);
             if (announce != nullptr && announce->record.id == deregistration.id)
@@ -819,6 +835,8 @@
     std::map<CallId, PendingCall> m_calls;
     std::vector<PendingCommit> m_pendingCommits;
     EndedInstanceObserver m_endedInstances { state };
+    /// Of the registered incarnations, as far as announced to this leader since the last change.
+    std::map<InstanceId, std::uint64_t> m_lastVersions;
     CapCoordinator m_caps { scheduler.caps(), options.accountsOf };
     std::vector<PlacementReply> m_replies;
     std::deque<QueuedFrame> m_backlog;
--- a/src/libhub/controller_test.cpp
+++ b/src/libhub/controller_test.cpp
@@ -753,6 +753,21 @@
         }
         CHECK_FALSE(isRegistered(fleet, record));
     }
+    // Guards against announcements from before the deregistration, each of them seconds late, that
+    // take the instance back into service (review/10).
+    SECTION("late announcements from before the deregistration do not bring it back")
+    {
+        constexpr std::uint64_t last = 20;
+        record.incarnation = 11;
+        for (record.version = 1; record.version < last; ++record.version)
+            REQUIRE(fleet.callAnywhere(AnnounceCall { record }));
+        REQUIRE(fleet.callAnywhere(DeregisterCall { { InstanceId("i"), 0, false } }));
+        for (record.version = last / 2; record.version < last; ++record.version) {
+            REQUIRE(fleet.callAnywhere(AnnounceCall { record }));
+            fleet.run(800ms);
+            CHECK_FALSE(isRegistered(fleet, record));
+        }
+    }
     SECTION("announcements that continue do")
     {
         announceFor(fleet, record, 4s);
--- a/src/libhub/fleet_state.cpp
+++ b/src/libhub/fleet_state.cpp
@@ -30,14 +30,16 @@
         std::string id;
         std::uint64_t incarnation = 0;
         bool isStated = true;
-        MSGPACK_DEFINE(id, incarnation, isStated)
+        std::uint64_t version = 0;
+        MSGPACK_DEFINE(id, incarnation, isStated, version)
     };
 
     struct DeregistrationRow {
         std::string id;
         std::uint64_t incarnation = 0;
         bool isStated = true;
-        MSGPACK_DEFINE(id, incarnation, isStated)
+        std::uint64_t version = 0;
+        MSGPACK_DEFINE(id, incarnation, isStated, version)
     };
 
     struct StateSnapshot {
@@ -69,8 +71,8 @@
 
 std::string FleetState::encodeRemoveInstance(const Deregistration& deregistration)
 {
-    return pvt::pack(RemoveInstanceCommand {
-        deregistration.id.value(), deregistration.incarnation, deregistration.isStated });
+    return pvt::pack(RemoveInstanceCommand { deregistration.id.value(), deregistration.incarnation,
+        deregistration.isStated, deregistration.version });
 }
 
 void FleetState::apply(LogIndex index, std::string_view command)
@@ -89,7 +91,7 @@
             applyRecord(index, record);
     } else if (const auto removal = pvt::unpack<RemoveInstanceCommand>(command)) {
         const Deregistration deregistration { InstanceId(removal->id), removal->incarnation,
-            removal->isStated };
+            removal->isStated, removal->version };
         if (wouldChange(deregistration))
             deregister(index, deregistration);
     }
@@ -156,8 +158,11 @@
     if (known != m_instances.end() && known->second.incarnation == record.incarnation)
         return false; // a late record, or one of a draining instance
     const auto ended = m_deregistered.find(record.id);
-    return ended == m_deregistered.end() || !ended->second.isStated
-        || record.incarnation > ended->second.incarnation;
+    if (ended == m_deregistered.end() || record.incarnation > ended->second.incarnation)
+        return true;
+    const bool isLate = record.incarnation == ended->second.incarnation
+        && record.version <= ended->second.version;
+    return !ended->second.isStated && !isLate;
 }
 
 bool FleetState::wouldChange(const InstanceRecord& record) const
@@ -196,7 +201,7 @@
     // The start time says that the address has passed on, not that its former holder said so.
     const InstanceRecord* holder = findByEndpoint(record.endpoint);
     if (holder != nullptr && holder->id != record.id)
-        deregister(index, { holder->id, holder->incarnation, false });
+        deregister(index, { holder->id, holder->incarnation, false, holder->version });
     if (isDeregistered(record.id, record.incarnation)) {
         m_deregistered.erase(record.id);
         std::erase(m_deregistrationOrder, record.id);
@@ -223,15 +228,21 @@
 
 void FleetState::deregister(LogIndex index, const Deregistration& deregistration)
 {
+    EndedIncarnation ended { deregistration.incarnation, deregistration.isStated,
+        deregistration.version };
     const auto known = m_instances.find(deregistration.id);
-    if (known != m_instances.end() && known->second.incarnation <= deregistration.incarnation)
+    if (known != m_instances.end() && known->second.incarnation <= deregistration.incarnation) {
+        if (known->second.incarnation == ended.incarnation)
+            ended.version = std::max(ended.version, known->second.version);
         removeRecord(deregistration.id);
-    const EndedIncarnation ended { deregistration.incarnation, deregistration.isStated };
+    }
     const auto [last, isNew] = m_deregistered.try_emplace(deregistration.id, ended);
-    if (last->second.incarnation < ended.incarnation)
+    if (last->second.incarnation < ended.incarnation) {
         last->second = ended;
-    else if (last->second.incarnation == ended.incarnation)
+    } else if (last->second.incarnation == ended.incarnation) {
         last->second.isStated = last->second.isStated || ended.isStated;
+        last->second.version = std::max(last->second.version, ended.version);
+    }
     if (isNew)
         m_deregistrationOrder.push_back(deregistration.id);
     if (m_deregistrationOrder.size() > maxDeregistrations) {
@@ -249,8 +260,8 @@
     for (const InstanceId& id : m_deregistrationOrder) {
         const auto found = m_deregistered.find(id);
         if (found != m_deregistered.end())
-            image.deregistrations.push_back(
-                { id.value(), found->second.incarnation, found->second.isStated });
+            image.deregistrations.push_back({ id.value(), found->second.incarnation,
+                found->second.isStated, found->second.version });
     }
     return pvt::pack(image);
 }
@@ -267,7 +278,7 @@
     for (const auto& row : image->instances)
         storeRecord(pvt::fromRow(row));
     for (const auto& row : image->deregistrations) {
-        m_deregistered[InstanceId(row.id)] = { row.incarnation, row.isStated };
+        m_deregistered[InstanceId(row.id)] = { row.incarnation, row.isStated, row.version };
         m_deregistrationOrder.emplace_back(row.id);
     }
     m_instancesIndex = LogIndex(image->instancesIndex);
--- a/src/libhub/fleet_state_test.cpp
+++ b/src/libhub/fleet_state_test.cpp
@@ -123,6 +123,16 @@
         REQUIRE(state.instances().empty());
         REQUIRE_FALSE(state.canReinstate(later));
     }
+    SECTION("inferred after later announcements: those do not disprove it, nor after a restart")
+    {
+        apply(FleetState::encodeRemoveInstance({ InstanceId("i"), 10, false, 8 }));
+        FleetState copy;
+        REQUIRE(copy.restore(state.snapshot()));
+        for (const FleetState* each : { &state, &copy }) {
+            REQUIRE_FALSE(each->canReinstate(instanceRecord("i", "s", 80, 10, 8)));
+            REQUIRE(each->canReinstate(instanceRecord("i", "s", 80, 10, 9)));
+        }
+    }
     SECTION("inferred from another instance at the address")
     {
         apply(FleetState::encodePutInstance(instanceRecord("other", "s", 80, 20, 1)));
