Entry hosts that cannot reach the leader get updates from the other control hosts

Cause: configurations and instances reached an entry host from the leader alone.

Change: a host whose connection to the named leader fails asks the control hosts that it is connected to for updates. What these have applied is committed, and older versions are ignored, so a lagging one does no harm.

--- a/src/include/laburnumroute/controller_client.h
+++ b/src/include/laburnumroute/controller_client.h
@@ -123,6 +123,10 @@
         TimePoint usageReportedAt {};
         /// The control host was asked for updates, and none has applied since.
         bool updatesRequested = false;
+        /// The control host said that it does not lead.
+        bool isFollower = false;
+        /// It was asked for updates nevertheless.
+        bool isFollowed = false;
     };
     struct PendingRequest {
         PlacementRequest request;
@@ -171,6 +175,10 @@
     void onConfig(LinkId link, std::string_view frame, ControllerClientActions& actions);
     void onInstances(LinkId link, std::string_view frame, ControllerClientActions& actions);
     void requestUpdates(LinkId link, std::uint64_t configNumber, ControllerClientActions& actions);
+    /// The connection to the host that was named the leader failed.
+    void onLeaderUnreachable(ControllerClientActions& actions);
+    /// Asks the connected control hosts for updates, although they do not lead.
+    void followControlHosts(ControllerClientActions& actions);
     void onConfirm(std::uint64_t number, TimePoint now, ControllerClientActions& actions);
     /// Sends a due confirmation request, and logs whether keys are confirmed if that changed.
     void updateKeys(TimePoint now, ControllerClientActions& actions);
@@ -188,6 +196,9 @@
     std::vector<HostId> m_discoveredHosts;
     /// The leader according to the latest redirect, until one is joined.
     std::optional<HostId> m_namedLeader;
+    /// No connection to the named leader opened in time. Until a leader is joined, configurations
+    /// and instances come from control hosts that do not lead.
+    bool m_leaderUnreachable = false;
     std::optional<Endpoint> m_neighbour;
     std::set<Endpoint> m_neighbours;
     LocalScheduler m_localScheduler;
--- a/src/libhub/controller.cpp
+++ b/src/libhub/controller.cpp
@@ -240,6 +240,8 @@
         LogIndex instancesIndex;
         bool hasInstances = false;
         bool isSubscribed = false;
+        /// The host cannot reach the leader and gets updates from this one.
+        bool isFollowing = false;
         std::string sentLeader;
         /// When `hello` was processed.
         TimePoint since;
@@ -348,7 +350,9 @@
             if (m_isLeader) {
                 syncScheduler(now);
                 m_caps.apply(state.config(), now);
-                for (auto& [link, session] : m_sessions)
+            }
+            for (auto& [link, session] : m_sessions) {
+                if (m_isLeader || session.isFollowing)
                     update(link, session, actions);
             }
             completeCommits(actions);
@@ -459,8 +463,8 @@
         session.configNumber = versions.configNumber;
         session.instancesIndex = LogIndex(versions.instancesIndex);
         session.hasInstances = versions.hasInstances;
-        if (m_isLeader)
-            update(link, session, actions);
+        session.isFollowing = !m_isLeader;
+        update(link, session, actions);
     }
 
     /// Not queued in the backlog, so that a busy leader confirms in time. Updates are sent as soon
--- a/src/libhub/controller_client.cpp
+++ b/src/libhub/controller_client.cpp
@@ -122,10 +122,14 @@
         return;
     m_nextSearch = now + searchInterval;
     std::vector<LinkId> stale;
+    bool isUnreachable = false;
     for (const auto& [id, link] : m_links) {
         if (id != m_leader && now - link.since > (link.open ? idleLinkTimeout : abandonTimeout))
             stale.push_back(id);
+        isUnreachable = isUnreachable || (link.host == m_namedLeader && !isPromising(link, now));
     }
+    if (isUnreachable)
+        onLeaderUnreachable(actions);
     for (const LinkId id : stale)
         close(id, actions);
     // The host that named the leader does not repeat it, and a first connection may fail.
@@ -177,10 +181,35 @@
 
 void ControllerClient::linkClosed(LinkId link, TimePoint now, ControllerClientActions& actions)
 {
-    if (m_links.erase(link) == 0)
+    const auto closed = m_links.extract(link);
+    if (!closed)
         return;
     if (m_leader == link)
         loseLeader("closed", now, actions);
+    else if (!closed.mapped().open && closed.mapped().host == m_namedLeader)
+        onLeaderUnreachable(actions);
+}
+
+void ControllerClient::onLeaderUnreachable(ControllerClientActions& actions)
+{
+    if (m_leader || std::exchange(m_leaderUnreachable, true))
+        return;
+    Decision decision { "leader", "unreachable" };
+    decision.facts["leader"] = m_namedLeader ? m_namedLeader->value() : "";
+    decision.facts["config"] = Json::UInt64(m_config.number);
+    actions.decisions.push_back(std::move(decision));
+    followControlHosts(actions);
+}
+
+/// What they have applied is committed, and this host ignores what is older than what it holds, so
+/// one that lags behind does no harm.
+void ControllerClient::followControlHosts(ControllerClientActions& actions)
+{
+    for (auto& [id, link] : m_links) {
+        if (link.isFollower && !std::exchange(link.isFollowed, true))
+            actions.frames.emplace_back(id,
+                pack(VersionsFrame { m_config.number, m_instancesIndex.value(), m_hasInstances }));
+    }
 }
 
 void ControllerClient::loseLeader(
@@ -216,6 +245,7 @@
     m_leader = link;
     m_links.at(link).updatesRequested = false;
     m_namedLeader.reset();
+    m_leaderUnreachable = false;
     m_leaderSuspected = false;
     const TimePoint lastLeader = lastAuthority();
     m_lastHeartbeat = now;
@@ -282,6 +312,10 @@
         m_leader.reset();
         loseLeader("redirected", now, actions);
     }
+    if (const auto found = m_links.find(link); found != m_links.end())
+        found->second.isFollower = true;
+    if (m_leaderUnreachable)
+        followControlHosts(actions);
     if (leader.empty() || (m_leader && !m_leaderSuspected))
         return;
     m_namedLeader = HostId(leader);
@@ -339,6 +373,8 @@
     const auto frame = unpack<InstancesFrame>(bytes);
     if (!frame)
         return;
+    if (link != m_leader && m_hasInstances && LogIndex(frame->index) <= m_instancesIndex)
+        return;
     if (!frame->full && (!m_hasInstances || LogIndex(frame->base) > m_instancesIndex))
         return requestUpdates(link, m_config.number, actions);
     m_links.at(link).updatesRequested = false;
--- a/src/libhub/controller_messages_pvt.h
+++ b/src/libhub/controller_messages_pvt.h
@@ -102,7 +102,8 @@
 };
 
 /// The versions of the data that the entry host holds. Sent when a difference does not apply to
-/// them; the leader then sends the updates from these versions on.
+/// them, and to control hosts that do not lead while the leader cannot be reached; the receiver
+/// then sends the updates from these versions on.
 struct VersionsFrame {
     static constexpr std::uint8_t type = 21;
     /// 0 requests the whole configuration.
--- /dev/null
+++ b/src/libhub/leader_search_test.cpp
@@ -0,0 +1,131 @@
+// Entry hosts that lose their leader find what is in force, whatever the host that was named the
+// leader does: nothing depends on one process, or on one connection.
+
+#include <catch2/catch.hpp>
+
+#include "fakes/controller_fleet.h"
+
+using namespace laburnum;
+using namespace laburnum::fakes;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr unsigned controls = 5;
+constexpr unsigned entries = 12;
+constexpr std::uint64_t seeds = 50;
+/// Time within which a configuration is in force after its acknowledgement.
+constexpr auto applyTime = 2500ms;
+
+HostId c(unsigned i) { return ControllerFleet::control(i); }
+HostId e(unsigned i) { return ControllerFleet::entry(i); }
+
+PutConfigCall config(std::uint64_t number)
+{
+    return { { number, "content " + std::to_string(number) } };
+}
+
+/// A fleet whose hosts all hold configuration 1 and one instance.
+struct SearchFleet {
+    explicit SearchFleet(std::uint64_t seed)
+        : fleet({ .controls = controls, .entries = entries, .seed = seed })
+    {
+        REQUIRE(fleet.runUntil(5s, [&] { return fleet.leader().has_value(); }));
+        REQUIRE(fleet.callAnywhere(config(1)));
+        REQUIRE(announce(InstancePhase::Serving, 1));
+        fleet.run(2s);
+        REQUIRE(hostsWithout(1) == 0);
+    }
+
+    bool announce(InstancePhase phase, std::uint64_t version)
+    {
+        InstanceRecord record = instanceRecord("i", "s", 100, 1, version);
+        record.phase = phase;
+        return fleet.callAnywhere(AnnounceCall { record, Duration::zero() });
+    }
+
+    /// Number of entry hosts that do not hold this configuration.
+    unsigned hostsWithout(std::uint64_t number)
+    {
+        unsigned count = 0;
+        for (unsigned i = 1; i <= entries; ++i)
+            count += fleet.client(e(i)).config().number == number ? 0 : 1;
+        return count;
+    }
+
+    unsigned hostsThatServe(const char* instance)
+    {
+        unsigned count = 0;
+        for (unsigned i = 1; i <= entries; ++i) {
+            const InstanceRecord* record
+                = fleet.client(e(i)).localScheduler().find(InstanceId(instance));
+            count += record != nullptr && record->phase == InstancePhase::Serving ? 1 : 0;
+        }
+        return count;
+    }
+
+    HostId followerOf(const HostId& leader)
+    {
+        for (unsigned i = 1; i <= controls; ++i) {
+            if (c(i) != leader && fleet.controller(c(i)) != nullptr)
+                return c(i);
+        }
+        return leader;
+    }
+
+    ControllerFleet fleet;
+};
+
+} // namespace
+
+// Guards against entry hosts that have no way to what is in force while the leader takes no new
+// connections (review/9).
+TEST_CASE("entry hosts hold what is in force while the leader takes no new connections")
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        SearchFleet search(seed);
+        ControllerFleet& fleet = search.fleet;
+        const HostId leader = *fleet.leader();
+        fleet.refuseConnections(leader);
+        for (unsigned i = 1; i <= entries; i += 3)
+            fleet.resetConnections(e(i));
+        fleet.run(1s);
+        REQUIRE(fleet.callAnywhere(config(2)));
+        REQUIRE(search.announce(InstancePhase::Draining, 2));
+        fleet.run(applyTime);
+        CHECK(search.hostsWithout(2) == 0);
+        CHECK(search.hostsThatServe("i") == 0);
+        REQUIRE(fleet.callAnywhere(config(3)));
+        fleet.run(applyTime);
+        CHECK(search.hostsWithout(3) == 0);
+        REQUIRE(fleet.leader() == leader);
+        fleet.refuseConnections(leader, false);
+        fleet.run(2s);
+        for (unsigned i = 1; i <= entries; ++i)
+            CHECK(fleet.client(e(i)).hasLeader());
+    }
+}
+
+// A control host that is cut off from the others keeps an old state, and must not spread it.
+TEST_CASE("an entry host takes nothing older from a control host that lags behind")
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        SearchFleet search(seed);
+        ControllerFleet& fleet = search.fleet;
+        const HostId leader = *fleet.leader();
+        const HostId lagging = search.followerOf(leader);
+        for (unsigned i = 1; i <= controls; ++i)
+            fleet.cut(lagging, c(i));
+        REQUIRE(fleet.callAnywhere(config(2)));
+        REQUIRE(search.announce(InstancePhase::Draining, 2));
+        fleet.run(1s);
+        REQUIRE(search.hostsWithout(2) == 0);
+        fleet.refuseConnections(leader);
+        for (unsigned i = 1; i <= entries; ++i)
+            fleet.resetConnections(e(i));
+        REQUIRE_FALSE(fleet.runUntil(
+            4s, [&] { return search.hostsWithout(2) > 0 || search.hostsThatServe("i") > 0; }));
+    }
+}
