Entry hosts take turns between the named leader and the other control hosts

Cause: while a leader was named and not connected, each step of the search opened that address alone; one that refuses at once left no step for the others.

Change: every second step goes to the next of all known control hosts.

--- a/src/include/laburnumroute/controller_client.h
+++ b/src/include/laburnumroute/controller_client.h
@@ -196,6 +196,8 @@
     std::vector<HostId> m_discoveredHosts;
     /// The leader according to the latest redirect, until one is joined.
     std::optional<HostId> m_namedLeader;
+    /// The search contacted the named leader last; next, it is another host's turn.
+    bool m_triedNamedLeader = false;
     /// No connection to the named leader opened in time. Until a leader is joined, configurations
     /// and instances come from control hosts that do not lead.
     bool m_leaderUnreachable = false;
--- a/src/libhub/controller_client.cpp
+++ b/src/libhub/controller_client.cpp
@@ -132,8 +132,10 @@
         onLeaderUnreachable(actions);
     for (const LinkId id : stale)
         close(id, actions);
-    // The host that named the leader does not repeat it, and a first connection may fail.
-    if (m_namedLeader && !isConnectedTo(*m_namedLeader, now))
+    // The host that named the leader does not repeat it, and a first connection may fail. The named
+    // host may also be gone, so that only the others know the next leader.
+    if (m_namedLeader && !isConnectedTo(*m_namedLeader, now)
+        && !std::exchange(m_triedNamedLeader, !m_triedNamedLeader))
         return open(*m_namedLeader, now, actions);
     const auto hosts = candidateHosts();
     const auto links = static_cast<std::size_t>(std::count_if(m_links.begin(), m_links.end(),
--- a/src/libhub/leader_search_test.cpp
+++ b/src/libhub/leader_search_test.cpp
@@ -78,6 +78,65 @@
 
 } // namespace
 
+// Guards against entry hosts that ask only a leader that is gone (review/6).
+TEST_CASE("entry hosts find the next leader when two control hosts are lost for good")
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        SearchFleet search(seed);
+        ControllerFleet& fleet = search.fleet;
+        const HostId leader = *fleet.leader();
+        fleet.wipe(leader);
+        fleet.run(200ms);
+        fleet.wipe(search.followerOf(leader));
+        fleet.run(2s);
+        fleet.startControl(c(controls + 1));
+        fleet.startControl(c(controls + 2));
+        REQUIRE(fleet.callAnywhere(config(2)));
+        fleet.run(applyTime);
+        CHECK(search.hostsWithout(2) == 0);
+        for (unsigned i = 1; i <= entries; ++i)
+            CHECK(fleet.client(e(i)).hasLeader());
+    }
+}
+
+// The same host in the other forms that the network has.
+TEST_CASE("entry hosts find the next leader whatever became of the one that was named")
+{
+    enum class Form { Silent, Reset, Returned };
+    for (const Form form : { Form::Silent, Form::Reset, Form::Returned }) {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            CAPTURE(static_cast<int>(form), seed);
+            SearchFleet search(seed);
+            ControllerFleet& fleet = search.fleet;
+            const HostId leader = *fleet.leader();
+            if (form == Form::Silent) {
+                for (unsigned i = 1; i <= controls; ++i)
+                    fleet.cut(leader, c(i));
+                for (unsigned i = 1; i <= entries; ++i)
+                    fleet.cut(leader, e(i));
+            } else {
+                fleet.wipe(leader);
+            }
+            // While the others elect a leader, some entry hosts lose the connection to the host
+            // that would have named it.
+            fleet.run(300ms);
+            for (unsigned i = 1; i <= entries; i += 2)
+                fleet.resetConnections(e(i));
+            fleet.run(300ms);
+            for (unsigned i = 2; i <= entries; i += 2)
+                fleet.resetConnections(e(i));
+            // With an emptied disk it is another member, and follows.
+            if (form == Form::Returned)
+                fleet.startControl(leader);
+            fleet.run(2s);
+            REQUIRE(fleet.callAnywhere(config(2)));
+            fleet.run(applyTime);
+            CHECK(search.hostsWithout(2) == 0);
+        }
+    }
+}
+
 // Guards against entry hosts that have no way to what is in force while the leader takes no new
 // connections (review/9).
 TEST_CASE("entry hosts hold what is in force while the leader takes no new connections")
--- a/src/libroute/outlier_detector.cpp
+++ b/src/libroute/outlier_detector.cpp
@@ -73,8 +73,7 @@
     const auto between = [&](double from, double to) { return from + (to - from) * quickness; };
     const double grace = between(std::chrono::duration<double>(fewFalseEjections.grace).count(),
         std::chrono::duration<double>(quickDetection.grace).count());
-    return { between(fewFalseEjections.score, quickDetection.score),
-        fromSeconds(grace),
+    return { between(fewFalseEjections.score, quickDetection.score), fromSeconds(grace),
         between(fewFalseEjections.errorSteps, quickDetection.errorSteps),
         between(fewFalseEjections.slownessSteps, quickDetection.slownessSteps) };
 }
