--- a/src/libnet/entry_stop_test.cpp
+++ b/src/libnet/entry_stop_test.cpp
@@ -133,3 +133,73 @@
     CHECK(fixture.exchange(unsafeRequest).starts_with("HTTP/1.1 503 "));
     CHECK(upstream.accepted() == 0);
 }
+
+// Guards against a stop, or what it does to a second attempt, that ends the first one (LOST).
+TEST_CASE("fleet: an active attempt continues when the stop leaves no time for its hedge")
+{
+    constexpr auto hedgeTime = 1s;
+    OrderedPlacementProvider provider;
+    provider.route.objective = 1s;
+    std::function<void()> whileAtWork;
+    ScriptedUpstream slow([&](Connection& connection, int) {
+        connection.readHead();
+        whileAtWork();
+        connection.send(okResponse);
+    });
+    provider.instances = { slow.endpoint() };
+    OrderedFleetFixture fixture(provider);
+    std::size_t dispatches = 0;
+    SECTION("with time left its hedge is refused")
+    {
+        whileAtWork = [&] {
+            fixture.run([&] { fixture.server().startLameDuck(PlannedStop(1h), 0s); });
+            provider.dispatches.wait(2);
+        };
+        dispatches = 2;
+    }
+    SECTION("without time left there is none")
+    {
+        whileAtWork = [&] {
+            Signal passed;
+            asio::steady_timer timer(fixture.context());
+            fixture.run([&] {
+                fixture.server().startLameDuck(PlannedStop(6s), 5s);
+                timer.expires_after(hedgeTime + 300ms);
+                timer.async_wait([&](std::error_code) { passed.set(); });
+            });
+            CHECK(passed.wait());
+        };
+        dispatches = 1;
+    }
+    const std::string got = fixture.exchange("GET /s HTTP/1.1\r\nHost: h\r\nId: 7\r\n\r\n");
+    CHECK(got.starts_with("HTTP/1.1 200 "));
+    CHECK(got.ends_with("ok"));
+    CHECK(provider.reports.wait(1) == std::vector<std::string> { "success" });
+    CHECK(provider.dispatches.wait(dispatches).size() == dispatches);
+}
+
+// Guards against a change that ends a request which was read before it (LOST).
+TEST_CASE("fleet: a request at work keeps its plan when the configuration changes")
+{
+    OrderedPlacementProvider provider;
+    provider.route.kind = GENERATE(RequestKind::Safe, RequestKind::Unsafe);
+    std::function<void()> whileAtWork;
+    ScriptedUpstream upstream([&](Connection& connection, int) {
+        connection.readHead();
+        whileAtWork();
+        connection.send(okResponse);
+    });
+    provider.instances = { upstream.endpoint() };
+    OrderedFleetFixture fixture(provider);
+    whileAtWork = [&] {
+        fixture.run([&] {
+            provider.route.service = ServiceId("other");
+            provider.route.timeout = provider.route.objective = 1ms;
+            provider.route.attempts = 1;
+        });
+    };
+    const std::string got = fixture.exchange(unsafeRequest);
+    CHECK(got.starts_with("HTTP/1.1 200 "));
+    CHECK(got.ends_with("ok"));
+    CHECK(provider.requestEnds.wait(1) == std::vector<std::string> { "answered answered" });
+}
