Test: instances from a control host that does not lead are taken only if they are newer

A mutation (the comparison of indexes in ControllerClient::onInstances() taken out) passed "an entry host takes nothing older from a control host that lags behind": a lagging host has nothing to send to one that is ahead of it.

--- a/src/libhub/controller_test.cpp
+++ b/src/libhub/controller_test.cpp
@@ -645,6 +645,27 @@
     CHECK(host.client.localScheduler().instances().size() == 1);
 }
 
+// Guards against a control host that lags behind and takes back what another one has sent.
+TEST_CASE("instances from a control host that does not lead are taken only if they are newer")
+{
+    SuspectedLeader host;
+    const auto serving = instanceRecord("a", "s", 80);
+    auto draining = serving;
+    draining.phase = InstancePhase::Draining;
+    const auto phase = [&] {
+        const InstanceRecord* record = host.client.localScheduler().find(InstanceId("a"));
+        REQUIRE(record != nullptr);
+        return record->phase;
+    };
+    host.receive(host.leader, pvt::InstancesFrame { 13, false, { pvt::toRow(draining) }, {}, 10 });
+    host.receive(host.other, pvt::InstancesFrame { 12, false, { pvt::toRow(serving) }, {}, 10 });
+    CHECK(phase() == InstancePhase::Draining);
+    host.receive(host.other, pvt::InstancesFrame { 12, true, { pvt::toRow(serving) }, {}, 0 });
+    CHECK(phase() == InstancePhase::Draining);
+    host.receive(host.other, pvt::InstancesFrame { 14, false, {}, { "a" }, 13 });
+    CHECK(host.client.localScheduler().instances().empty());
+}
+
 // Guards against the same fault with real control hosts: a change that the former leader committed
 // and did not send, known to a leader whose HelloFrame of the host is old.
 TEST_CASE("hosts that briefly suspected their leader follow the next leader's configurations")
