--- a/src/libhub/controller_ranges_test.cpp
+++ b/src/libhub/controller_ranges_test.cpp
@@ -1,6 +1,5 @@
-// The numbers of an accepted configuration at both ends of their ranges, in the
-// leader that uses them and in the leaders after it: a configuration that ends
-// one leader would end every other.
+// The numbers of an accepted configuration at both ends of their ranges, in the leader that uses
+// them and in the leaders after it: a configuration that ends one leader would end every other.
 
 #include <limits>
 
@@ -67,8 +66,7 @@
         return found == fleet.answers(entryHost).end() ? nullptr : &found->second;
     }
 
-    /// Ends what is placed until all of `ids` are answered; false if that takes
-    /// too long.
+    /// Ends what is placed until all of `ids` are answered; false if that takes too long.
     bool serveAll(const std::vector<DispatchId>& ids)
     {
         return fleet.runUntil(20s, [&] {
@@ -88,10 +86,9 @@
 
 } // namespace
 
-// Guards against times of routes that are truncated on their way to the leader:
-// the request would be refused although it has most of a year left.
-TEST_CASE("a request with a time limit beyond the range of the wire waits for "
-          "a slot")
+// Guards against times of routes that are truncated on their way to the leader: the request would
+// be refused although it has most of a year left.
+TEST_CASE("a request with a time limit beyond the range of the wire waits for a slot")
 {
     constexpr auto wireRange = std::chrono::milliseconds(std::int64_t { maxUint32 } + 1);
     for (const Duration timeout : { Duration(wireRange), year }) {
@@ -108,17 +105,15 @@
     }
 }
 
-// Guards against accepted numbers that end the leader, or keep it busy, and
-// with it every leader after it (review/7).
-TEST_CASE("leaders serve a configuration with the smallest and the largest "
-          "numbers, one by one")
+// Guards against accepted numbers that end the leader, or keep it busy, and with it every leader
+// after it (review/7).
+TEST_CASE("leaders serve a configuration with the smallest and the largest numbers, one by one")
 {
     RangeFleet ranges;
     const std::vector<std::uint32_t> priorities { 0, 1, maxUint32 - 1, maxUint32 };
     const std::vector<Duration> times { 1ms, 4s, year };
-    std::uint32_t term = 0;
-    for (; term < 3; ++term) {
-        CAPTURE(term);
+    for (int round = 0; round < 3; ++round) {
+        CAPTURE(round);
         const auto leader = ranges.fleet.leader();
         REQUIRE(leader);
         std::vector<DispatchId> ids;
