FleetRequest takes the decisions on its attempts from RequestAttempts

Whether to hedge, whom to relay, whom to end and whether to retry stood in coroutines that needed sockets.

--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -18,19 +18,9 @@
 
     /// Responses up to this size are read completely before anything is sent to the caller.
     constexpr std::size_t responseBufferBytes = std::size_t { 64 } * 1024;
-    /// Limit on the placement requests of one request, including those whose instance was not
-    /// reached.
-    constexpr unsigned maxPlacementRequests = 6;
-    /// With less time left, a further attempt cannot succeed.
-    constexpr auto minAttemptTime = milliseconds(100);
     constexpr auto defaultRetryAfter = milliseconds(500);
     /// A request that a stopping host refuses can be served by any other host.
     constexpr auto stoppingRetryAfter = milliseconds(50);
-    /// No further hedged attempt is requested after this many refusals.
-    constexpr unsigned maxHedgeRefusals = 2;
-    /// A hedged attempt is not requested before the request has been sent completely, which is
-    /// checked at this interval.
-    constexpr auto sentPollInterval = milliseconds(100);
     /// A host that starts usually receives its first configuration within a second, or later if an
     /// election ends in a split vote. A request waits for it at most this long, and at most
     /// 1/configurationWaitDivisor of the time limit stated by its caller. Without a stated limit,
@@ -125,6 +115,36 @@
         return "unknown";
     }
 
+    /// An attempt that was ended for the caller's disconnect reports it as its own end.
+    AttemptEndKind endKind(AttemptEnd end)
+    {
+        switch (end) {
+        case AttemptEnd::NotConnected:
+            return AttemptEndKind::NotReached;
+        case AttemptEnd::Shed:
+            return AttemptEndKind::Shed;
+        case AttemptEnd::NoResponse:
+        case AttemptEnd::BadResponse:
+        case AttemptEnd::ServerError:
+            return AttemptEndKind::Failed;
+        case AttemptEnd::TimedOut:
+            return AttemptEndKind::TimedOut;
+        case AttemptEnd::Abandoned:
+            return AttemptEndKind::Terminated;
+        case AttemptEnd::CallerDisconnected:
+            return AttemptEndKind::CallerDisconnected;
+        case AttemptEnd::CallerSlow:
+        case AttemptEnd::CallerMalformed:
+            return AttemptEndKind::CallerFailed;
+        case AttemptEnd::Buffered:
+            return AttemptEndKind::Buffered;
+        case AttemptEnd::Completed:
+        case AttemptEnd::Truncated:
+            return AttemptEndKind::Relayed;
+        }
+        return AttemptEndKind::Failed;
+    }
+
 } // namespace
 
 FleetRequest::FleetRequest(
@@ -166,6 +186,7 @@
     if (!fitsBeforeStop())
         co_return co_await refuseStopping();
     m_context.retryable = retryable();
+    m_attempts = RequestAttempts({ limit, m_plan.objective, m_plan.attempts, m_context.retryable });
     m_context.onCallerDisconnect = [this] { onCallerDisconnect(); };
     co_return co_await serve();
 }
@@ -236,49 +257,150 @@
 
 asio::awaitable<bool> FleetRequest::serve()
 {
-    bool retry = false;
-    while (true) {
-        if (m_active.empty()) {
-            const auto placement = co_await awaitPlacement(retry);
-            if (!placement) {
-                logRequest("caller-gone", 0, localOutcome());
-                m_stream.close();
-                co_return false;
-            }
-            if (!placement->instance)
-                co_return co_await finishRefused(*placement);
-            if (!fitsBeforeStop()) {
-                m_entry.placementProvider->end(placement->dispatch, unsentReport());
-                co_return co_await refuseStopping();
-            }
-            start(*placement);
-        }
-        const auto ended = co_await awaitAttemptEnd();
-        AttemptOutcome outcome = std::move(*ended->outcome());
-        finishAttempt(*ended, outcome);
-        if (m_active.empty())
-            m_stream.unwatchPeer();
-        // The response that was selected for relaying is used, whatever other attempts return.
-        if (m_winner && m_winner != ended)
+    apply(m_attempts.begin());
+    while (m_ending == RequestEnding::None) {
+        if (handleEvent())
             continue;
-        m_winner = nullptr;
+        co_await awaitEvent();
+        if (!handleEvent())
+            apply(m_attempts.poll(conditions()));
+    }
+    m_stream.unwatchPeer();
+    switch (m_ending) {
+    case RequestEnding::Refused:
+        co_return co_await finishRefused(*m_placement);
+    case RequestEnding::Stopping:
+        co_return co_await refuseStopping();
+    case RequestEnding::Attempt:
+        m_lastInstance = m_answerInstance;
+        co_return co_await finish(std::move(*m_answer));
+    default:
+        logRequest("caller-gone", 0, localOutcome());
+        m_stream.close();
+        co_return false;
+    }
+}
+
+asio::awaitable<void> FleetRequest::awaitEvent()
+{
+    if (!m_active.empty() && !m_active.front()->spawned()) {
+        co_await m_active.front()->run();
+    } else if (!m_active.empty()) {
+        co_await m_event->wait(m_wakeAt);
+    } else {
+        const SteadyTime before = std::chrono::steady_clock::now();
+        m_stream.watchPeer([this] { onCallerDisconnect(); });
+        co_await m_event->wait();
+        m_stream.unwatchPeer();
+        m_placementWait += std::chrono::steady_clock::now() - before;
+    }
+}
+
+/// The order is that of request_attempts.h.
+bool FleetRequest::handleEvent()
+{
+    const auto ended = std::find_if(m_active.begin(), m_active.end(),
+        [](const auto& attempt) { return attempt->outcome().has_value(); });
+    if (ended != m_active.end()) {
+        const auto attempt = *ended;
+        m_active.erase(ended);
+        handleEnd(*attempt);
+        return true;
+    }
+    if (m_callerDisconnected && !std::exchange(m_disconnectHandled, true)) {
+        apply(m_attempts.callerLeft(conditions()));
+        return true;
+    }
+    if (m_pendingPlacement && m_pendingPlacement->placement) {
+        handlePlacement(std::move(*std::exchange(m_pendingPlacement, nullptr)->placement));
+        return true;
+    }
+    for (const auto& attempt : m_active) {
+        if (const auto status = attempt->takePendingStatus()) {
+            apply(m_attempts.headArrived(attempt->number(), *status, conditions()));
+            return true;
+        }
+    }
+    return false;
+}
+
+void FleetRequest::handleEnd(FleetAttempt& ended)
+{
+    AttemptOutcome outcome = std::move(*ended.outcome());
+    finishAttempt(ended, outcome);
+    if (m_active.empty())
+        m_stream.unwatchPeer();
+    const AttemptSteps steps = m_attempts.ended(
+        { ended.number(), endKind(outcome.end), outcome.status, outcome.mayHaveRun }, conditions());
+    if (steps.answer) {
         // The attempt in whose favour it was abandoned has missed the deadline.
         if (outcome.end == AttemptEnd::Abandoned)
             outcome.end = AttemptEnd::TimedOut;
-        if (isDecisive(outcome) || (m_active.empty() && !shouldRetry(outcome))) {
-            co_await abandonAttempts(outcome.end == AttemptEnd::CallerDisconnected
-                    ? AttemptEnd::CallerDisconnected
-                    : AttemptEnd::Abandoned);
-            m_lastInstance = ended->instance();
-            co_return co_await finish(std::move(outcome));
-        }
-        m_tried.push_back(ended->instance());
+        m_answer = std::move(outcome);
+        m_answerInstance = ended.instance();
+    } else if (!m_answer && !steps.relays) {
+        m_tried.push_back(ended.instance());
         if (outcome.buffered)
             m_fallback = std::move(outcome.buffered);
-        retry = outcome.end != AttemptEnd::NotConnected;
+        // The attempt that ended has removed its watch on the caller.
+        if (!m_active.empty())
+            m_stream.watchPeer([this] { onCallerDisconnect(); });
+    }
+    apply(steps);
+}
+
+void FleetRequest::handlePlacement(AttemptPlacement placement)
+{
+    m_placement = std::move(placement);
+    if (!m_placement->instance) {
         if (!m_active.empty())
-            resumeSingleAttempt();
+            logHedge("refused", *m_placement);
+        return apply(m_attempts.placementRefused(m_placement->delay, conditions()));
+    }
+    const AttemptSteps steps = m_attempts.placementGranted(conditions());
+    if (steps.starts && steps.starts->isHedge)
+        logHedge("granted", *m_placement);
+    apply(steps);
+}
+
+void FleetRequest::apply(const AttemptSteps& steps)
+{
+    if (steps.releasesPlacement)
+        m_entry.placementProvider->end(m_placement->dispatch, unsentReport());
+    if (steps.cancelsPlacement)
+        dropPlacement();
+    if (steps.starts)
+        start(*steps.starts);
+    if (steps.placement)
+        requestPlacement(*steps.placement);
+    for (const TerminationStep& step : steps.terminations) {
+        if (const auto attempt = find(step.attempt))
+            attempt->abandon(step.cause == TerminationCause::CallerDisconnected
+                    ? AttemptEnd::CallerDisconnected
+                    : AttemptEnd::Abandoned);
+    }
+    if (steps.relays) {
+        if (const auto attempt = find(*steps.relays))
+            attempt->grantRelay();
     }
+    m_wakeAt = steps.wakeAt == maxDuration
+        ? SteadyTime::max()
+        : m_context.arrival + std::chrono::duration_cast<SteadyTime::duration>(steps.wakeAt);
+    m_ending = steps.ending;
+}
+
+std::shared_ptr<FleetAttempt> FleetRequest::find(unsigned number) const
+{
+    const auto found = std::find_if(m_active.begin(), m_active.end(),
+        [&](const auto& attempt) { return attempt->number() == number; });
+    return found == m_active.end() ? nullptr : *found;
+}
+
+AttemptConditions FleetRequest::conditions() const
+{
+    return { std::chrono::steady_clock::now() - m_context.arrival, m_body.replayable(),
+        fitsBeforeStop(), m_entry.buffers->hasRoom(m_body.buffered().size()),
+        !m_active.empty() && m_active.front()->sent() };
 }
 
 bool FleetRequest::fitsBeforeStop() const
@@ -296,7 +418,7 @@
     if (m_fallback)
         co_return co_await sendBuffered(std::move(*m_fallback));
     LocalResponse response { statusUnavailable, RequestOutcome::NotRun, reasons::stopping };
-    if (m_possibleRuns > 0)
+    if (m_attempts.possibleRuns() > 0)
         response = { statusBadGateway, RequestOutcome::Unknown, reasons::stopping };
     response.retryAfter = retryAfterText(stoppingRetryAfter);
     co_return co_await respond(std::move(response));
@@ -304,14 +426,7 @@
 
 RequestOutcome FleetRequest::localOutcome() const
 {
-    return m_possibleRuns > 0 ? RequestOutcome::Unknown : RequestOutcome::NotRun;
-}
-
-bool FleetRequest::isDecisive(const AttemptOutcome& outcome)
-{
-    return outcome.end == AttemptEnd::Completed || outcome.end == AttemptEnd::Truncated
-        || outcome.end == AttemptEnd::CallerDisconnected
-        || (outcome.end == AttemptEnd::Buffered && outcome.status < statusServerError);
+    return m_attempts.possibleRuns() > 0 ? RequestOutcome::Unknown : RequestOutcome::NotRun;
 }
 
 bool FleetRequest::retryable() const
@@ -320,7 +435,7 @@
         || (m_plan.kind == RequestKind::ByMethod && isIdempotentMethod(m_request.method));
 }
 
-PlacementRequest FleetRequest::makePlacementRequest(bool retry) const
+PlacementRequest FleetRequest::makePlacementRequest(const PlacementStep& step) const
 {
     PlacementRequest request;
     request.service = m_plan.service;
@@ -330,9 +445,9 @@
         = static_cast<std::uint32_t>(m_request.contentLength.value_or(0) / bytesPerKibibyte);
     request.remaining = m_context.deadline - std::chrono::steady_clock::now();
     request.objective = m_plan.objective;
-    request.retry = retry;
-    request.resubmitted = m_placementRequests > 0;
-    request.isHedge = !m_active.empty();
+    request.retry = step.retry;
+    request.resubmitted = m_placementRequested;
+    request.isHedge = step.isHedge;
     request.account = m_plan.account;
     request.avoid = m_tried;
     for (const auto& attempt : m_active)
@@ -340,23 +455,19 @@
     return request;
 }
 
-void FleetRequest::requestPlacement(bool retry)
+void FleetRequest::requestPlacement(const PlacementStep& step)
 {
+    if (step.reportsOverdue)
+        m_entry.placementProvider->reportOverdue(m_active.front()->dispatchId(),
+            std::chrono::steady_clock::now() - m_active.front()->start());
     const auto wait = std::make_shared<PendingPlacement>();
     m_pendingPlacement = wait;
     wait->dispatchId = m_entry.placementProvider->dispatch(
-        makePlacementRequest(retry), [wait, event = m_event](const AttemptPlacement& placement) {
+        makePlacementRequest(step), [wait, event = m_event](const AttemptPlacement& placement) {
             wait->placement = placement;
             event->set();
         });
-    ++m_placementRequests;
-}
-
-std::optional<AttemptPlacement> FleetRequest::takePlacement()
-{
-    if (!m_pendingPlacement || !m_pendingPlacement->placement)
-        return std::nullopt;
-    return std::move(std::exchange(m_pendingPlacement, nullptr)->placement);
+    m_placementRequested = true;
 }
 
 void FleetRequest::dropPlacement()
@@ -370,172 +481,20 @@
         m_entry.placementProvider->end(dropped->dispatchId, unsentReport());
 }
 
-asio::awaitable<std::optional<AttemptPlacement>> FleetRequest::awaitPlacement(bool retry)
-{
-    const SteadyTime before = std::chrono::steady_clock::now();
-    const bool wasHedge = m_pendingPlacement != nullptr;
-    if (!m_pendingPlacement)
-        requestPlacement(retry);
-    if (!m_pendingPlacement->placement) {
-        m_stream.watchPeer([this] { onCallerDisconnect(); });
-        while (!m_pendingPlacement->placement && !m_callerDisconnected)
-            co_await m_event->wait();
-        m_stream.unwatchPeer();
-    }
-    m_placementWait += std::chrono::steady_clock::now() - before;
-    if (m_callerDisconnected)
-        dropPlacement();
-    auto placement = takePlacement();
-    // The refused placement was for a hedged attempt, which is not queued. Now that the active
-    // attempt has failed, a new request may wait for a free slot.
-    if (placement && !placement->instance && wasHedge && m_placementRequests < maxPlacementRequests)
-        placement = co_await awaitPlacement(retry);
-    co_return placement;
-}
-
-void FleetRequest::start(const AttemptPlacement& placement)
+void FleetRequest::start(const StartStep& step)
 {
-    m_body.rewind();
-    m_placedAlone = m_placedAlone || placement.alone;
-    ++m_attemptCount;
-    const auto attempt = std::make_shared<FleetAttempt>(
-        m_attemptCount, placement, m_plan, m_context, nullptr, m_event);
+    m_placedAlone = m_placedAlone || m_placement->alone;
+    if (step.isHedge)
+        m_overlapStart = m_active.front()->start();
+    else
+        m_body.rewind();
+    const auto attempt = std::make_shared<FleetAttempt>(step.attempt, *m_placement, m_plan,
+        m_context, step.isHedge ? std::make_unique<HedgeContext>(m_context) : nullptr, m_event);
     m_active.push_back(attempt);
-    m_nextHedge = attempt->start()
-        + std::chrono::duration_cast<SteadyTime::duration>(hedgeDelay(m_plan.objective));
-    if (m_context.retryable && m_possibleRuns + 1 < m_plan.attempts)
+    if (step.concurrent)
         attempt->spawn();
 }
 
-void FleetRequest::startHedge(const AttemptPlacement& placement)
-{
-    m_placedAlone = m_placedAlone || placement.alone;
-    ++m_attemptCount;
-    const SteadyTime now = std::chrono::steady_clock::now();
-    m_overlapStart = m_active.front()->start();
-    const auto attempt = std::make_shared<FleetAttempt>(m_attemptCount, placement, m_plan,
-        m_context, std::make_unique<HedgeContext>(m_context), m_event);
-    m_active.push_back(attempt);
-    m_nextHedge
-        = now + std::chrono::duration_cast<SteadyTime::duration>(hedgeDelay(m_plan.objective));
-    attempt->spawn();
-}
-
-bool FleetRequest::mayHedge() const
-{
-    const auto left = m_context.deadline - std::chrono::steady_clock::now();
-    return m_active.size() == 1 && m_active.front()->spawned() && !m_ending && !m_winner
-        && !m_callerDisconnected && m_possibleRuns + 1 < m_plan.attempts && m_body.replayable()
-        && left >= minAttemptTime && fitsBeforeStop()
-        && m_entry.buffers->hasRoom(m_body.buffered().size());
-}
-
-SteadyTime FleetRequest::updateHedge()
-{
-    if (const auto placement = takePlacement()) {
-        if (placement->instance && mayHedge()) {
-            logHedge("granted", *placement);
-            startHedge(*placement);
-        } else if (placement->instance) {
-            m_entry.placementProvider->end(placement->dispatch, unsentReport());
-        } else {
-            logHedge("refused", *placement);
-            ++m_hedgeRefusals;
-            m_nextHedge = std::chrono::steady_clock::now()
-                + std::chrono::duration_cast<SteadyTime::duration>(
-                    std::max<Duration>(placement->delay, defaultRetryAfter));
-        }
-    }
-    // One placement request is reserved for a retry if the active attempt fails.
-    if (m_pendingPlacement || !mayHedge() || m_placementRequests + 1 >= maxPlacementRequests
-        || m_hedgeRefusals >= maxHedgeRefusals)
-        return SteadyTime::max();
-    const SteadyTime now = std::chrono::steady_clock::now();
-    if (now < m_nextHedge)
-        return m_nextHedge;
-    if (!m_active.front()->sent())
-        return now + sentPollInterval;
-    if (m_hedgeRefusals == 0)
-        m_entry.placementProvider->reportOverdue(
-            m_active.front()->dispatchId(), now - m_active.front()->start());
-    requestPlacement(true);
-    return SteadyTime::max();
-}
-
-void FleetRequest::grantRelay()
-{
-    for (const auto& attempt : m_active) {
-        const auto status = attempt->pendingStatus();
-        if (!status)
-            continue;
-        if (m_active.size() == 1) {
-            m_winner = attempt;
-            dropPlacement();
-            attempt->grantRelay();
-        } else if (!m_winner && (*status < statusServerError || othersFailed(*attempt))) {
-            m_winner = attempt;
-            for (const auto& other : m_active) {
-                if (other != attempt)
-                    other->abandon(AttemptEnd::Abandoned);
-            }
-        }
-    }
-}
-
-bool FleetRequest::othersFailed(const FleetAttempt& attempt) const
-{
-    return std::all_of(m_active.begin(), m_active.end(), [&](const auto& other) {
-        return other.get() == &attempt || other->pendingStatus().value_or(0) >= statusServerError;
-    });
-}
-
-asio::awaitable<std::shared_ptr<FleetAttempt>> FleetRequest::awaitAttemptEnd()
-{
-    const auto first = m_active.front();
-    if (!first->spawned()) {
-        co_await first->run();
-        m_active.clear();
-        co_return first;
-    }
-    while (true) {
-        const auto ended = std::find_if(m_active.begin(), m_active.end(),
-            [](const auto& attempt) { return attempt->outcome().has_value(); });
-        if (ended != m_active.end()) {
-            auto result = *ended;
-            m_active.erase(ended);
-            co_return result;
-        }
-        if (m_callerDisconnected) {
-            for (const auto& attempt : m_active)
-                attempt->abandon(AttemptEnd::CallerDisconnected);
-        }
-        grantRelay();
-        const SteadyTime next = updateHedge();
-        co_await m_event->wait(next);
-    }
-}
-
-asio::awaitable<void> FleetRequest::abandonAttempts(AttemptEnd end)
-{
-    m_ending = true;
-    dropPlacement();
-    for (const auto& attempt : m_active)
-        attempt->abandon(end);
-    while (!m_active.empty()) {
-        const auto ended = co_await awaitAttemptEnd();
-        finishAttempt(*ended, *ended->outcome());
-    }
-    m_stream.unwatchPeer();
-}
-
-void FleetRequest::resumeSingleAttempt()
-{
-    // The attempt that ended has removed its watch on the caller.
-    m_stream.watchPeer([this] { onCallerDisconnect(); });
-    m_nextHedge = m_active.front()->start()
-        + std::chrono::duration_cast<SteadyTime::duration>(hedgeDelay(m_plan.objective));
-}
-
 void FleetRequest::onCallerDisconnect()
 {
     m_callerDisconnected = true;
@@ -553,7 +512,6 @@
     else if (m_active.empty())
         m_instanceWait
             += std::chrono::steady_clock::now() - *std::exchange(m_overlapStart, std::nullopt);
-    m_possibleRuns += outcome.mayHaveRun ? 1 : 0;
     if (report.end != PlacementOutcome::Success)
         logAttempt(attempt, outcome);
 }
@@ -601,28 +559,6 @@
     return report;
 }
 
-bool FleetRequest::shouldRetry(const AttemptOutcome& outcome) const
-{
-    const auto left = m_context.deadline - std::chrono::steady_clock::now();
-    if (m_placementRequests >= maxPlacementRequests || left < minAttemptTime
-        || !m_body.replayable())
-        return false;
-    switch (outcome.end) {
-    case AttemptEnd::NotConnected:
-    case AttemptEnd::Shed:
-        return true;
-    case AttemptEnd::NoResponse:
-    case AttemptEnd::BadResponse:
-    case AttemptEnd::TimedOut:
-        return m_context.retryable && m_possibleRuns < m_plan.attempts;
-    case AttemptEnd::Buffered:
-        return outcome.status >= statusServerError && m_context.retryable
-            && m_possibleRuns < m_plan.attempts;
-    default:
-        return false;
-    }
-}
-
 asio::awaitable<bool> FleetRequest::finish(AttemptOutcome outcome)
 {
     const char* reason = endReason(outcome.end);
@@ -639,7 +575,7 @@
     }
     if (m_fallback)
         co_return co_await sendBuffered(std::move(*m_fallback));
-    const bool ran = m_possibleRuns > 0;
+    const bool ran = m_attempts.possibleRuns() > 0;
     LocalResponse response { ran ? statusBadGateway : statusUnavailable,
         ran ? RequestOutcome::Unknown : RequestOutcome::NotRun, reason };
     response.retryAfter = outcome.retryAfter.empty() ? retryAfterText(defaultRetryAfter)
@@ -661,7 +597,7 @@
     LocalResponse response { statusUnavailable, RequestOutcome::NotRun, reason };
     if (refused.refusal == PlacementRefusal::OverCap)
         response.status = statusTooManyRequests;
-    if (m_possibleRuns > 0)
+    if (m_attempts.possibleRuns() > 0)
         response = { statusBadGateway, RequestOutcome::Unknown, reason };
     response.retryAfter = retryAfterText(std::max<Duration>(refused.delay, milliseconds(1)));
     co_return co_await respond(std::move(response));
@@ -771,13 +707,13 @@
 {
     const Duration total = std::chrono::steady_clock::now() - m_context.arrival;
     m_entry.metrics.record(
-        { m_plan.service, outcome, status, m_attemptCount > 0 ? m_attemptCount - 1 : 0, total,
-            std::max(total - m_instanceWait, Duration::zero()), m_body.bytes(), m_placementWait,
-            m_instanceWait });
+        { m_plan.service, outcome, status, m_attempts.started() > 0 ? m_attempts.started() - 1 : 0,
+            total, std::max(total - m_instanceWait, Duration::zero()), m_body.bytes(),
+            m_placementWait, m_instanceWait });
     if (!m_plan.account.value().empty())
         m_entry.metrics.countAccountRequest(m_plan.account);
     Decision decision { "request", reason };
-    decision.alwaysLog = m_attemptCount > 1 || status == 0 || status >= statusMultipleChoices;
+    decision.alwaysLog = m_attempts.started() > 1 || status == 0 || status >= statusMultipleChoices;
     decision.facts["id"] = std::string(m_request.field(m_entry.options.names.requestId));
     decision.facts["route"] = m_plan.route;
     decision.facts["service"] = m_plan.service.value();
@@ -787,7 +723,7 @@
     decision.facts["instance"] = m_lastInstance.value();
     decision.facts["outcome"] = outcomeName(outcome);
     decision.facts["status"] = status;
-    decision.facts["sends"] = m_attemptCount;
+    decision.facts["sends"] = m_attempts.started();
     decision.facts["alone"] = m_placedAlone;
     decision.facts["placing_ms"] = Json::Int64(toMillis(m_placementWait));
     decision.facts["ms"] = Json::Int64(toMillis(total));
--- a/src/libnet/fleet_request_attempt.cpp
+++ b/src/libnet/fleet_request_attempt.cpp
@@ -61,9 +61,10 @@
     m_exchange.abandon(end);
 }
 
-std::optional<unsigned> FleetAttempt::pendingStatus() const
+std::optional<unsigned> FleetAttempt::takePendingStatus()
 {
-    return m_relayState == RelayState::Pending ? m_pendingStatus : std::nullopt;
+    return m_relayState == RelayState::Pending ? std::exchange(m_pendingStatus, std::nullopt)
+                                               : std::nullopt;
 }
 
 void FleetAttempt::grantRelay()
--- a/src/libnet/fleet_request_attempt_pvt.h
+++ b/src/libnet/fleet_request_attempt_pvt.h
@@ -33,8 +33,8 @@
     /// Makes the attempt end soon as `end`, without sending anything to the caller.
     void abandon(AttemptEnd end);
 
-    /// Status of an unbuffered response that waits for permission to be relayed.
-    std::optional<unsigned> pendingStatus() const;
+    /// Status of an unbuffered response that waits for permission to be relayed; returned once.
+    std::optional<unsigned> takePendingStatus();
     /// Permits this attempt to relay its response to the caller.
     void grantRelay();
 
--- a/src/libnet/fleet_request_pvt.h
+++ b/src/libnet/fleet_request_pvt.h
@@ -1,7 +1,9 @@
 /// Serves one request with instances selected by the fleet's scheduler: plan, placement, attempts,
-/// response.
+/// response. The decisions on its attempts are taken by RequestAttempts.
 #pragma once
 
+#include <laburnumroute/request_attempts.h>
+
 #include "fleet_request_attempt_pvt.h"
 
 namespace laburnum::pvt {
@@ -27,13 +29,16 @@
     /// The plan of the matching route. Waits for the first configuration if the host has just
     /// started.
     asio::awaitable<tl::expected<RequestPlan, PlanRefusal>> plan();
-    /// Waits for a placement; nullopt if the caller disconnected meanwhile.
-    asio::awaitable<std::optional<AttemptPlacement>> awaitPlacement(bool retry);
-    /// Waits until an active attempt has ended, and removes it from the active ones. May start a
-    /// hedged attempt in the meantime.
-    asio::awaitable<std::shared_ptr<FleetAttempt>> awaitAttemptEnd();
-    /// Abandons the active attempts and waits until they have ended.
-    asio::awaitable<void> abandonAttempts(AttemptEnd end);
+    /// Waits for the next event; runs an attempt that no other may join.
+    asio::awaitable<void> awaitEvent();
+    /// Handles one event. Returns false if there was none.
+    bool handleEvent();
+    void handleEnd(FleetAttempt& ended);
+    void handlePlacement(AttemptPlacement placement);
+    void apply(const AttemptSteps& steps);
+    AttemptConditions conditions() const;
+    /// The active attempt with this number; null if it has ended.
+    std::shared_ptr<FleetAttempt> find(unsigned number) const;
     /// Response to a request without a plan.
     LocalResponse refusalOf(PlanRefusal refusal);
     asio::awaitable<bool> finish(AttemptOutcome outcome);
@@ -47,35 +52,16 @@
     asio::awaitable<Expected<void>> write(std::string bytes);
     asio::awaitable<bool> respond(LocalResponse response);
 
-    void requestPlacement(bool retry);
-    /// Takes the result of the pending placement request, if there is one.
-    std::optional<AttemptPlacement> takePlacement();
+    void requestPlacement(const PlacementStep& step);
     /// Cancels the pending placement request, and releases the placement if already granted.
     void dropPlacement();
-    void start(const AttemptPlacement& placement);
-    void startHedge(const AttemptPlacement& placement);
-    bool mayHedge() const;
-    /// Requests a placement for a hedged attempt once the active attempt has exceeded the hedge
-    /// delay, and starts the attempt when it is granted. Returns when to call this next.
-    SteadyTime updateHedge();
-    /// Selects the attempt whose unbuffered response is relayed, abandons the other one, and grants
-    /// the relay once no other attempt is active.
-    void grantRelay();
-    /// Whether all other active attempts wait to relay a server error.
-    bool othersFailed(const FleetAttempt& attempt) const;
-    /// Prepares the remaining active attempt after the other one has ended.
-    void resumeSingleAttempt();
+    void start(const StartStep& step);
     void onCallerDisconnect();
     void finishAttempt(const FleetAttempt& attempt, const AttemptOutcome& outcome);
     /// Outcome of a request without an instance's response.
     RequestOutcome localOutcome() const;
-    /// Whether `outcome` ends the request regardless of other attempts.
-    static bool isDecisive(const AttemptOutcome& outcome);
-
-    PlacementRequest makePlacementRequest(bool retry) const;
+    PlacementRequest makePlacementRequest(const PlacementStep& step) const;
     bool retryable() const;
-    /// Whether the request is sent to another instance after `outcome`.
-    bool shouldRetry(const AttemptOutcome& outcome) const;
     PlacementReport makeReport(const AttemptOutcome& outcome) const;
     ResponseContext responseContext() const;
     void logAttempt(const FleetAttempt& attempt, const AttemptOutcome& outcome) const;
@@ -94,28 +80,27 @@
     /// Set by every event that serve() waits for.
     std::shared_ptr<AsyncEvent> m_event;
     std::shared_ptr<PendingPlacement> m_pendingPlacement;
+    /// The last reply to a placement request.
+    std::optional<AttemptPlacement> m_placement;
+    bool m_placementRequested = false;
+    RequestAttempts m_attempts { {} };
+    RequestEnding m_ending = RequestEnding::None;
+    /// When m_attempts wants to be called without an event.
+    SteadyTime m_wakeAt = SteadyTime::max();
     /// Attempts that have not ended.
     std::vector<std::shared_ptr<FleetAttempt>> m_active;
-    /// The attempt whose unbuffered response is relayed to the caller.
-    std::shared_ptr<FleetAttempt> m_winner;
-    /// Earliest time of the next placement request for a hedged attempt.
-    SteadyTime m_nextHedge;
-    unsigned m_hedgeRefusals = 0;
+    /// The outcome that the caller gets, and its instance.
+    std::optional<AttemptOutcome> m_answer;
+    InstanceId m_answerInstance;
     /// Start of the first attempt while attempts run concurrently.
     std::optional<SteadyTime> m_overlapStart;
-    /// No further attempt is started.
-    bool m_ending = false;
     bool m_callerDisconnected = false;
+    bool m_disconnectHandled = false;
     /// Instances that were tried, whether reached or not.
     std::vector<InstanceId> m_tried;
     InstanceId m_lastInstance;
     /// A server error that is sent to the caller unless another attempt succeeds.
     std::optional<BufferedResponse> m_fallback;
-    unsigned m_placementRequests = 0;
-    /// Attempts started.
-    unsigned m_attemptCount = 0;
-    /// Attempts that may have run the request.
-    unsigned m_possibleRuns = 0;
     bool m_placedAlone = false;
     bool m_keepAlive = false;
     Duration m_placementWait {};
