A response is not cut because its instance pauses

What callers saw: a response of which a part had been passed on was cut after the idle limit (30 s) of silence, though the route's time limit had not passed. Cause: the idle limit, meant for callers that read nothing, counted waits for the instance too, also with fleet placement, where the deadline bounds the whole response. Evidence: 'termination: a response that pauses for longer than the idle limit goes on' failed before (cut, reported as the instance's failure). Why it works: at the idle limit a response with a deadline goes on if nobody waits for the caller and no byte came. Bytes without end that are none of the body still end it ('a response with endless framing is aborted'), and the deadline does ('a response that pauses ends at the deadline').

--- a/src/libnet/exchange.cpp
+++ b/src/libnet/exchange.cpp
@@ -248,14 +248,27 @@
 
 void Exchange::armIdleTimeout()
 {
+    m_bytesAtProgress = m_upstream->bytesRead();
     const SteadyTime limit = std::min(
         m_caller.responseDeadline, deadlineAfter(m_caller.entry.options.bodyIdleTimeout));
-    m_caller.watchdog.watch(limit, [this] {
-        m_timedOut = true;
-        m_callerStalled = m_writer && m_writer->waitsForCaller();
-        m_upstream->close();
-        m_caller.stream.reset();
-    });
+    m_caller.watchdog.watch(limit, [this] { endIdle(); });
+}
+
+/// An instance's silence is no reason to end its response before the deadline, if there is one.
+void Exchange::endIdle()
+{
+    const bool writerWaits = m_writer && m_writer->waitsForCaller();
+    const bool waitsForCaller = writerWaits || m_upstream->messageComplete()
+        || (m_uploader && m_uploader->phase() == Uploader::Phase::ReadingCaller);
+    // One that sends bytes without end, none of them of the body, is not silent.
+    const bool isSilent = m_upstream->bytesRead() == m_bytesAtProgress;
+    const bool hasDeadline = m_caller.responseDeadline != SteadyTime::max();
+    if (hasDeadline && isSilent && !waitsForCaller && steadyNow() < m_caller.responseDeadline)
+        return armIdleTimeout();
+    m_timedOut = true;
+    m_callerStalled = writerWaits;
+    m_upstream->close();
+    m_caller.stream.reset();
 }
 
 void Exchange::watchCaller()
--- a/src/libnet/exchange_pvt.h
+++ b/src/libnet/exchange_pvt.h
@@ -164,6 +164,8 @@
     void armDeadline();
     /// Limits the wait for the next part of a response that is being relayed.
     void armIdleTimeout();
+    /// Ends a relay that made no progress for as long as the idle limit, or whose deadline passed.
+    void endIdle();
     /// Ends the attempt when the caller disconnects. Active even before the upstream connection is
     /// opened.
     void watchCaller();
@@ -196,6 +198,8 @@
     SteadyTime m_start;
     bool m_reused = false;
     bool m_timedOut = false;
+    /// Bytes that had been received when a relayed response made progress last.
+    std::uint64_t m_bytesAtProgress = 0;
     /// The caller did not read for as long as the idle timeout.
     bool m_callerStalled = false;
     bool m_callerDisconnected = false;
--- a/src/libnet/http_stream.cpp
+++ b/src/libnet/http_stream.cpp
@@ -98,6 +98,7 @@
             co_return m_decoder.feedEof();
         }
         m_bufferEnd = count;
+        m_bytesRead += count;
     }
     co_return decodeBuffered();
 }
--- a/src/libnet/http_stream_pvt.h
+++ b/src/libnet/http_stream_pvt.h
@@ -65,6 +65,8 @@
     bool peerClosed();
     /// True when the connection is open and has no unread input.
     bool isIdle();
+    /// Bytes received so far.
+    std::uint64_t bytesRead() const { return m_bytesRead; }
     /// True when no received byte is left undecoded; after a message, such a byte belongs to none.
     bool readBufferEmpty() const { return m_bufferBegin == m_bufferEnd; }
 
@@ -93,6 +95,7 @@
     std::unique_ptr<std::array<char, readBytes>> m_buffer;
     std::size_t m_bufferBegin = 0;
     std::size_t m_bufferEnd = 0;
+    std::uint64_t m_bytesRead = 0;
     std::optional<std::size_t> m_readLimitLeft;
     std::shared_ptr<PeerWatch> m_watch;
 };
