One place decides who may end an attempt at work; each end is counted and logged

Exchange::terminate() is the only place that closes the connection of an attempt whose instance is at work, and asks mayTerminate() first: deadline, idle limit, caller, another attempt's response, bytes that are no response. What is forbidden does not happen and is counted (laburnum_attempt_terminations_refused_total) and logged as a defect. An abort of a stop goes through EntryServer::abort() with its cause and the progress of the stop, also the exit and a second signal; one line 'stop: request-cut' names each request that was cut (id, service, instance, age, time since the signal), before the process ends. 'attempt' lines have 'cause' and 'by'; laburnum_attempts_terminated_total{cause} counts them.

--- a/src/include/laburnumroute/attempt_termination.h
+++ b/src/include/laburnumroute/attempt_termination.h
@@ -25,7 +25,8 @@
     CallerMalformed,
     /// The time limit of the request, fixed when its head was read, has passed.
     Deadline,
-    /// A response without a time limit made no progress for as long as the idle limit.
+    /// A response made no progress for as long as the idle limit, and has no time limit or is not
+    /// silent: it sends bytes without end that are none of the body.
     InstanceStalled,
     /// Another attempt's response is complete or is relayed.
     OtherResponse,
@@ -65,6 +66,8 @@
     /// Time without progress, and its limit.
     Duration idle {};
     Duration idleLimit = maxDuration;
+    /// No byte arrived meanwhile.
+    bool isSilent = true;
     /// Status of the attempt's own response; 0 before its head.
     unsigned ownStatus = 0;
     /// Status of another attempt's response that is complete or ready to be relayed; 0 if none is.
--- a/src/include/laburnumroute/entry_server.h
+++ b/src/include/laburnumroute/entry_server.h
@@ -8,6 +8,7 @@
 
 #include <asio/io_context.hpp>
 
+#include <laburnumroute/attempt_termination.h>
 #include <laburnumroute/buffer_budget.h>
 #include <laburnumroute/claim_client.h>
 #include <laburnumroute/endpoint.h>
@@ -62,6 +63,14 @@
     std::size_t cut = 0;
 };
 
+/// How far a stop has come.
+struct StopProgress {
+    /// Signals to stop so far.
+    unsigned signals = 0;
+    /// Since the first one.
+    Duration elapsed {};
+};
+
 /// HTTP server for callers on one endpoint. Runs on the threads of an io_context.
 class EntryServer {
 public:
@@ -98,6 +107,10 @@
     /// in flight.
     void drain(std::function<void(DrainReport)> done);
     void drain(std::function<void()> done);
+    /// Aborts the requests in flight for a cause of the stop, and logs each. Does nothing and
+    /// returns false if mayTerminate() forbids it. With fleet placement only, on the thread of the
+    /// io_context.
+    bool abort(TerminationCause cause, const StopProgress& progress);
     /// Number of requests being served.
     std::size_t inFlight() const noexcept;
     /// Lives as long as the server.
--- a/src/include/laburnumroute/request_metrics.h
+++ b/src/include/laburnumroute/request_metrics.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <array>
+#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <mutex>
@@ -9,6 +10,7 @@
 #include <string>
 
 #include <laburnumroute/account_counters.h>
+#include <laburnumroute/attempt_termination.h>
 #include <laburnumroute/clock.h>
 #include <laburnumroute/ids.h>
 
@@ -53,16 +55,23 @@
     void countAccountRequest(const ClientAccountId& account);
     /// Counts a request refused because of its account key; `cause` is a keyRefusalName().
     void countKeyRefusal(const std::string& cause);
+    /// Counts an attempt that was ended while its instance was at work.
+    void countTermination(TerminationCause cause);
+    /// Counts one that mayTerminate() did not permit, so that the attempt went on: a defect.
+    void countRefusedTermination(TerminationCause cause);
     /// Renders the metrics in the Prometheus text format, version 0.0.4.
     std::string render() const;
 
 private:
     struct Stripe;
     static constexpr std::size_t stripeCount = 16;
+    using CauseCounters = std::array<std::atomic<std::uint64_t>, terminationCauseCount>;
 
     Stripe& stripeOf(const ServiceId& service) const;
 
     std::unique_ptr<std::array<Stripe, stripeCount>> m_stripes;
+    CauseCounters m_terminations {};
+    CauseCounters m_refusedTerminations {};
     mutable std::mutex m_accountMutex;
     AccountCounters m_accounts;
 };
--- a/src/laburnumd/entry_node.cpp
+++ b/src/laburnumd/entry_node.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 
 #include <asio/io_context.hpp>
+#include <asio/post.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
@@ -216,8 +217,9 @@
             m_signals.async_wait([this](std::error_code code, int) {
                 if (code)
                     return;
+                ++m_stopSignals;
                 if (m_stopping)
-                    return abortConnections();
+                    return abortConnections(TerminationCause::SecondSignal);
                 beginStop();
                 awaitSignal();
             });
@@ -251,8 +253,8 @@
             }
             if (elapsed >= stop.exitAfter())
                 return endProcess();
-            if (elapsed >= stop.abortAfter() && !std::exchange(m_aborted, true))
-                abortConnections();
+            if (elapsed >= stop.abortAfter() && !m_aborted)
+                abortConnections(TerminationCause::StopAbort);
             m_stopTimer.expires_after(stopPollInterval);
             m_stopTimer.async_wait([this](std::error_code code) {
                 if (!code)
@@ -260,11 +262,20 @@
             });
         }
 
-        void abortConnections()
+        StopProgress stopProgress() const
+        {
+            return { m_stopSignals, m_clock.now() - m_stopStarted };
+        }
+
+        /// Posted behind the start of the drain, which accepts the connections that are left.
+        void abortConnections(TerminationCause cause)
         {
             if (!std::exchange(m_draining, true))
                 m_entry.drain([this](DrainReport report) { finishStop(report); });
-            m_entry.drain(std::function<void(DrainReport)>());
+            asio::post(m_context, [this, cause] {
+                const bool aborted = m_entry.abort(cause, stopProgress());
+                m_aborted = m_aborted || (aborted && cause == TerminationCause::StopAbort);
+            });
         }
 
         /// Connections that did not end with the abort do not keep the process alive.
@@ -273,6 +284,7 @@
             Decision decision { "stop", "cut" };
             decision.facts["cut"] = Json::UInt64(m_entry.inFlight());
             m_log->record(decision);
+            m_entry.abort(TerminationCause::StopExit, stopProgress());
             m_context.stop();
         }
 
@@ -331,6 +343,7 @@
         bool m_stopping = false;
         bool m_draining = false;
         bool m_aborted = false;
+        unsigned m_stopSignals = 0;
     };
 
 } // namespace
--- a/src/libnet/entry_server.cpp
+++ b/src/libnet/entry_server.cpp
@@ -1,5 +1,6 @@
 #include <laburnumroute/entry_server.h>
 
+#include <algorithm>
 #include <mutex>
 #include <unordered_map>
 
@@ -88,10 +89,12 @@
         if (entry->draining) {
             if (done)
                 onDrained.push_back(std::move(done));
-            return abortInFlight();
+            abortInFlight(TerminationCause::SecondSignal, { 2, sinceDrain() });
+            return;
         }
         onDrained.push_back(std::move(done));
         entry->draining = true;
+        drainBegan = std::chrono::steady_clock::now();
         acceptPending();
         std::error_code ignored;
         acceptor.close(ignored);
@@ -101,17 +104,57 @@
             entry->options.drainTimeout));
         drainTimer.async_wait([self = shared_from_this()](std::error_code code) {
             if (!code)
-                self->abortInFlight();
+                self->abortInFlight(TerminationCause::StopAbort, { 1, self->sinceDrain() });
         });
         finishDrain();
     }
 
-    /// Aborts the requests in flight.
-    void abortInFlight()
+    Duration sinceDrain() const { return std::chrono::steady_clock::now() - drainBegan; }
+
+    TerminationState stopState(const StopProgress& progress) const
+    {
+        TerminationState state;
+        state.stopSignals = progress.signals;
+        state.sinceStop = progress.elapsed;
+        state.abortAfter = entry->options.drainTimeout;
+        if (entry->lameDuck && entry->plannedStop) {
+            state.abortAfter = std::min(state.abortAfter, entry->plannedStop->abortAfter());
+            state.exitAfter = entry->plannedStop->exitAfter();
+        }
+        return state;
+    }
+
+    void recordRefused(TerminationCause cause, const StopProgress& progress) const
     {
+        entry->metrics.countRefusedTermination(cause);
+        if (entry->log == nullptr)
+            return;
+        Decision decision { "stop", "abort-refused" };
+        decision.alwaysLog = true;
+        decision.facts["cause"] = terminationCauseName(cause);
+        decision.facts["stop_ms"] = Json::Int64(toMillis(progress.elapsed));
+        entry->log->record(decision);
+    }
+
+    /// Aborts the requests in flight. Returns false if that is not permitted.
+    bool abortInFlight(TerminationCause cause, const StopProgress& progress)
+    {
+        const TerminationState state = stopState(progress);
+        if (!mayTerminate(cause, state)) {
+            recordRefused(cause, progress);
+            return false;
+        }
         report.cut += entry->inFlight;
-        forEachSession([](Session& session) { session.abort(); });
+        // With fleet placement there is one thread, so this is the strand of each session.
+        const bool isOneThread = entry->placementProvider != nullptr;
+        forEachSession([&](Session& session) {
+            if (isOneThread)
+                session.abort(cause, state);
+            else
+                session.postAbort(cause, state);
+        });
         finishDrain();
+        return true;
     }
 
     void finishDrain()
@@ -148,6 +191,7 @@
     asio::steady_timer sweepTimer;
     std::vector<std::function<void(DrainReport)>> onDrained;
     DrainReport report;
+    pvt::SteadyTime drainBegan;
     std::mutex mutex;
     std::unordered_map<Session*, std::weak_ptr<Session>> sessions;
 };
@@ -217,6 +261,11 @@
     drain(std::function<void(DrainReport)>([done = std::move(done)](DrainReport) { done(); }));
 }
 
+bool EntryServer::abort(TerminationCause cause, const StopProgress& progress)
+{
+    return m_impl->abortInFlight(cause, progress);
+}
+
 std::size_t EntryServer::inFlight() const noexcept { return m_impl->entry->inFlight; }
 
 RequestMetrics& EntryServer::metrics() noexcept { return m_impl->entry->metrics; }
--- a/src/libnet/entry_termination_test.cpp
+++ b/src/libnet/entry_termination_test.cpp
@@ -1,5 +1,7 @@
 // Who may end an attempt at which an instance is at work: the causes, their counters and log lines.
 
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 #include "fleet_fixture_test.h"
@@ -63,3 +65,255 @@
     CHECK(closed.wait());
     CHECK(provider.reports.wait(1).at(0) == "failure");
 }
+
+namespace {
+
+/// Value of a counter by cause.
+std::string counter(OrderedFleetFixture& fixture, const std::string& name, const std::string& cause)
+{
+    const std::string text = fixture.server().metrics().render();
+    const std::string start = name + "{cause=\"" + cause + "\"} ";
+    const auto at = text.find(start);
+    if (at == std::string::npos)
+        return "";
+    const auto value = at + start.size();
+    return text.substr(value, text.find('\n', value) - value);
+}
+
+std::string terminated(OrderedFleetFixture& fixture, const std::string& cause)
+{
+    return counter(fixture, "laburnum_attempts_terminated_total", cause);
+}
+
+/// Number of attempts that were ended for any cause.
+int terminatedInAll(OrderedFleetFixture& fixture)
+{
+    int sum = 0;
+    for (const TerminationRule& rule : terminationRules())
+        sum += std::stoi(terminated(fixture, rule.name));
+    return sum;
+}
+
+/// Waits for a log line that contains all of `parts`.
+bool logged(OrderedPlacementProvider& provider, const std::vector<std::string>& parts)
+{
+    const auto contains = [&](const std::string& line) {
+        return std::all_of(parts.begin(), parts.end(),
+            [&](const std::string& part) { return line.find(part) != std::string::npos; });
+    };
+    for (std::size_t count = 1; count < 20; ++count) {
+        const auto lines = provider.decisions.wait(count);
+        if (std::any_of(lines.begin(), lines.end(), contains))
+            return true;
+        if (lines.size() < count)
+            return false;
+    }
+    return false;
+}
+
+/// Ends a connection once it has received a request.
+struct FaultCase {
+    std::string cause;
+    std::string by;
+    std::string response;
+};
+
+} // namespace
+
+TEST_CASE("termination: what an instance sends or does is counted and logged by cause")
+{
+    const auto fault = GENERATE(values<FaultCase>({
+        { "connection-lost", "instance", "" },
+        { "not-http", "instance", "bytes of no protocol\r\n\r\n" },
+        { "too-long", "instance",
+            "HTTP/1.1 500 Oops\r\nId: 7\r\n\r\n" + std::string(400'000, 'x') },
+        { "no-stamp", "instance", "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\nok" },
+    }));
+    CAPTURE(fault.cause);
+    ScriptedUpstream upstream([&](Connection& connection, int) {
+        connection.readHead();
+        connection.send(fault.response);
+        connection.closeSending();
+        connection.readAll();
+    });
+    OrderedPlacementProvider provider;
+    provider.route.kind = RequestKind::Unsafe;
+    provider.instances = { upstream.endpoint() };
+    OrderedFleetFixture fixture(provider);
+    CHECK(fixture.exchange(get).starts_with("HTTP/1.1 502 "));
+    CHECK(logged(
+        provider, { "attempt", "\"cause\":\"" + fault.cause + '"', "\"by\":\"" + fault.by + '"' }));
+    CHECK(terminated(fixture, fault.cause) == "1");
+    CHECK(terminatedInAll(fixture) == 1);
+}
+
+TEST_CASE("termination: a caller that leaves is counted and logged")
+{
+    Signal received;
+    ScriptedUpstream upstream([&](Connection& connection, int) {
+        connection.readHead();
+        received.set();
+        connection.readAll();
+    });
+    OrderedPlacementProvider provider;
+    provider.instances = { upstream.endpoint() };
+    OrderedFleetFixture fixture(provider);
+    Connection caller = fixture.connect();
+    caller.send(get);
+    REQUIRE(received.wait());
+    caller.close();
+    CHECK(logged(provider, { "attempt", R"("by":"caller")", R"("cause":"caller-gone")" }));
+    CHECK(terminated(fixture, "caller-gone") == "1");
+    CHECK(terminatedInAll(fixture) == 1);
+}
+
+TEST_CASE("termination: the deadline is counted and logged")
+{
+    ScriptedUpstream upstream([&](Connection& connection, int) {
+        connection.readHead();
+        connection.readAll();
+    });
+    OrderedPlacementProvider provider;
+    provider.route.timeout = 300ms;
+    provider.instances = { upstream.endpoint() };
+    OrderedFleetFixture fixture(provider);
+    CHECK(fixture.exchange(get).starts_with("HTTP/1.1 504 "));
+    CHECK(logged(provider, { "attempt", R"("by":"operator")", R"("cause":"deadline")" }));
+    CHECK(terminated(fixture, "deadline") == "1");
+    CHECK(terminatedInAll(fixture) == 1);
+}
+
+TEST_CASE("termination: an attempt that another one's response ends is counted and logged")
+{
+    ScriptedUpstream slow([&](Connection& connection, int) {
+        connection.readHead();
+        connection.readAll();
+    });
+    const auto length = GENERATE(std::size_t { 2 }, std::size_t { 300'000 });
+    ScriptedUpstream good([&](Connection& connection, int) {
+        connection.readHead();
+        connection.send("HTTP/1.1 200 OK\r\nId: 7\r\nStamp: x\r\nContent-Length: "
+            + std::to_string(length) + "\r\n\r\n" + std::string(length, 'o'));
+        connection.readAll();
+    });
+    OrderedPlacementProvider provider;
+    provider.route.objective = 1s;
+    provider.instances = { slow.endpoint(), good.endpoint() };
+    OrderedFleetFixture fixture(provider);
+    const bool isWhole = fixture.exchange(get).ends_with(std::string(length, 'o'));
+    CHECK(isWhole);
+    CHECK(logged(provider, { "attempt", R"("by":"host")", R"("cause":"other-response")" }));
+    CHECK(terminated(fixture, "other-response") == "1");
+    CHECK(terminatedInAll(fixture) == 1);
+}
+
+TEST_CASE("termination: a response that is complete is counted for no cause")
+{
+    ScriptedUpstream upstream([&](Connection& connection, int) {
+        while (!connection.readHead().empty())
+            connection.send(okResponse);
+    });
+    OrderedPlacementProvider provider;
+    provider.instances = { upstream.endpoint() };
+    OrderedFleetFixture fixture(provider);
+    CHECK(fixture.exchange(get).ends_with("ok"));
+    CHECK(terminatedInAll(fixture) == 0);
+}
+
+// Guards against requests cut by a stop that nothing names.
+TEST_CASE("termination: each request that a stop cuts is logged, and its attempt is counted")
+{
+    struct Cut {
+        TerminationCause cause;
+        StopProgress progress;
+        std::string stopMillis;
+    };
+    const PlannedStop stop(12s);
+    const auto cut = GENERATE_COPY(values<Cut>({
+        { TerminationCause::StopAbort, { 1, stop.abortAfter() }, "11500" },
+        { TerminationCause::StopExit, { 1, stop.exitAfter() }, "11800" },
+        { TerminationCause::SecondSignal, { 2, 70ms }, "70" },
+    }));
+    const std::string cause = terminationCauseName(cut.cause);
+    CAPTURE(cause);
+    Signal received;
+    ScriptedUpstream upstream([&](Connection& connection, int) {
+        connection.readHead();
+        received.set();
+        connection.readAll();
+    });
+    OrderedPlacementProvider provider;
+    provider.instances = { upstream.endpoint() };
+    OrderedFleetFixture fixture(provider);
+    Connection caller = fixture.connect();
+    Connection idle = fixture.connect();
+    caller.send(get);
+    REQUIRE(received.wait());
+    bool aborted = false;
+    std::vector<std::string> atOnce;
+    fixture.run([&] {
+        fixture.server().startLameDuck(stop);
+        aborted = fixture.server().abort(cut.cause, cut.progress);
+        // The process may end right after this.
+        atOnce = provider.decisions.wait(0);
+    });
+    CHECK(aborted);
+    REQUIRE(atOnce.size() == 1);
+    for (const std::string& part : { std::string("request-cut"), "\"cause\":\"" + cause + '"',
+             std::string(R"("id":"7")"), std::string(R"("service":"s")"),
+             "\"instance\":\"" + std::to_string(upstream.endpoint().port) + '"',
+             "\"stop_ms\":" + cut.stopMillis, std::string("\"ms\":") }) {
+        CAPTURE(part, atOnce.front());
+        CHECK(atOnce.front().find(part) != std::string::npos);
+    }
+    CHECK(caller.readAll().empty());
+    CHECK(caller.wasReset());
+    CHECK(logged(provider,
+        { "attempt", R"("by":"operator")", "\"cause\":\"" + cause + '"', R"("id":"7")" }));
+    CHECK(terminated(fixture, cause) == "1");
+    CHECK(terminatedInAll(fixture) == 1);
+}
+
+TEST_CASE("termination: an abort before its time ends nothing and counts as a defect")
+{
+    struct Early {
+        TerminationCause cause;
+        StopProgress progress;
+    };
+    const PlannedStop stop(12s);
+    const auto early = GENERATE_COPY(values<Early>({
+        { TerminationCause::StopAbort, { 1, stop.abortAfter() - 1ns } },
+        { TerminationCause::StopAbort, { 0, stop.abortAfter() } },
+        { TerminationCause::StopExit, { 1, stop.exitAfter() - 1ns } },
+        { TerminationCause::SecondSignal, { 1, 5s } },
+        { TerminationCause::Deadline, { 1, 5s } },
+    }));
+    const std::string cause = terminationCauseName(early.cause);
+    CAPTURE(cause);
+    Signal received;
+    Signal release;
+    ScriptedUpstream upstream([&](Connection& connection, int) {
+        connection.readHead();
+        received.set();
+        release.wait();
+        connection.send(okResponse);
+        connection.readAll();
+    });
+    OrderedPlacementProvider provider;
+    provider.instances = { upstream.endpoint() };
+    OrderedFleetFixture fixture(provider);
+    Connection caller = fixture.connect();
+    caller.send(get);
+    REQUIRE(received.wait());
+    bool aborted = true;
+    fixture.run([&] {
+        fixture.server().startLameDuck(stop);
+        aborted = fixture.server().abort(early.cause, early.progress);
+    });
+    CHECK_FALSE(aborted);
+    CHECK(logged(provider, { "stop", "abort-refused", "\"cause\":\"" + cause + '"' }));
+    release.set();
+    CHECK(caller.readMessage().ends_with("ok"));
+    CHECK(counter(fixture, "laburnum_attempt_terminations_refused_total", cause) == "1");
+    CHECK(terminatedInAll(fixture) == 0);
+}
--- a/src/libnet/exchange.cpp
+++ b/src/libnet/exchange.cpp
@@ -97,19 +97,70 @@
         if (!stale)
             break;
         m_caller.body.rewind();
+        m_outcome.cause.reset();
         mayReuse = false;
     }
     m_outcome.latency = m_outcome.status != 0 ? m_outcome.latency : Duration(steadyNow() - m_start);
     co_return std::move(m_outcome);
 }
 
-void Exchange::abandon(AttemptEnd end)
+bool Exchange::abandon(const TerminationStep& step)
 {
-    m_abandonedAs = end;
-    if (m_upstream)
-        m_upstream->close();
-    else
+    const bool callerLeft = step.cause == TerminationCause::CallerDisconnected;
+    if (m_upstream) {
+        TerminationState state;
+        state.otherStatus = step.otherStatus;
+        const bool permitted = callerLeft ? terminateForCaller() : terminate(step.cause, state);
+        if (!permitted)
+            return false;
+    }
+    m_abandonedAs = callerLeft ? AttemptEnd::CallerDisconnected : AttemptEnd::Abandoned;
+    if (!m_upstream)
         m_caller.watchdog.expire();
+    return true;
+}
+
+bool Exchange::terminate(TerminationCause cause, TerminationState state)
+{
+    const bool isAtWork = m_outcome.mayHaveRun && !m_responseComplete;
+    if (isAtWork) {
+        const SteadyTime limit = m_streaming ? m_caller.responseDeadline : m_caller.deadline;
+        state.now = steadyNow() - m_caller.arrival;
+        state.deadline = limit == SteadyTime::max() ? maxDuration : limit - m_caller.arrival;
+        state.idleLimit = m_caller.entry.options.bodyIdleTimeout;
+        state.ownStatus = m_outcome.status;
+        if (!mayTerminate(cause, state)) {
+            recordRefusedTermination(cause);
+            return false;
+        }
+        if (!m_outcome.cause)
+            m_outcome.cause = cause;
+    }
+    m_upstream->close();
+    return true;
+}
+
+bool Exchange::terminateForCaller()
+{
+    if (m_caller.cut != nullptr && m_caller.cut->cause)
+        return terminate(*m_caller.cut->cause, m_caller.cut->state);
+    TerminationState state;
+    state.callerClosed = true;
+    return terminate(TerminationCause::CallerDisconnected, state);
+}
+
+void Exchange::recordRefusedTermination(TerminationCause cause) const
+{
+    m_caller.entry.metrics.countRefusedTermination(cause);
+    if (m_caller.entry.log == nullptr)
+        return;
+    Decision decision { "attempt", "termination-refused" };
+    decision.alwaysLog = true;
+    decision.facts["id"]
+        = std::string(m_caller.request.field(m_caller.entry.options.names.requestId));
+    decision.facts["instance"] = m_assigned.instance.value();
+    decision.facts["cause"] = terminationCauseName(cause);
+    m_caller.entry.log->record(decision);
 }
 
 bool Exchange::sent() const
@@ -233,41 +284,57 @@
                 armIdleTimeout();
         },
         [this] {
-            if (m_uploader->phase() == Uploader::Phase::CallerFailed)
-                m_upstream->close();
+            if (m_uploader->phase() != Uploader::Phase::CallerFailed)
+                return;
+            TerminationState state;
+            state.callerMalformed = m_uploader->callerError()->code != ErrorCode::Closed;
+            if (state.callerMalformed)
+                terminate(TerminationCause::CallerMalformed, state);
+            else
+                terminateForCaller();
         });
 }
 
 void Exchange::armDeadline()
 {
     m_caller.watchdog.watch(m_caller.deadline, [this] {
-        m_timedOut = true;
-        m_upstream->close();
+        if (terminate(TerminationCause::Deadline, {}))
+            m_timedOut = true;
+        else
+            armDeadline();
     });
 }
 
 void Exchange::armIdleTimeout()
 {
     m_bytesAtProgress = m_upstream->bytesRead();
+    m_lastProgress = steadyNow();
     const SteadyTime limit = std::min(
         m_caller.responseDeadline, deadlineAfter(m_caller.entry.options.bodyIdleTimeout));
     m_caller.watchdog.watch(limit, [this] { endIdle(); });
 }
 
-/// An instance's silence is no reason to end its response before the deadline, if there is one.
 void Exchange::endIdle()
 {
     const bool writerWaits = m_writer && m_writer->waitsForCaller();
-    const bool waitsForCaller = writerWaits || m_upstream->messageComplete()
-        || (m_uploader && m_uploader->phase() == Uploader::Phase::ReadingCaller);
+    TerminationState state;
+    state.idle = steadyNow() - m_lastProgress;
     // One that sends bytes without end, none of them of the body, is not silent.
-    const bool isSilent = m_upstream->bytesRead() == m_bytesAtProgress;
+    state.isSilent = m_upstream->bytesRead() == m_bytesAtProgress;
+    state.waitsForCaller = writerWaits || m_upstream->messageComplete()
+        || (m_uploader && m_uploader->phase() == Uploader::Phase::ReadingCaller);
     const bool hasDeadline = m_caller.responseDeadline != SteadyTime::max();
-    if (hasDeadline && isSilent && !waitsForCaller && steadyNow() < m_caller.responseDeadline)
+    TerminationCause cause = TerminationCause::InstanceStalled;
+    if (steadyNow() >= m_caller.responseDeadline)
+        cause = TerminationCause::Deadline;
+    else if (state.waitsForCaller)
+        cause = TerminationCause::CallerStalled;
+    else if (hasDeadline && state.isSilent)
+        return armIdleTimeout();
+    if (!terminate(cause, state))
         return armIdleTimeout();
     m_timedOut = true;
     m_callerStalled = writerWaits;
-    m_upstream->close();
     m_caller.stream.reset();
 }
 
@@ -279,7 +346,7 @@
         if (m_connecting)
             m_connecting->close(ignored);
         if (m_upstream)
-            m_upstream->close();
+            terminateForCaller();
         if (m_caller.onCallerDisconnect)
             m_caller.onCallerDisconnect();
     });
@@ -291,7 +358,7 @@
     return m_callerDisconnected;
 }
 
-AttemptEnd Exchange::endForError(const Error& error) const
+AttemptEnd Exchange::endForError(const Error& error)
 {
     if (m_callerDisconnected)
         return AttemptEnd::CallerDisconnected;
@@ -304,7 +371,16 @@
         const bool callerSlow = m_uploader && m_uploader->phase() == Uploader::Phase::ReadingCaller;
         return callerSlow ? AttemptEnd::CallerSlow : AttemptEnd::TimedOut;
     }
-    return error.code == ErrorCode::Closed ? AttemptEnd::NoResponse : AttemptEnd::BadResponse;
+    TerminationState state;
+    if (error.code == ErrorCode::Closed) {
+        state.connectionClosed = true;
+        terminate(TerminationCause::ConnectionLost, state);
+        return AttemptEnd::NoResponse;
+    }
+    state.tooLong = error.code == ErrorCode::TooLarge;
+    state.notHttp = !state.tooLong;
+    terminate(state.tooLong ? TerminationCause::TooLong : TerminationCause::NotHttp, state);
+    return AttemptEnd::BadResponse;
 }
 
 asio::awaitable<Expected<HttpHead>> Exchange::readFinalHead()
@@ -334,9 +410,9 @@
 asio::awaitable<void> Exchange::writeInterim(std::string bytes)
 {
     m_caller.watchdog.watch(m_caller.deadline, [this] {
-        m_callerDisconnected = true;
-        m_upstream->close();
-        m_caller.stream.reset();
+        m_callerDisconnected = terminate(TerminationCause::Deadline, {});
+        if (m_callerDisconnected)
+            m_caller.stream.reset();
     });
     co_await m_caller.stream.write(std::move(bytes));
     armDeadline();
@@ -420,6 +496,7 @@
         buffered.body += *part;
         buffered.share.set(std::max(buffered.share.bytes(), buffered.body.size()));
     }
+    m_responseComplete = true;
     buffered.share.set(buffered.body.size());
     m_outcome.responseBytes += buffered.body.size();
     m_outcome.buffered = std::move(buffered);
@@ -451,6 +528,9 @@
     const std::string& responseStamp = m_caller.entry.options.names.responseStamp;
     const bool proven = responseStamp.empty() || !head->field(responseStamp).empty();
     if (!proven && head->status < statusMultipleChoices) {
+        TerminationState state;
+        state.hasStamp = false;
+        terminate(TerminationCause::NoStamp, state);
         m_outcome.end = AttemptEnd::BadResponse;
         m_upstreamKeepAlive = false;
         co_return;
@@ -463,6 +543,9 @@
     }
     if (isServerFailure(head->status) && m_caller.replacesServerError
         && m_caller.replacesServerError()) {
+        TerminationState state;
+        state.replaced = true;
+        terminate(TerminationCause::ServerErrorReplaced, state);
         m_outcome.end = AttemptEnd::ServerError;
         m_upstreamKeepAlive = false;
         co_return;
@@ -541,6 +624,7 @@
     std::string part = m_upstream->takeBufferedBody();
     while (true) {
         const bool last = m_upstream->messageComplete();
+        m_responseComplete = last;
         captureBodyPart(part);
         bytes += frameBodyPart(framing, std::move(part));
         if (last)
@@ -553,8 +637,11 @@
             }
         }
         // A response that is captured is read to its end even if the caller has disconnected.
-        if (last || (m_outcome.end == AttemptEnd::Truncated && !m_outcome.captured))
+        if (last || (m_outcome.end == AttemptEnd::Truncated && !m_outcome.captured)) {
+            if (!last && !m_outcome.cause)
+                terminateForCaller();
             break;
+        }
         // Once the caller has disconnected, the idle timeout is no longer extended, and the rest
         // must arrive within one idle timeout.
         if (m_outcome.end == AttemptEnd::Completed)
@@ -563,6 +650,8 @@
         auto next = co_await m_upstream->readBodyPart();
         m_outcome.instanceWait += steadyNow() - before;
         if (!next) {
+            if (!m_outcome.cause)
+                endForError(next.error());
             m_outcome.end = AttemptEnd::Truncated;
             m_outcome.callerFailed = m_outcome.callerFailed || callerFailed();
             m_outcome.captured.reset();
--- a/src/libnet/exchange_pvt.h
+++ b/src/libnet/exchange_pvt.h
@@ -5,9 +5,12 @@
 #include <memory>
 #include <optional>
 
+#include <laburnumroute/request_attempts.h>
+
 #include "entry_context_pvt.h"
 #include "local_response_pvt.h"
 #include "request_body_pvt.h"
+#include "request_cut_pvt.h"
 #include "response_writer_pvt.h"
 #include "uploader_pvt.h"
 #include "watchdog_pvt.h"
@@ -88,6 +91,8 @@
     std::string account;
     /// Interim (1xx) responses of the instance are forwarded to the caller.
     bool forwardsInterim = true;
+    /// The abort by a stop, once there is one.
+    const RequestCut* cut = nullptr;
 };
 
 /// Result of an attempt.
@@ -119,6 +124,8 @@
     bool isLeaving = false;
     /// Retry-After of a 503 of the instance.
     Duration pause {};
+    /// Why the attempt was ended while the instance was at work; unset if it was not.
+    std::optional<TerminationCause> cause;
 };
 
 /// Runs one attempt. Must be used from the session's strand.
@@ -127,9 +134,10 @@
     Exchange(CallerContext& caller, const Assignment& assigned);
 
     asio::awaitable<AttemptOutcome> run();
-    /// Closes the connection while run() is in progress. The attempt then ends as `end`, unless the
-    /// response is already complete.
-    void abandon(AttemptEnd end);
+    /// Closes the connection while run() is in progress. The attempt then ends as Abandoned or
+    /// CallerDisconnected, unless the response is already complete. Returns false if that is not
+    /// permitted.
+    bool abandon(const TerminationStep& step);
     /// Whether the request has been sent completely.
     bool sent() const;
 
@@ -171,7 +179,14 @@
     void watchCaller();
     /// Whether the caller has disconnected. Checked before the first byte of the request is sent.
     bool callerDisconnected();
-    AttemptEnd endForError(const Error& error) const;
+    /// The only place that closes the connection of an attempt at which the instance is at work.
+    /// Returns false and closes nothing if mayTerminate() forbids it. `state` holds the facts that
+    /// led to the call, the others are added.
+    bool terminate(TerminationCause cause, TerminationState state);
+    /// Ends the attempt because the caller's connection is closed, by the caller or by a stop.
+    bool terminateForCaller();
+    void recordRefusedTermination(TerminationCause cause) const;
+    AttemptEnd endForError(const Error& error);
     bool belongsToOtherRequest(const HttpHead& head) const;
     /// Whether a response with no other request's id is known to be this request's.
     bool isAttributable(const HttpHead& head) const;
@@ -198,6 +213,8 @@
     SteadyTime m_start;
     bool m_reused = false;
     bool m_timedOut = false;
+    /// When a relayed response made progress last.
+    SteadyTime m_lastProgress;
     /// Bytes that had been received when a relayed response made progress last.
     std::uint64_t m_bytesAtProgress = 0;
     /// The caller did not read for as long as the idle timeout.
@@ -206,6 +223,8 @@
     std::optional<AttemptEnd> m_abandonedAs;
     bool m_streaming = false;
     bool m_upstreamKeepAlive = false;
+    /// The response has been read completely.
+    bool m_responseComplete = false;
 };
 
 } // namespace laburnum::pvt
--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -148,17 +148,22 @@
 } // namespace
 
 FleetRequest::FleetRequest(
-    EntryContext& entry, HttpStream& caller, Watchdog& watchdog, HttpHead request)
+    EntryContext& entry, HttpStream& caller, Watchdog& watchdog, RequestCut& cut, HttpHead request)
     : m_entry(entry)
     , m_stream(caller)
+    , m_cut(cut)
     , m_request(std::move(request))
     , m_body(caller, entry.options.replayBytes, entry.buffers)
     , m_context { entry, caller, m_body, watchdog, m_request, std::chrono::steady_clock::now(), {} }
     , m_event(std::make_shared<AsyncEvent>(caller.socket().get_executor()))
 {
     m_context.responseBufferBytes = responseBufferBytes;
+    m_context.cut = &m_cut;
+    m_cut.onCut = [this] { logCut(); };
 }
 
+FleetRequest::~FleetRequest() { m_cut.onCut = nullptr; }
+
 asio::awaitable<bool> FleetRequest::run()
 {
     if (const auto valid = validateRequest(m_request); !valid) {
@@ -375,9 +380,7 @@
         requestPlacement(*steps.placement);
     for (const TerminationStep& step : steps.terminations) {
         if (const auto attempt = find(step.attempt))
-            attempt->abandon(step.cause == TerminationCause::CallerDisconnected
-                    ? AttemptEnd::CallerDisconnected
-                    : AttemptEnd::Abandoned);
+            attempt->abandon(step);
     }
     if (steps.relays) {
         if (const auto attempt = find(*steps.relays))
@@ -504,6 +507,8 @@
 void FleetRequest::finishAttempt(const FleetAttempt& attempt, const AttemptOutcome& outcome)
 {
     m_lastInstance = attempt.instance();
+    if (outcome.cause)
+        m_entry.metrics.countTermination(*outcome.cause);
     const PlacementReport report = makeReport(outcome);
     m_entry.placementProvider->end(attempt.dispatchId(), report);
     // The time of concurrent attempts is counted once.
@@ -644,6 +649,22 @@
     co_return sent&& m_keepAlive;
 }
 
+void FleetRequest::logCut() const
+{
+    const SteadyTime now = std::chrono::steady_clock::now();
+    Decision decision { "stop", "request-cut" };
+    decision.alwaysLog = true;
+    decision.facts["id"] = std::string(m_request.field(m_entry.options.names.requestId));
+    decision.facts["service"] = m_plan.service.value();
+    decision.facts["instance"] = m_active.empty() ? "" : m_active.front()->instance().value();
+    if (m_active.size() > 1)
+        decision.facts["second"] = m_active.back()->instance().value();
+    decision.facts["cause"] = terminationCauseName(*m_cut.cause);
+    decision.facts["ms"] = Json::Int64(toMillis(now - m_context.arrival));
+    decision.facts["stop_ms"] = Json::Int64(toMillis(m_cut.state.sinceStop));
+    m_entry.log->record(decision);
+}
+
 void FleetRequest::logHedge(const char* reason, const AttemptPlacement& placement) const
 {
     const FleetAttempt& working = *m_active.front();
@@ -680,6 +701,10 @@
         toMillis(std::chrono::steady_clock::now() - m_context.arrival - outcome.latency));
     decision.facts["ms"] = Json::Int64(toMillis(outcome.latency));
     decision.facts["may_have_run"] = outcome.mayHaveRun;
+    if (outcome.cause) {
+        decision.facts["cause"] = terminationCauseName(*outcome.cause);
+        decision.facts["by"] = terminationPartyName(terminationRule(*outcome.cause).party);
+    }
     if (outcome.end == AttemptEnd::Abandoned) {
         decision.facts["limit_ms"] = Json::Int64(toMillis(hedgeDelay(m_plan.objective)));
         decision.facts["left_ms"]
@@ -732,9 +757,9 @@
 }
 
 asio::awaitable<bool> serveWithFleet(
-    EntryContext& entry, HttpStream& caller, Watchdog& watchdog, HttpHead request)
+    EntryContext& entry, HttpStream& caller, Watchdog& watchdog, RequestCut& cut, HttpHead request)
 {
-    FleetRequest handler(entry, caller, watchdog, std::move(request));
+    FleetRequest handler(entry, caller, watchdog, cut, std::move(request));
     co_return co_await handler.run();
 }
 
--- a/src/libnet/fleet_request_attempt.cpp
+++ b/src/libnet/fleet_request_attempt.cpp
@@ -18,6 +18,7 @@
     context.forwardsInterim = false;
     context.removesAccountFields = first.removesAccountFields;
     context.account = first.account;
+    context.cut = first.cut;
 }
 
 FleetAttempt::FleetAttempt(unsigned number, const AttemptPlacement& placement,
@@ -52,13 +53,12 @@
         [self = shared_from_this()] { return self->run(); }, asio::detached);
 }
 
-void FleetAttempt::abandon(AttemptEnd end)
+void FleetAttempt::abandon(const TerminationStep& step)
 {
-    if (m_outcome || m_relayState == RelayState::Denied)
+    if (m_outcome || m_relayState == RelayState::Denied || !m_exchange.abandon(step))
         return;
     m_relayState = RelayState::Denied;
     m_relayEvent.set();
-    m_exchange.abandon(end);
 }
 
 std::optional<unsigned> FleetAttempt::takePendingStatus()
--- a/src/libnet/fleet_request_attempt_pvt.h
+++ b/src/libnet/fleet_request_attempt_pvt.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <laburnumroute/placement_provider.h>
+#include <laburnumroute/request_attempts.h>
 
 #include "async_event_pvt.h"
 #include "exchange_pvt.h"
@@ -30,8 +31,9 @@
     asio::awaitable<void> run();
     /// Runs the attempt in a coroutine of its own.
     void spawn();
-    /// Makes the attempt end soon as `end`, without sending anything to the caller.
-    void abandon(AttemptEnd end);
+    /// Makes the attempt end soon, without sending anything to the caller, if mayTerminate()
+    /// permits it.
+    void abandon(const TerminationStep& step);
 
     /// Status of an unbuffered response that waits for permission to be relayed; returned once.
     std::optional<unsigned> takePendingStatus();
--- a/src/libnet/fleet_request_pvt.h
+++ b/src/libnet/fleet_request_pvt.h
@@ -17,7 +17,11 @@
 /// Lives as long as its request. Must be used from the single thread of the io_context.
 class FleetRequest {
 public:
-    FleetRequest(EntryContext& entry, HttpStream& caller, Watchdog& watchdog, HttpHead request);
+    FleetRequest(EntryContext& entry, HttpStream& caller, Watchdog& watchdog, RequestCut& cut,
+        HttpHead request);
+    ~FleetRequest();
+    FleetRequest(const FleetRequest&) = delete;
+    FleetRequest& operator=(const FleetRequest&) = delete;
 
     /// Returns whether the caller's connection can be kept alive.
     asio::awaitable<bool> run();
@@ -65,12 +69,15 @@
     PlacementReport makeReport(const AttemptOutcome& outcome) const;
     ResponseContext responseContext() const;
     void logAttempt(const FleetAttempt& attempt, const AttemptOutcome& outcome) const;
+    /// Logs that the stop ends this request.
+    void logCut() const;
     void logHedge(const char* reason, const AttemptPlacement& placement) const;
     void addAccountFacts(Decision& decision) const;
     void logRequest(const char* reason, unsigned status, RequestOutcome outcome);
 
     EntryContext& m_entry;
     HttpStream& m_stream;
+    RequestCut& m_cut;
     HttpHead m_request;
     RequestBody m_body;
     CallerContext m_context;
@@ -109,6 +116,6 @@
 
 /// Serves `request` with a FleetRequest.
 asio::awaitable<bool> serveWithFleet(
-    EntryContext& entry, HttpStream& caller, Watchdog& watchdog, HttpHead request);
+    EntryContext& entry, HttpStream& caller, Watchdog& watchdog, RequestCut& cut, HttpHead request);
 
 } // namespace laburnum::pvt
--- /dev/null
+++ b/src/libnet/request_cut_pvt.h
@@ -0,0 +1,19 @@
+/// How a stop of this host ends the request that a session serves.
+#pragma once
+
+#include <functional>
+#include <optional>
+
+#include <laburnumroute/attempt_termination.h>
+
+namespace laburnum::pvt {
+
+struct RequestCut {
+    /// Set once the stop has ended the request; `state` tells how far the stop was.
+    std::optional<TerminationCause> cause;
+    TerminationState state;
+    /// Set by the request while it is served. Called once, before the connection is closed.
+    std::function<void()> onCut;
+};
+
+} // namespace laburnum::pvt
--- a/src/libnet/request_handler.cpp
+++ b/src/libnet/request_handler.cpp
@@ -75,13 +75,14 @@
 } // namespace
 
 RequestHandler::RequestHandler(
-    EntryContext& entry, HttpStream& caller, Watchdog& watchdog, HttpHead request)
+    EntryContext& entry, HttpStream& caller, Watchdog& watchdog, RequestCut& cut, HttpHead request)
     : m_entry(entry)
     , m_stream(caller)
     , m_request(std::move(request))
     , m_body(caller, entry.options.replayBytes, entry.buffers)
     , m_context { entry, caller, m_body, watchdog, m_request, std::chrono::steady_clock::now(), {} }
 {
+    m_context.cut = &cut;
     m_context.retryable = isIdempotentMethod(m_request.method);
 }
 
@@ -183,6 +184,8 @@
 
 void RequestHandler::recordAttempt(const Assignment& assigned, const AttemptOutcome& outcome)
 {
+    if (outcome.cause)
+        m_entry.metrics.countTermination(*outcome.cause);
     m_mayHaveRun = m_mayHaveRun || outcome.mayHaveRun;
     m_waitTime += outcome.instanceWait;
     m_responseBytes += outcome.responseBytes;
@@ -367,9 +370,9 @@
 }
 
 asio::awaitable<bool> serveWithDispatcher(
-    EntryContext& entry, HttpStream& caller, Watchdog& watchdog, HttpHead request)
+    EntryContext& entry, HttpStream& caller, Watchdog& watchdog, RequestCut& cut, HttpHead request)
 {
-    RequestHandler handler(entry, caller, watchdog, std::move(request));
+    RequestHandler handler(entry, caller, watchdog, cut, std::move(request));
     co_return co_await handler.run();
 }
 
--- a/src/libnet/request_handler_pvt.h
+++ b/src/libnet/request_handler_pvt.h
@@ -11,7 +11,8 @@
 /// Lives as long as its request. Must be used from the session's strand.
 class RequestHandler {
 public:
-    RequestHandler(EntryContext& entry, HttpStream& caller, Watchdog& watchdog, HttpHead request);
+    RequestHandler(EntryContext& entry, HttpStream& caller, Watchdog& watchdog, RequestCut& cut,
+        HttpHead request);
 
     /// Returns whether the caller's connection can be kept alive.
     asio::awaitable<bool> run();
@@ -65,6 +66,6 @@
 
 /// Serves `request` with a RequestHandler.
 asio::awaitable<bool> serveWithDispatcher(
-    EntryContext& entry, HttpStream& caller, Watchdog& watchdog, HttpHead request);
+    EntryContext& entry, HttpStream& caller, Watchdog& watchdog, RequestCut& cut, HttpHead request);
 
 } // namespace laburnum::pvt
--- a/src/libnet/request_metrics.cpp
+++ b/src/libnet/request_metrics.cpp
@@ -151,6 +151,16 @@
             out << "laburnum_key_refusals_total{cause=\"" << cause << "\"} " << count << '\n';
     }
 
+    template <class Counters>
+    void renderCauses(
+        std::ostream& out, const char* name, const char* help, const Counters& counters)
+    {
+        writeMetricHeader(out, name, "counter", help);
+        for (const TerminationRule& rule : terminationRules())
+            out << name << "{cause=\"" << rule.name << "\"} "
+                << counters.at(static_cast<std::size_t>(rule.cause)).load() << '\n';
+    }
+
     template <class Latencies>
     void renderLatencies(std::ostream& out, const Records& records, const char* name,
         const char* type, const char* help, Latencies ServiceRecord::*member)
@@ -221,6 +231,16 @@
     m_accounts.countKeyRefusal(cause);
 }
 
+void RequestMetrics::countTermination(TerminationCause cause)
+{
+    ++m_terminations.at(static_cast<std::size_t>(cause));
+}
+
+void RequestMetrics::countRefusedTermination(TerminationCause cause)
+{
+    ++m_refusedTerminations.at(static_cast<std::size_t>(cause));
+}
+
 std::string RequestMetrics::render() const
 {
     Records records;
@@ -230,6 +250,11 @@
     }
     std::ostringstream out;
     renderCounters(out, records);
+    renderCauses(out, "laburnum_attempts_terminated_total",
+        "Attempts ended while an instance was at work, by cause.", m_terminations);
+    renderCauses(out, "laburnum_attempt_terminations_refused_total",
+        "Attempts that went on because this host had no right to end them; 0 without a defect.",
+        m_refusedTerminations);
     renderLatencies(out, records, "laburnum_request_seconds", "summary",
         "Time from a request's head to the end of its answer.", &ServiceRecord::latency);
     renderLatencies(out, records, "laburnum_added_seconds", "summary",
--- a/src/libnet/request_metrics_test.cpp
+++ b/src/libnet/request_metrics_test.cpp
@@ -38,3 +38,24 @@
     REQUIRE(at != std::string::npos);
     CHECK(std::stod(text.substr(at + median.size())) == Approx(0.5).epsilon(0.05));
 }
+
+TEST_CASE("metrics: terminated attempts are counted by cause, each cause from the start")
+{
+    RequestMetrics metrics;
+    for (std::size_t i = 0; i < terminationCauseCount; ++i) {
+        for (std::size_t n = 0; n < i; ++n)
+            metrics.countTermination(static_cast<TerminationCause>(i));
+    }
+    metrics.countRefusedTermination(TerminationCause::StopAbort);
+    const std::string text = metrics.render();
+    const auto has
+        = [&](const std::string& line) { return text.find(line + '\n') != std::string::npos; };
+    CHECK(has("# TYPE laburnum_attempts_terminated_total counter"));
+    for (const TerminationRule& rule : terminationRules()) {
+        const std::string label = std::string("{cause=\"") + rule.name + "\"} ";
+        CHECK(has("laburnum_attempts_terminated_total" + label
+            + std::to_string(static_cast<std::size_t>(rule.cause))));
+        const bool isAbort = rule.cause == TerminationCause::StopAbort;
+        CHECK(has("laburnum_attempt_terminations_refused_total" + label + (isAbort ? "1" : "0")));
+    }
+}
--- a/src/libnet/session.cpp
+++ b/src/libnet/session.cpp
@@ -80,8 +80,8 @@
 asio::awaitable<bool> Session::serve(HttpHead head)
 {
     return m_entry->placementProvider == nullptr
-        ? serveWithDispatcher(*m_entry, m_caller, m_watchdog, std::move(head))
-        : serveWithFleet(*m_entry, m_caller, m_watchdog, std::move(head));
+        ? serveWithDispatcher(*m_entry, m_caller, m_watchdog, m_cut, std::move(head))
+        : serveWithFleet(*m_entry, m_caller, m_watchdog, m_cut, std::move(head));
 }
 
 CallerLimits Session::callerLimits() const
@@ -126,15 +126,25 @@
         m_caller.socket().get_executor(), [self = shared_from_this()] { self->closeIfIdle(); });
 }
 
-void Session::abort()
+void Session::abort(TerminationCause cause, const TerminationState& state)
 {
-    asio::post(m_caller.socket().get_executor(), [self = shared_from_this()] {
-        // A reset would discard the part of the response that is still in the send buffer.
-        if (self->m_finalResponseSent)
-            self->m_caller.close();
-        else
-            self->m_caller.reset();
-    });
+    if (!m_cut.cause) {
+        m_cut.cause = cause;
+        m_cut.state = state;
+        if (m_cut.onCut)
+            m_cut.onCut();
+    }
+    // A reset would discard the part of the response that is still in the send buffer.
+    if (m_finalResponseSent)
+        m_caller.close();
+    else
+        m_caller.reset();
+}
+
+void Session::postAbort(TerminationCause cause, const TerminationState& state)
+{
+    asio::post(m_caller.socket().get_executor(),
+        [self = shared_from_this(), cause, state] { self->abort(cause, state); });
 }
 
 } // namespace laburnum::pvt
--- a/src/libnet/session_pvt.h
+++ b/src/libnet/session_pvt.h
@@ -5,11 +5,12 @@
 
 #include "entry_context_pvt.h"
 #include "http_stream_pvt.h"
+#include "request_cut_pvt.h"
 #include "watchdog_pvt.h"
 
 namespace laburnum::pvt {
 
-/// Runs on the strand of its socket; drain() and abort() may be called from any thread.
+/// Runs on the strand of its socket; drain() may be called from any thread.
 class Session : public std::enable_shared_from_this<Session> {
 public:
     Session(std::shared_ptr<EntryContext> entry, asio::ip::tcp::socket socket);
@@ -18,9 +19,11 @@
     asio::awaitable<void> run();
     /// Closes the connection if it is idle between two requests.
     void drain();
-    /// Closes the connection immediately. A response that has been written completely is still
-    /// delivered.
-    void abort();
+    /// Closes the connection immediately, for `cause` in a stop that is in `state`. A response that
+    /// has been written completely is still delivered. On its strand only.
+    void abort(TerminationCause cause, const TerminationState& state);
+    /// The same from any thread, soon.
+    void postAbort(TerminationCause cause, const TerminationState& state);
 
 private:
     asio::awaitable<bool> serveNext();
@@ -32,6 +35,7 @@
     std::shared_ptr<EntryContext> m_entry;
     HttpStream m_caller;
     Watchdog m_watchdog;
+    RequestCut m_cut;
     bool m_idle = true;
     bool m_slowHead = false;
     /// The last response has been written; the connection lingers until the caller closes it.
--- a/src/libplace/attempt_termination.cpp
+++ b/src/libplace/attempt_termination.cpp
@@ -31,10 +31,11 @@
             "from the time limit on that was in force when the request was read",
             [](const State& s) { return s.now >= s.deadline; } },
         { Cause::InstanceStalled, "instance-stalled", Party::Instance,
-            "its response has no time limit and made no progress for as long as the idle limit",
+            "its response made no progress for as long as the idle limit, and has no time limit or "
+            "is not silent",
             [](const State& s) {
-                return !s.waitsForCaller && s.deadline == maxDuration && s.ownStatus != 0
-                    && s.idle >= s.idleLimit;
+                return !s.waitsForCaller && (s.deadline == maxDuration || !s.isSilent)
+                    && s.ownStatus != 0 && s.idle >= s.idleLimit;
             } },
         { Cause::OtherResponse, "other-response", Party::Host,
             "another response is complete or relayed, and is no server error unless this one is",
--- a/src/libplace/attempt_termination_test.cpp
+++ b/src/libplace/attempt_termination_test.cpp
@@ -131,6 +131,23 @@
              s.idle = 1h;
          }),
             {} },
+        { with([](auto& s) {
+             s.ownStatus = 200;
+             s.isSilent = false;
+             s.idle = 30s - 1ns;
+         }),
+            {} },
+        { with([](auto& s) {
+             s.ownStatus = 200;
+             s.isSilent = false;
+             s.idle = 30s;
+         }),
+            { "instance-stalled" } },
+        { with([](auto& s) {
+             s.isSilent = false;
+             s.idle = 1h;
+         }),
+            {} },
         { with([](auto& s) { s.notHttp = true; }), { "not-http" } },
         { with([](auto& s) { s.tooLong = true; }), { "too-long" } },
         { with([](auto& s) { s.hasStamp = false; }), {} },
