Idle connections are closed by their reader, not under it

Callers saw a request that the host had received end with a closed connection and no answer. The idle limit of a caller's connection, a value of the configuration, and the drain of a planned stop closed the socket from outside. With the read of the next request already completed but its coroutine not resumed yet, the request was then parsed on a closed connection and logged as `caller-gone`. Both are ready in one turn of the event loop when that was held up, as by a large configuration.

HttpStream::closeIdle() cancels the read instead: a read that has completed keeps its bytes, and the reader closes the connection only if nothing has arrived. The web server of readiness, metrics and operators closed idle connections the same way and uses it too.

--- a/src/libnet/fleet_fixture_test.h
+++ b/src/libnet/fleet_fixture_test.h
@@ -80,7 +80,7 @@
 
     std::uint64_t awaitConfiguration(std::function<void()>) override { return 1; }
     void stopWaiting(std::uint64_t) override { }
-    CallerLimits limits() const override { return {}; }
+    CallerLimits limits() const override { return callerLimits; }
 
     void record(const Decision& decision) override
     {
@@ -93,6 +93,8 @@
         std::chrono::seconds(20), 0, 2, 1 };
     /// Takes the place of `route` if set. Must be set before the fixture is created.
     std::function<tl::expected<RequestPlan, PlanRefusal>(const PlanQuery&)> planRequest;
+    /// Read and changed on the server's thread, or before the fixture is created.
+    CallerLimits callerLimits;
     /// Must be set before the fixture is created.
     std::deque<Endpoint> instances;
     bool unanswered = false;
--- a/src/libnet/http_stream.cpp
+++ b/src/libnet/http_stream.cpp
@@ -106,14 +106,27 @@
 {
     if (m_decoder.messageComplete())
         m_decoder.reset();
+    bool wasCancelled = false;
     while (!m_decoder.started()) {
+        if (m_closesIdle && isIdle())
+            co_return fail(ErrorCode::Closed, "idle connection");
         auto readResult = co_await readMore();
-        if (!readResult)
+        if (readResult)
+            continue;
+        // Input may have arrived just before closeIdle() cancelled the read.
+        if (!m_closesIdle || std::exchange(wasCancelled, true))
             co_return readResult;
     }
+    m_closesIdle = false;
     co_return Expected<void> {};
 }
 
+void HttpStream::closeIdle()
+{
+    m_closesIdle = true;
+    cancel();
+}
+
 asio::awaitable<Expected<HttpHead>> HttpStream::readHead()
 {
     if (m_decoder.messageComplete())
--- a/src/libnet/http_stream_pvt.h
+++ b/src/libnet/http_stream_pvt.h
@@ -28,8 +28,11 @@
     HttpStream& operator=(const HttpStream&) = delete;
 
     /// Waits for the first byte of the next message. Fails with Closed when the peer closes the
-    /// connection before it.
+    /// connection before it, or after closeIdle().
     asio::awaitable<Expected<void>> awaitMessage();
+    /// Ends the current or next awaitMessage() unless a byte of a message has arrived. Closing the
+    /// socket instead would lose a message that has been received but not decoded yet.
+    void closeIdle();
     /// Reads the next head. Body bytes that arrive with it are buffered.
     asio::awaitable<Expected<HttpHead>> readHead();
     /// Reads the next part of the body. An empty part means that the message is complete.
@@ -94,6 +97,7 @@
     std::size_t m_bufferBegin = 0;
     std::size_t m_bufferEnd = 0;
     std::optional<std::size_t> m_readLimitLeft;
+    bool m_closesIdle = false;
     std::shared_ptr<PeerWatch> m_watch;
 };
 
--- a/src/libnet/session.cpp
+++ b/src/libnet/session.cpp
@@ -55,7 +55,7 @@
     closeIfIdle();
     const CallerLimits limits = callerLimits();
     m_caller.setHeadLimit(limits.headBytes);
-    m_watchdog.watch(limits.idleTimeout, [this] { m_caller.close(); });
+    m_watchdog.watch(limits.idleTimeout, [this] { m_caller.closeIdle(); });
     const auto started = co_await m_caller.awaitMessage();
     m_idle = false;
     if (!started) {
@@ -116,8 +116,8 @@
 void Session::closeIfIdle()
 {
     // A request whose first bytes have already arrived is still served.
-    if (m_entry->draining && m_idle && m_caller.isIdle())
-        m_caller.close();
+    if (m_entry->draining && m_idle)
+        m_caller.closeIdle();
 }
 
 void Session::drain()
--- a/src/libnet/web_server.cpp
+++ b/src/libnet/web_server.cpp
@@ -59,10 +59,12 @@
     private:
         asio::awaitable<bool> serveNext()
         {
-            m_watchdog.watch(Duration(idleTimeout), [this] { m_stream.close(); });
+            m_watchdog.watch(Duration(idleTimeout), [this] { m_stream.closeIdle(); });
             const auto started = co_await m_stream.awaitMessage();
-            if (!started)
+            if (!started) {
+                m_stream.close();
                 co_return false;
+            }
             m_watchdog.watch(Duration(requestTimeout), [this] { m_stream.close(); });
             auto head = co_await m_stream.readHead();
             if (!head) {
