The wait for a placement ends at the request's deadline

A request waited for its placement without a limit of its own. Should the fleet's scheduler and its client ever drop a request, its caller would get neither an answer nor a refusal. The wait ends at the deadline of the request now, with the refusal `busy` (503 if nothing has run, else 502), and the placement request is cancelled.

--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -378,13 +378,17 @@
         requestPlacement(retry);
     if (!m_pendingPlacement->placement) {
         m_stream.watchPeer([this] { onCallerDisconnect(); });
-        while (!m_pendingPlacement->placement && !m_callerDisconnected)
-            co_await m_event->wait();
+        while (!m_pendingPlacement->placement && !m_callerDisconnected
+            && std::chrono::steady_clock::now() < m_context.deadline)
+            co_await m_event->wait(m_context.deadline);
         m_stream.unwatchPeer();
     }
     m_placementWait += std::chrono::steady_clock::now() - before;
-    if (m_callerDisconnected)
+    const bool overdue = !m_pendingPlacement->placement && !m_callerDisconnected;
+    if (overdue || m_callerDisconnected)
         dropPlacement();
+    if (overdue)
+        co_return AttemptPlacement { {}, std::nullopt, PlacementRefusal::Busy, defaultRetryAfter };
     auto placement = takePlacement();
     // The refused placement was for a hedged attempt, which is not queued. Now that the active
     // attempt has failed, a new request may wait for a free slot.
--- a/src/libnet/fleet_request_pvt.h
+++ b/src/libnet/fleet_request_pvt.h
@@ -27,7 +27,8 @@
     /// The plan of the matching route. Waits for the first configuration if the host has just
     /// started.
     asio::awaitable<tl::expected<RequestPlan, PlanRefusal>> plan();
-    /// Waits for a placement; nullopt if the caller disconnected meanwhile.
+    /// Waits for a placement; nullopt if the caller disconnected meanwhile. Refused as busy when
+    /// there is none by the deadline.
     asio::awaitable<std::optional<AttemptPlacement>> awaitPlacement(bool retry);
     /// Waits until an active attempt has ended, and removes it from the active ones. May start a
     /// hedged attempt in the meantime.
--- a/src/libnet/fleet_request_test.cpp
+++ b/src/libnet/fleet_request_test.cpp
@@ -245,6 +245,22 @@
 
 } // namespace
 
+// Guards against a request that gets neither an answer nor a refusal.
+TEST_CASE("fleet: a request whose placement is never decided is refused at its deadline")
+{
+    ScriptedPlacementProvider provider;
+    provider.route.timeout = 300ms;
+    provider.unanswered = true;
+    FleetFixture fixture(provider);
+    const auto before = std::chrono::steady_clock::now();
+    const std::string got = fixture.exchange(request());
+    CHECK(got.starts_with("HTTP/1.1 503 "));
+    CHECK(got.find("Laburnum-Outcome: not-run\r\n") != std::string::npos);
+    CHECK(got.find("Retry-After: ") != std::string::npos);
+    CHECK(std::chrono::steady_clock::now() - before >= 300ms);
+    CHECK(provider.cancelled.wait());
+}
+
 TEST_CASE("fleet: instance id and remaining time are sent and the response is unchanged")
 {
     Upstream upstream(response("ok"));
