Placement requests are answered by their deadline

A request whose leader was frozen, reset, killed or cut off while it waited was answered up to 200 ms after its deadline: the client waited for the queue time that the leader had announced, for the heartbeat, or for the reply, but not for the end of the request's own time. tick() refuses it as busy now.

--- a/src/libhub/controller_client.cpp
+++ b/src/libhub/controller_client.cpp
@@ -514,7 +514,10 @@
     searchLeader(now, actions);
     updateKeys(now, actions);
     std::vector<DispatchId> late;
+    std::vector<DispatchId> expired;
     for (auto& [id, pending] : m_pendingRequests) {
+        if (now >= pending.since + pending.request.remaining)
+            expired.push_back(id);
         if (now < pending.replyDue)
             continue;
         const TimePoint extended = pending.sentAt + heardReplyTimeout;
@@ -523,6 +526,8 @@
         else
             late.push_back(id);
     }
+    for (const DispatchId id : expired)
+        refuseLocally(id, PlacementRefusal::Busy, defaultRetryAfter, actions);
     for (const DispatchId id : late) {
         m_leaderSuspected = true;
         m_localCaps.onLeaderLost(now);
