Requests whose handling throws are answered, logged and counted

The coroutine of a connection is spawned with a handler that dropped its exception: the connection was closed with no answer, no log line and no counter. Nothing that throws in service was found, and nothing would have shown it.

FleetRequest::run() ends its attempts and answers 503 if no attempt was started, else 502; a response that has begun is reset. `session: failed` names the request and the message, `laburnum_internal_errors_total` counts. What still escapes from a connection is logged and counted by the entry server.

Not covered: an exception in the coroutine of an attempt that runs beside others, of an upload or of a relayed response leaves the request waiting for it.

Before: `fleet: a request whose handling throws is answered, logged and counted` failed, no answer and no line. After: passes; libnet_test whole passes.

--- a/src/include/laburnumroute/request_metrics.h
+++ b/src/include/laburnumroute/request_metrics.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <array>
+#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <mutex>
@@ -53,6 +54,8 @@
     void countAccountRequest(const ClientAccountId& account);
     /// Counts a request refused because of its account key; `cause` is a keyRefusalName().
     void countKeyRefusal(const std::string& cause);
+    /// Counts an exception that ended a request or a caller's connection.
+    void countInternalError() noexcept { ++m_internalErrors; }
     /// Renders the metrics in the Prometheus text format, version 0.0.4.
     std::string render() const;
 
@@ -65,6 +68,7 @@
     std::unique_ptr<std::array<Stripe, stripeCount>> m_stripes;
     mutable std::mutex m_accountMutex;
     AccountCounters m_accounts;
+    std::atomic<std::uint64_t> m_internalErrors { 0 };
 };
 
 } // namespace laburnum
--- a/src/libnet/entry_server.cpp
+++ b/src/libnet/entry_server.cpp
@@ -47,8 +47,27 @@
         }
         asio::co_spawn(
             executor, [session] { return session->run(); },
-            [self = shared_from_this(), key = session.get()](
-                const std::exception_ptr&) { self->endSession(key); });
+            [self = shared_from_this(), key = session.get()](const std::exception_ptr& failure) {
+                if (failure)
+                    self->recordFailure(failure);
+                self->endSession(key);
+            });
+    }
+
+    void recordFailure(const std::exception_ptr& failure)
+    {
+        entry->metrics.countInternalError();
+        if (entry->log == nullptr)
+            return;
+        Decision decision { "session", "failed" };
+        try {
+            std::rethrow_exception(failure);
+        } catch (const std::exception& error) {
+            decision.facts["message"] = error.what();
+        } catch (...) {
+            decision.facts["message"] = "";
+        }
+        entry->log->record(decision);
     }
 
     void endSession(Session* session)
--- a/src/libnet/exchange_pvt.h
+++ b/src/libnet/exchange_pvt.h
@@ -86,6 +86,8 @@
     bool removesAccountFields = false;
     /// Name of the caller's account, which instances get; may be empty.
     std::string account;
+    /// The first byte of a final response may have been sent to the caller.
+    bool responseStarted = false;
     /// Interim (1xx) responses of the instance are forwarded to the caller.
     bool forwardsInterim = true;
 };
--- a/src/libnet/fleet_fixture_test.h
+++ b/src/libnet/fleet_fixture_test.h
@@ -71,6 +71,8 @@
 
     void end(DispatchId, const PlacementReport& report) override
     {
+        if (onEnd)
+            onEnd();
         static constexpr std::array names { "success", "failure", "shed", "silence", "refused",
             "unreachable", "unused" };
         reports.add(names.at(static_cast<std::size_t>(report.end)));
@@ -100,6 +102,8 @@
     bool unanswered = false;
     /// Called on the server's thread before each dispatch is answered. May be empty.
     std::function<void()> onDispatch;
+    /// Called on the server's thread before each end of a placement. May be empty.
+    std::function<void()> onEnd;
     RecordedLines dispatches;
     RecordedLines reports;
     /// Whether the instance is leaving and its pause in milliseconds, of each report.
--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -140,6 +140,45 @@
 }
 
 asio::awaitable<bool> FleetRequest::run()
+{
+    std::optional<std::string> failure;
+    bool keep = false;
+    try {
+        keep = co_await handle();
+    } catch (const std::exception& error) {
+        failure = error.what();
+    }
+    if (failure)
+        keep = co_await finishFailed(*failure);
+    co_return keep;
+}
+
+asio::awaitable<bool> FleetRequest::finishFailed(const std::string& message)
+{
+    m_entry.metrics.countInternalError();
+    Decision decision { "session", "failed" };
+    decision.alwaysLog = true;
+    decision.facts["id"] = std::string(m_request.field(m_entry.options.names.requestId));
+    decision.facts["message"] = message;
+    m_entry.log->record(decision);
+    m_context.watchdog.clear();
+    m_stream.unwatchPeer();
+    std::erase_if(m_active, [](const auto& attempt) { return !attempt->spawned(); });
+    co_await abandonAttempts(AttemptEnd::Abandoned);
+    if (m_context.responseStarted) {
+        logRequest(reasons::internalError, 0, RequestOutcome::Unknown);
+        m_stream.reset();
+        co_return false;
+    }
+    m_request.keepAlive = false;
+    LocalResponse response { statusUnavailable, RequestOutcome::NotRun, reasons::internalError };
+    if (m_attemptCount > 0)
+        response = { statusBadGateway, RequestOutcome::Unknown, reasons::internalError };
+    response.retryAfter = retryAfterText(defaultRetryAfter);
+    co_return co_await respond(std::move(response));
+}
+
+asio::awaitable<bool> FleetRequest::handle()
 {
     if (const auto valid = validateRequest(m_request); !valid) {
         m_request.keepAlive = false;
@@ -677,6 +716,7 @@
         m_context.watchdog.watch(m_entry.options.bodyIdleTimeout, [this] { m_stream.reset(); });
     };
     arm();
+    m_context.responseStarted = true;
     auto sent = co_await m_stream.write(std::move(bytes), arm);
     m_context.watchdog.clear();
     co_return sent;
--- a/src/libnet/fleet_request_pvt.h
+++ b/src/libnet/fleet_request_pvt.h
@@ -21,6 +21,7 @@
     asio::awaitable<bool> run();
 
 private:
+    asio::awaitable<bool> handle();
     asio::awaitable<bool> serve();
     /// After a suspension of the process, lets pending signals be handled first.
     asio::awaitable<void> awaitSignals();
@@ -39,6 +40,8 @@
     LocalResponse refusalOf(PlanRefusal refusal);
     asio::awaitable<bool> finish(AttemptOutcome outcome);
     asio::awaitable<bool> finishRefused(const AttemptPlacement& refused);
+    /// Answers a request whose handling threw an exception.
+    asio::awaitable<bool> finishFailed(const std::string& message);
     /// Answers a request for which the planned stop of this host leaves no time.
     asio::awaitable<bool> refuseStopping();
     /// False if an attempt started now might be cut by a planned stop of this host.
--- a/src/libnet/local_response_pvt.h
+++ b/src/libnet/local_response_pvt.h
@@ -39,6 +39,7 @@
     inline constexpr const char* answeredWithoutCopy = "answered-without-copy";
     inline constexpr const char* keyReused = "key-reused";
     inline constexpr const char* claimsUnreachable = "claims-unreachable";
+    inline constexpr const char* internalError = "internal-error";
     inline constexpr const char* replayed = "replayed";
 } // namespace reasons
 
--- a/src/libnet/request_metrics.cpp
+++ b/src/libnet/request_metrics.cpp
@@ -239,6 +239,9 @@
     renderLatencies(out, records, "laburnum_instance_seconds", "histogram",
         "Time that requests waited for instances, connecting included.",
         &ServiceRecord::instanceWait);
+    writeMetricHeader(out, "laburnum_internal_errors_total", "counter",
+        "Exceptions that ended a request or a caller's connection.");
+    out << "laburnum_internal_errors_total " << m_internalErrors << '\n';
     const std::lock_guard lock(m_accountMutex);
     renderAccounts(out, m_accounts);
     return out.str();
