A raised idle limit applies to connections that are idle already

The idle limit of a caller's connection was that of the moment at which the connection became idle. After a configuration that raises it, a caller that reuses its connection within the limit in force met a closed one. The limit is read again when the old one ends. A lowered one still ends connections that are idle already by the old, longer one.

--- a/src/libnet/entry_idle_test.cpp
+++ b/src/libnet/entry_idle_test.cpp
@@ -66,3 +66,21 @@
     Connection caller = fixture.connect();
     CHECK(caller.peerCloses());
 }
+
+// Guards against closing a connection that its caller may still use by the limit in force.
+TEST_CASE("fleet: a raised idle limit applies to connections that are idle already")
+{
+    ScriptedUpstream upstream(answerAll);
+    OrderedPlacementProvider provider;
+    provider.callerLimits.idleTimeout = 300ms;
+    provider.instances = { upstream.endpoint(), upstream.endpoint() };
+    OrderedFleetFixture fixture(provider);
+    Connection caller = fixture.connect();
+    caller.send(get);
+    REQUIRE(caller.readMessage().ends_with("ok"));
+    fixture.run([&] { provider.callerLimits.idleTimeout = 1200ms; });
+    std::this_thread::sleep_for(600ms);
+    caller.send(get);
+    CHECK(caller.readMessage().ends_with("ok"));
+    CHECK(caller.peerCloses());
+}
--- a/src/libnet/session.cpp
+++ b/src/libnet/session.cpp
@@ -55,7 +55,7 @@
     closeIfIdle();
     const CallerLimits limits = callerLimits();
     m_caller.setHeadLimit(limits.headBytes);
-    m_watchdog.watch(limits.idleTimeout, [this] { m_caller.closeIdle(); });
+    watchIdle(std::chrono::steady_clock::now());
     const auto started = co_await m_caller.awaitMessage();
     m_idle = false;
     if (!started) {
@@ -77,6 +77,20 @@
     co_return kept;
 }
 
+void Session::watchIdle(SteadyTime since)
+{
+    const auto limit = [this, since] {
+        return since + std::chrono::duration_cast<SteadyTime::duration>(callerLimits().idleTimeout);
+    };
+    m_watchdog.watch(limit(), [this, since, limit] {
+        // A configuration may have raised the limit since.
+        if (limit() > std::chrono::steady_clock::now())
+            watchIdle(since);
+        else
+            m_caller.closeIdle();
+    });
+}
+
 asio::awaitable<bool> Session::serve(HttpHead head)
 {
     return m_entry->placementProvider == nullptr
--- a/src/libnet/session_pvt.h
+++ b/src/libnet/session_pvt.h
@@ -26,6 +26,8 @@
     asio::awaitable<bool> serveNext();
     asio::awaitable<bool> serve(HttpHead head);
     asio::awaitable<void> reject(const Error& error);
+    /// Closes the connection if it is still idle once the limit in force has passed since `since`.
+    void watchIdle(SteadyTime since);
     void closeIfIdle();
     CallerLimits callerLimits() const;
 
