--- a/src/include/laburnumroute/attempt_termination.h
+++ b/src/include/laburnumroute/attempt_termination.h
@@ -46,9 +46,11 @@
     SecondSignal,
     /// The instance or the network closed the connection.
     ConnectionLost,
+    /// An exception ended the handling of the request.
+    InternalError,
 };
 
-inline constexpr std::size_t terminationCauseCount = 14;
+inline constexpr std::size_t terminationCauseCount = 15;
 
 /// Who may end the attempt.
 enum class TerminationParty : std::uint8_t { Caller, Operator, Instance, Host };
@@ -80,6 +82,7 @@
     /// Another instance was assigned in place of this one.
     bool replaced = false;
     bool connectionClosed = false;
+    bool handlingFailed = false;
     /// Signals to stop so far.
     unsigned stopSignals = 0;
     Duration sinceStop {};
--- a/src/include/laburnumroute/request_metrics.h
+++ b/src/include/laburnumroute/request_metrics.h
@@ -59,6 +59,8 @@
     void countTermination(TerminationCause cause);
     /// Counts one that mayTerminate() did not permit, so that the attempt went on: a defect.
     void countRefusedTermination(TerminationCause cause);
+    /// Counts an exception that ended a request or a caller's connection.
+    void countInternalError() noexcept { ++m_internalErrors; }
     /// Renders the metrics in the Prometheus text format, version 0.0.4.
     std::string render() const;
 
@@ -74,6 +76,7 @@
     CauseCounters m_refusedTerminations {};
     mutable std::mutex m_accountMutex;
     AccountCounters m_accounts;
+    std::atomic<std::uint64_t> m_internalErrors { 0 };
 };
 
 } // namespace laburnum
--- a/src/libnet/exchange.cpp
+++ b/src/libnet/exchange.cpp
@@ -110,6 +110,7 @@
     if (m_upstream) {
         TerminationState state;
         state.otherStatus = step.otherStatus;
+        state.handlingFailed = step.cause == TerminationCause::InternalError;
         const bool permitted = callerLeft ? terminateForCaller() : terminate(step.cause, state);
         if (!permitted)
             return false;
@@ -600,6 +601,7 @@
     }
     addConnectionField(fields, { false, m_caller.request.versionMinor, m_outcome.keepAlive });
     m_streaming = true;
+    m_caller.responseStarted = true;
     armIdleTimeout();
     if (m_caller.captureResponse)
         m_caller.stream.unwatchPeer();
--- a/src/libnet/fleet_fixture_test.h
+++ b/src/libnet/fleet_fixture_test.h
@@ -71,6 +71,8 @@
 
     void end(DispatchId, const PlacementReport& report) override
     {
+        if (onEnd)
+            onEnd();
         static constexpr std::array names { "success", "failure", "shed", "silence", "refused",
             "unreachable", "unused" };
         reports.add(names.at(static_cast<std::size_t>(report.end)));
@@ -80,7 +82,7 @@
 
     std::uint64_t awaitConfiguration(std::function<void()>) override { return 1; }
     void stopWaiting(std::uint64_t) override { }
-    CallerLimits limits() const override { return {}; }
+    CallerLimits limits() const override { return callerLimits; }
 
     void record(const Decision& decision) override
     {
@@ -93,11 +95,15 @@
         std::chrono::seconds(20), 0, 2, 1 };
     /// Takes the place of `route` if set. Must be set before the fixture is created.
     std::function<tl::expected<RequestPlan, PlanRefusal>(const PlanQuery&)> planRequest;
+    /// Read and changed on the server's thread, or before the fixture is created.
+    CallerLimits callerLimits;
     /// Must be set before the fixture is created.
     std::deque<Endpoint> instances;
     bool unanswered = false;
     /// Called on the server's thread before each dispatch is answered. May be empty.
     std::function<void()> onDispatch;
+    /// Called on the server's thread before each end of a placement. May be empty.
+    std::function<void()> onEnd;
     RecordedLines dispatches;
     RecordedLines reports;
     /// Whether the instance is leaving and its pause in milliseconds, of each report.
--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -165,6 +165,58 @@
 FleetRequest::~FleetRequest() { m_cut.onCut = nullptr; }
 
 asio::awaitable<bool> FleetRequest::run()
+{
+    std::optional<std::string> failure;
+    bool keep = false;
+    try {
+        keep = co_await handle();
+    } catch (const std::exception& error) {
+        failure = error.what();
+    }
+    if (failure)
+        keep = co_await finishFailed(*failure);
+    co_return keep;
+}
+
+asio::awaitable<bool> FleetRequest::finishFailed(const std::string& message)
+{
+    m_entry.metrics.countInternalError();
+    Decision decision { "session", "failed" };
+    decision.alwaysLog = true;
+    decision.facts["id"] = std::string(m_request.field(m_entry.options.names.requestId));
+    decision.facts["message"] = message;
+    m_entry.log->record(decision);
+    m_context.watchdog.clear();
+    m_stream.unwatchPeer();
+    co_await endFailedAttempts();
+    if (m_context.responseStarted) {
+        logRequest(reasons::internalError, 0, RequestOutcome::Unknown);
+        m_stream.reset();
+        co_return false;
+    }
+    m_request.keepAlive = false;
+    LocalResponse response { statusUnavailable, RequestOutcome::NotRun, reasons::internalError };
+    if (m_attempts.started() > 0)
+        response = { statusBadGateway, RequestOutcome::Unknown, reasons::internalError };
+    response.retryAfter = retryAfterText(defaultRetryAfter);
+    co_return co_await respond(std::move(response));
+}
+
+asio::awaitable<void> FleetRequest::endFailedAttempts()
+{
+    dropPlacement();
+    // An attempt that was not spawned has thrown.
+    std::erase_if(m_active, [](const auto& attempt) { return !attempt->spawned(); });
+    for (const auto& attempt : m_active)
+        attempt->abandon({ attempt->number(), TerminationCause::InternalError });
+    const auto hasEnded = [](const auto& attempt) { return attempt->outcome().has_value(); };
+    while (!m_active.empty()) {
+        if (std::erase_if(m_active, hasEnded) == 0)
+            co_await m_event->wait();
+    }
+}
+
+asio::awaitable<bool> FleetRequest::handle()
 {
     if (const auto valid = validateRequest(m_request); !valid) {
         m_request.keepAlive = false;
@@ -295,12 +347,23 @@
     } else {
         const SteadyTime before = std::chrono::steady_clock::now();
         m_stream.watchPeer([this] { onCallerDisconnect(); });
-        co_await m_event->wait();
+        co_await m_event->wait(m_context.deadline);
         m_stream.unwatchPeer();
         m_placementWait += std::chrono::steady_clock::now() - before;
+        if (!m_callerDisconnected && std::chrono::steady_clock::now() >= m_context.deadline)
+            refuseOverduePlacement();
     }
 }
 
+void FleetRequest::refuseOverduePlacement()
+{
+    if (!m_pendingPlacement || m_pendingPlacement->placement)
+        return;
+    m_entry.placementProvider->cancel(m_pendingPlacement->dispatchId);
+    m_pendingPlacement->placement = AttemptPlacement { m_pendingPlacement->dispatchId, std::nullopt,
+        PlacementRefusal::Busy, defaultRetryAfter };
+}
+
 /// The order is that of request_attempts.h.
 bool FleetRequest::handleEvent()
 {
@@ -614,6 +677,7 @@
         m_context.watchdog.watch(m_entry.options.bodyIdleTimeout, [this] { m_stream.reset(); });
     };
     arm();
+    m_context.responseStarted = true;
     auto sent = co_await m_stream.write(std::move(bytes), arm);
     m_context.watchdog.clear();
     co_return sent;
--- a/src/libnet/fleet_request_pvt.h
+++ b/src/libnet/fleet_request_pvt.h
@@ -27,6 +27,7 @@
     asio::awaitable<bool> run();
 
 private:
+    asio::awaitable<bool> handle();
     asio::awaitable<bool> serve();
     /// After a suspension of the process, lets pending signals be handled first.
     asio::awaitable<void> awaitSignals();
@@ -43,10 +44,16 @@
     AttemptConditions conditions() const;
     /// The active attempt with this number; null if it has ended.
     std::shared_ptr<FleetAttempt> find(unsigned number) const;
+    /// Refuses the pending placement request as busy.
+    void refuseOverduePlacement();
+    /// Ends the active attempts after an exception and waits until they have ended.
+    asio::awaitable<void> endFailedAttempts();
     /// Response to a request without a plan.
     LocalResponse refusalOf(PlanRefusal refusal);
     asio::awaitable<bool> finish(AttemptOutcome outcome);
     asio::awaitable<bool> finishRefused(const AttemptPlacement& refused);
+    /// Answers a request whose handling threw an exception.
+    asio::awaitable<bool> finishFailed(const std::string& message);
     /// Answers a request for which the planned stop of this host leaves no time.
     asio::awaitable<bool> refuseStopping();
     /// False if an attempt started now might be cut by a planned stop of this host.
--- a/src/libplace/attempt_termination.cpp
+++ b/src/libplace/attempt_termination.cpp
@@ -59,6 +59,9 @@
             [](const State& s) { return s.stopSignals > 1; } },
         { Cause::ConnectionLost, "connection-lost", Party::Instance, "at any time",
             [](const State& s) { return s.connectionClosed; } },
+        { Cause::InternalError, "internal-error", Party::Host,
+            "after an exception, a defect of this host",
+            [](const State& s) { return s.handlingFailed; } },
     } };
 
 } // namespace
--- a/src/libplace/attempt_termination_test.cpp
+++ b/src/libplace/attempt_termination_test.cpp
@@ -173,6 +173,7 @@
          }),
             { "server-error" } },
         { with([](auto& s) { s.connectionClosed = true; }), { "connection-lost" } },
+        { with([](auto& s) { s.handlingFailed = true; }), { "internal-error" } },
     };
     for (std::size_t i = 0; i < rows.size(); ++i) {
         INFO("row " << i);
@@ -233,6 +234,7 @@
     for (const TerminationRule& rule : terminationRules()) {
         const bool isHost = rule.party == TerminationParty::Host;
         CHECK(isHost
-            == (rule.cause == Cause::OtherResponse || rule.cause == Cause::ServerErrorReplaced));
+            == (rule.cause == Cause::OtherResponse || rule.cause == Cause::ServerErrorReplaced
+                || rule.cause == Cause::InternalError));
     }
 }
