Connections that end without a response are counted by cause

A connection that the idle limit closed, one that its caller closed and one that ended within a head left no trace, so the three could not be told apart: laburnum_connections_ended_total does.

--- a/src/include/laburnumroute/request_metrics.h
+++ b/src/include/laburnumroute/request_metrics.h
@@ -42,6 +42,16 @@
     std::optional<Duration> instanceWait;
 };
 
+/// How a caller's connection ended without a response to its last bytes, if there were any.
+enum class ConnectionEnd {
+    /// The idle limit had passed, or the host drains.
+    Idle,
+    /// The caller closed the connection between two requests.
+    Caller,
+    /// The caller closed or reset it within the head of a request.
+    IncompleteHead,
+};
+
 /// Thread-safe collector. Records are guarded by striped locks, keyed by service. The stripes'
 /// locks and the lock of the account counters are leaf locks; no two are held at the same time.
 class RequestMetrics {
@@ -56,6 +66,10 @@
     void countKeyRefusal(const std::string& cause);
     /// Counts an exception that ended a request or a caller's connection.
     void countInternalError() noexcept { ++m_internalErrors; }
+    void countConnectionEnd(ConnectionEnd end) noexcept
+    {
+        ++m_connectionEnds[static_cast<std::size_t>(end)];
+    }
     /// Renders the metrics in the Prometheus text format, version 0.0.4.
     std::string render() const;
 
@@ -69,6 +83,7 @@
     mutable std::mutex m_accountMutex;
     AccountCounters m_accounts;
     std::atomic<std::uint64_t> m_internalErrors { 0 };
+    std::array<std::atomic<std::uint64_t>, 3> m_connectionEnds {};
 };
 
 } // namespace laburnum
--- a/src/libnet/http_stream_pvt.h
+++ b/src/libnet/http_stream_pvt.h
@@ -33,6 +33,8 @@
     /// Ends the current or next awaitMessage() unless a byte of a message has arrived. Closing the
     /// socket instead would lose a message that has been received but not decoded yet.
     void closeIdle();
+    /// Whether closeIdle() was called and no message has arrived since.
+    bool closesIdle() const { return m_closesIdle; }
     /// Reads the next head. Body bytes that arrive with it are buffered.
     asio::awaitable<Expected<HttpHead>> readHead();
     /// Reads the next part of the body. An empty part means that the message is complete.
--- a/src/libnet/request_metrics.cpp
+++ b/src/libnet/request_metrics.cpp
@@ -239,6 +239,12 @@
     renderLatencies(out, records, "laburnum_instance_seconds", "histogram",
         "Time that requests waited for instances, connecting included.",
         &ServiceRecord::instanceWait);
+    static constexpr std::array endNames { "idle", "caller", "incomplete-head" };
+    writeMetricHeader(out, "laburnum_connections_ended_total", "counter",
+        "Connections of callers that ended without a response to their last bytes, by cause.");
+    for (std::size_t i = 0; i < endNames.size(); ++i)
+        out << "laburnum_connections_ended_total{cause=\"" << endNames.at(i) << "\"} "
+            << m_connectionEnds.at(i) << '\n';
     writeMetricHeader(out, "laburnum_internal_errors_total", "counter",
         "Exceptions that ended a request or a caller's connection.");
     out << "laburnum_internal_errors_total " << m_internalErrors << '\n';
--- a/src/libnet/session.cpp
+++ b/src/libnet/session.cpp
@@ -118,6 +118,12 @@
     } else if (m_slowHead) {
         response = { statusRequestTimeout, RequestOutcome::NotRun, reasons::slowHead };
     } else if (error.code != ErrorCode::InvalidArgument) {
+        ConnectionEnd end = ConnectionEnd::Caller;
+        if (m_caller.messageStarted())
+            end = ConnectionEnd::IncompleteHead;
+        else if (m_caller.closesIdle())
+            end = ConnectionEnd::Idle;
+        m_entry->metrics.countConnectionEnd(end);
         m_caller.close();
         co_return;
     }
