Tests: settings, leader and account keys end no request at which an instance is at work

In the request path: whatever refuses a second attempt, and a key or configuration that is withdrawn (libnet).

--- a/src/libnet/entry_stop_test.cpp
+++ b/src/libnet/entry_stop_test.cpp
@@ -203,3 +203,64 @@
     CHECK(got.ends_with("ok"));
     CHECK(provider.requestEnds.wait(1) == std::vector<std::string> { "answered answered" });
 }
+
+// Guards against a host that gives up an attempt at work because a second one is refused while it
+// has no leader (LOST).
+TEST_CASE("fleet: an active attempt continues whatever refuses its hedge, by the leader or alone")
+{
+    OrderedPlacementProvider provider;
+    provider.route.objective = 1s;
+    provider.refusal = GENERATE(PlacementRefusal::NoInstance, PlacementRefusal::Busy,
+        PlacementRefusal::NoBudget, PlacementRefusal::OverCap, PlacementRefusal::OverShare);
+    provider.alone = GENERATE(true, false);
+    ScriptedUpstream slow([&](Connection& connection, int) {
+        connection.readHead();
+        provider.dispatches.wait(2);
+        connection.send(okResponse);
+    });
+    provider.instances = { slow.endpoint() };
+    OrderedFleetFixture fixture(provider);
+    const std::string got = fixture.exchange("GET /s HTTP/1.1\r\nHost: h\r\nId: 7\r\n\r\n");
+    CHECK(got.starts_with("HTTP/1.1 200 "));
+    CHECK(got.ends_with("ok"));
+    CHECK(provider.dispatches.wait(2).size() == 2);
+    CHECK(provider.reports.wait(1) == std::vector<std::string> { "success" });
+}
+
+// Guards against keys that are withdrawn, and a configuration that is gone, while an instance is at
+// work: what was read before ends as it would have (LOST). Both are asked for again only by the
+// next request.
+TEST_CASE("fleet: a request at work goes on when its key or the configuration is withdrawn")
+{
+    const auto withdrawn = GENERATE(PlanRefusal::KeyUnknown, PlanRefusal::KeyUnconfirmed,
+        PlanRefusal::KeyConfirmationPending, PlanRefusal::NoConfiguration, PlanRefusal::NoRoute);
+    const bool isMidway = GENERATE(false, true);
+    const std::string request = std::string(GENERATE("GET", "POST"))
+        + " /s HTTP/1.1\r\nHost: h\r\nId: 7\r\nApi-Key: k\r\n" + "Content-Length: 0\r\n\r\n";
+    OrderedPlacementProvider provider;
+    provider.route.account = ClientAccountId("a");
+    provider.route.kind = request.starts_with("GET") ? RequestKind::Safe : RequestKind::Unsafe;
+    std::optional<PlanRefusal> refusal;
+    provider.planRequest = [&](const PlanQuery&) -> tl::expected<RequestPlan, PlanRefusal> {
+        if (refusal)
+            return tl::unexpected<PlanRefusal>(*refusal);
+        return provider.route;
+    };
+    std::function<void()> whileAtWork;
+    const std::string response = okResponse;
+    const std::size_t begun = isMidway ? response.size() - 1 : 0;
+    ScriptedUpstream upstream([&](Connection& connection, int) {
+        connection.readHead();
+        connection.send(response.substr(0, begun));
+        whileAtWork();
+        connection.send(response.substr(begun));
+    });
+    provider.instances = { upstream.endpoint() };
+    OrderedFleetFixture fixture(provider);
+    whileAtWork = [&] { fixture.run([&] { refusal = withdrawn; }); };
+    const std::string got = fixture.exchange(request);
+    CHECK(got.starts_with("HTTP/1.1 200 "));
+    CHECK(got.ends_with("ok"));
+    CHECK(provider.requestEnds.wait(1) == std::vector<std::string> { "answered answered" });
+    CHECK(provider.dispatches.wait(1).size() == 1);
+}
--- a/src/libnet/fleet_fixture_test.h
+++ b/src/libnet/fleet_fixture_test.h
@@ -53,8 +53,8 @@
         dispatches.add(request.service.value());
         if (onDispatch)
             onDispatch();
-        AttemptPlacement placement { m_last, std::nullopt, PlacementRefusal::Busy,
-            std::chrono::seconds(1) };
+        AttemptPlacement placement { m_last, std::nullopt, refusal, std::chrono::seconds(1),
+            alone };
         if (!instances.empty()) {
             placement.instance = InstanceRecord {};
             placement.instance->id = InstanceId(std::to_string(instances.front().port));
@@ -96,6 +96,10 @@
     /// Must be set before the fixture is created.
     std::deque<Endpoint> instances;
     bool unanswered = false;
+    /// Why placement requests are refused once there are no more instances.
+    PlacementRefusal refusal = PlacementRefusal::Busy;
+    /// Placements are granted and refused as without a leader.
+    bool alone = false;
     /// Called on the server's thread before each dispatch is answered. May be empty.
     std::function<void()> onDispatch;
     RecordedLines dispatches;
