Planned stop: a stop signal that is sent again cuts no request at work

What callers saw: every request in flight reset, or its answer ended midway, in the moment in which a second SIGTERM reached the host, at the beginning of the grace period. Cause: any second signal counted as an order to end now, though an operator's tool and the service manager both send one, and one Ctrl-C arrives twice. PlannedStop::isForcedBy() decides now, for both kinds of fleet: SIGTERM never forces, SIGINT does from 1 s after the first signal on. `stop: repeated` and `stop: forced` say so; `stop: cut` counts each request once, also when a third signal comes.

--- a/src/include/laburnumroute/planned_stop.h
+++ b/src/include/laburnumroute/planned_stop.h
@@ -23,6 +23,9 @@
     Duration timeout {};
 };
 
+/// Programs send Terminate, a person at a terminal sends Interrupt.
+enum class StopSignal { Terminate, Interrupt };
+
 class PlannedStop {
 public:
     /// `grace` is the time from the stop signal until the process is killed.
@@ -44,6 +47,12 @@
     /// request was read within lateAfter() and its stopAllowance() is left until the abort.
     bool mayStart(const StopAttempt& attempt) const;
 
+    /// Whether a further signal, `elapsed` after the first one, aborts the requests in flight at
+    /// once. An operator's tool and a service manager may both send Terminate; the grace period
+    /// bounds the stop anyway. One key press may arrive twice, from the terminal and from the
+    /// program that started the host, so only a later Interrupt is a new order.
+    static bool isForcedBy(StopSignal signal, Duration elapsed);
+
 private:
     Duration m_grace;
 };
--- a/src/laburnumd/entry_node.cpp
+++ b/src/laburnumd/entry_node.cpp
@@ -16,6 +16,7 @@
 #include "fleet_placement_provider.h"
 #include "seeded_node.h"
 #include "settings_watcher.h"
+#include "stop_signal.h"
 
 namespace laburnum {
 
@@ -213,12 +214,14 @@
 
         void awaitSignal()
         {
-            m_signals.async_wait([this](std::error_code code, int) {
+            m_signals.async_wait([this](std::error_code code, int number) {
                 if (code)
                     return;
-                if (m_stopping)
-                    return abortConnections();
-                beginStop();
+                if (!m_stopping)
+                    beginStop();
+                else if (isStopForced(
+                             number, m_clock.now() - m_stopStarted, m_entry.inFlight(), *m_log))
+                    abortConnections();
                 awaitSignal();
             });
         }
@@ -251,7 +254,7 @@
             }
             if (elapsed >= stop.exitAfter())
                 return endProcess();
-            if (elapsed >= stop.abortAfter() && !std::exchange(m_aborted, true))
+            if (elapsed >= stop.abortAfter())
                 abortConnections();
             m_stopTimer.expires_after(stopPollInterval);
             m_stopTimer.async_wait([this](std::error_code code) {
@@ -260,8 +263,11 @@
             });
         }
 
+        /// A second abort would count the requests twice that the first one is still ending.
         void abortConnections()
         {
+            if (std::exchange(m_aborted, true))
+                return;
             if (!std::exchange(m_draining, true))
                 m_entry.drain([this](DrainReport report) { finishStop(report); });
             m_entry.drain(std::function<void(DrainReport)>());
--- a/src/laburnumd/node.cpp
+++ b/src/laburnumd/node.cpp
@@ -18,6 +18,7 @@
 #include "control_role.h"
 #include "fleet_role.h"
 #include "http_api.h"
+#include "stop_signal.h"
 
 namespace laburnum {
 
@@ -126,15 +127,21 @@
         return m_settings.entry ? m_entry.listen(*m_settings.entry) : Expected<void> {};
     }
 
-    /// The first signal starts a graceful stop; a second one aborts the requests in flight.
+    /// The first signal starts a graceful stop; see isStopForced() for the others.
     void waitForSignal(asio::signal_set& signals)
     {
-        signals.async_wait([this, &signals](std::error_code code, int) {
+        signals.async_wait([this, &signals](std::error_code code, int number) {
             if (code)
                 return;
-            if (m_serving.exchange(false))
+            const TimePoint now = m_clock.now();
+            if (m_serving.exchange(false)) {
+                m_stopStarted = now;
                 m_fleet.resign();
-            m_entry.drain([this](DrainReport report) { finishStop(report); });
+                m_entry.drain([this](DrainReport report) { finishStop(report); });
+            } else if (isStopForced(number, now - m_stopStarted, m_entry.inFlight(), *m_log)
+                && !std::exchange(m_aborted, true)) {
+                m_entry.drain(std::function<void(DrainReport)>());
+            }
             waitForSignal(signals);
         });
     }
@@ -196,6 +203,9 @@
     AdminServer m_admin;
     AdminServer m_operators;
     std::atomic<bool> m_serving { true };
+    // Used by the signal handler only, which runs once at a time.
+    TimePoint m_stopStarted {};
+    bool m_aborted = false;
     bool m_unauthenticated;
     std::vector<std::thread> m_threads;
     std::vector<std::thread> m_controlThreads;
--- a/src/libplace/planned_stop.cpp
+++ b/src/libplace/planned_stop.cpp
@@ -25,6 +25,8 @@
     constexpr int exitDivisor = 30;
     /// Time between the deadline of a request and the abort, for writing the response.
     constexpr auto responseMargin = milliseconds(250);
+    /// Signals within this time belong to the same order.
+    constexpr auto sameOrderTime = milliseconds(1000);
 
 } // namespace
 
@@ -58,4 +60,9 @@
     return attempt.now + needed <= abortAfter();
 }
 
+bool PlannedStop::isForcedBy(StopSignal signal, Duration elapsed)
+{
+    return signal == StopSignal::Interrupt && elapsed >= sameOrderTime;
+}
+
 } // namespace laburnum
--- a/src/libplace/planned_stop_test.cpp
+++ b/src/libplace/planned_stop_test.cpp
@@ -88,3 +88,16 @@
     }
     CHECK(PlannedStop(6s).abortAfter() == 5500ms);
 }
+
+// Guards against requests that a repeated signal cuts in the first instant of a stop (LOST).
+TEST_CASE("only a later interrupt forces a stop")
+{
+    for (const Duration elapsed : { Duration(0ms), Duration(1ms), Duration(999ms) }) {
+        CHECK_FALSE(PlannedStop::isForcedBy(StopSignal::Terminate, elapsed));
+        CHECK_FALSE(PlannedStop::isForcedBy(StopSignal::Interrupt, elapsed));
+    }
+    for (const Duration elapsed : { Duration(1s), Duration(3s), Duration(24h) }) {
+        CHECK_FALSE(PlannedStop::isForcedBy(StopSignal::Terminate, elapsed));
+        CHECK(PlannedStop::isForcedBy(StopSignal::Interrupt, elapsed));
+    }
+}
--- a/testsuite/e2e/planned_stop.py
+++ b/testsuite/e2e/planned_stop.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""An entry host receives SIGTERM during an upload and a slow request; both must complete."""
+"""An entry host receives SIGTERM, and once more, during an upload and a slow request; both must complete."""
 
 import socket
 import sys
@@ -40,10 +40,10 @@
         harness.start_with_config(fleet)
         entry = fleet.entries[0]
         halfway, go_on, results, answers = threading.Event(), threading.Event(), [], []
-        uploading = threading.Thread(target=upload, args=(entry, halfway, go_on, results))
+        uploading = threading.Thread(target=upload, args=(entry, halfway, go_on, results), daemon=True)
         uploading.start()
         halfway.wait()
-        slow = threading.Thread(target=lambda: answers.append(fleets.http(
+        slow = threading.Thread(daemon=True, target=lambda: answers.append(fleets.http(
             "GET", f"http://{entry.entry}/claims/slow", None, {"Host": harness.HOST_NAME})))
         slow.start()
         fleets.wait_until(lambda: any(d["kind"] == "route" and d.get("target") == "/claims/slow"
@@ -51,6 +51,9 @@
         entry.process.terminate()
         fleets.wait_until(lambda: fleets.http("GET", f"http://{entry.admin}/readyz")[0] == 503,
                           "the host reports that it is not ready")
+        entry.process.terminate()
+        fleets.wait_until(lambda: any(d["kind"] == "stop" and d["reason"] == "repeated" for d in entry.decisions()),
+                          "the second signal is handled")
         go_on.set()
         uploading.join()
         slow.join()
