--- a/testsuite/fakes/controller_fleet.cpp
+++ b/testsuite/fakes/controller_fleet.cpp
@@ -605,6 +605,20 @@
     return id;
 }
 
+void ControllerFleet::cancel(const HostId& entry, DispatchId dispatch)
+{
+    withClient(entry, [&](ControllerClient& client, ControllerClientActions& out) {
+        client.cancel(dispatch, out);
+    });
+}
+
+void ControllerFleet::reportOverdue(const HostId& entry, DispatchId dispatch, Duration elapsed)
+{
+    withClient(entry, [&](ControllerClient& client, ControllerClientActions& out) {
+        client.reportOverdue(dispatch, elapsed, m_now, out);
+    });
+}
+
 void ControllerFleet::end(const HostId& entry, DispatchId dispatch, const PlacementReport& report)
 {
     withClient(entry, [&](ControllerClient& client, ControllerClientActions& out) {
--- a/testsuite/fakes/controller_fleet.h
+++ b/testsuite/fakes/controller_fleet.h
@@ -117,6 +117,8 @@
 
     Controller* controller(const HostId& host);
     ControllerClient& client(const HostId& host) { return *m_entries.at(host).client; }
+    /// Whether the process runs, frozen or not.
+    bool isUp(const HostId& host) const;
     std::optional<HostId> leader();
     /// Placement results that an entry host received, by dispatch; empty if an answer observer is
     /// set.
@@ -128,6 +130,8 @@
     void setAnswerObserver(AnswerObserver observer) { m_onAnswer = std::move(observer); }
     /// A dispatch that is answered immediately is answered before this returns.
     DispatchId dispatch(const HostId& entry, PlacementRequest placementRequest);
+    void cancel(const HostId& entry, DispatchId dispatch);
+    void reportOverdue(const HostId& entry, DispatchId dispatch, Duration elapsed);
     void end(const HostId& entry, DispatchId dispatch, const PlacementReport& report);
     /// Bytes of frames that control host `host` sent to other control hosts.
     std::uint64_t bytesSent(const HostId& host) { return m_bytes[host]; }
@@ -186,7 +190,6 @@
 
     void deliver(const HostId& to, std::function<void()> action);
     bool isCut(const HostId& a, const HostId& b) const;
-    bool isUp(const HostId& host) const;
     void tickAll();
     void frameToController(const HostId& host, LinkId link, const std::string& frame);
     void closeAtController(const HostId& host, LinkId link);
--- /dev/null
+++ b/testsuite/fakes/request_fleet.h
@@ -0,0 +1,201 @@
+/// A ControllerFleet whose entry hosts run requests at simulated instances, on a day of planned
+/// work: shedding, a scale-in, changes of the configuration, trouble of the leader, hosts that are
+/// alone, and stops of busy hosts. Deterministic for a seed.
+///
+/// Decisions on attempts, placements, hedges and stops are the product's. Modelled are the
+/// connections, the callers, and what FleetRequest and EntryServer do around those decisions.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <laburnumroute/configuration.h>
+#include <laburnumroute/placement_provider.h>
+#include <laburnumroute/planned_stop.h>
+#include <laburnumroute/request_attempts.h>
+#include <laburnumroute/weighted_splitter.h>
+
+#include "fakes/attempt_checker.h"
+#include "fakes/controller_fleet.h"
+#include "fakes/simulated_instances.h"
+
+namespace laburnum::fakes {
+
+/// Faults that a test puts into the simulated hosts, to show that the checker finds them.
+enum class PromiseFault {
+    None,
+    /// An attempt is given up at its hedge delay, and only then a replacement is asked for, as
+    /// before e39fe03.
+    GivesUpBeforeReplacement,
+    /// The abort of a stop comes a second early.
+    AbortsEarly,
+    /// A configuration with a shorter timeout holds for requests at work, too.
+    ShortensDeadlines,
+};
+
+/// What happens to the leader.
+enum class LeaderTrouble { None, Freeze, Kill, Cut };
+
+struct RequestFleetOptions {
+    /// The users' grown site has 120; instances, requests and stops are in proportion.
+    unsigned entries = 120;
+    std::uint64_t seed = 1;
+    PromiseFault fault = PromiseFault::None;
+};
+
+struct RequestFleetStats {
+    std::uint64_t hedges = 0;
+    /// Hedges that were refused while their first attempt was at work.
+    std::uint64_t refusedHedges = 0;
+    std::uint64_t placedAlone = 0;
+    std::uint64_t refusedAlone = 0;
+    std::uint64_t stops = 0;
+    std::uint64_t stopping = 0;
+    std::map<unsigned, std::uint64_t> statuses;
+};
+
+class RequestFleet {
+public:
+    explicit RequestFleet(const RequestFleetOptions& options);
+
+    /// Starts the fleet and plays the day; false if the fleet does not start.
+    bool run();
+    const AttemptChecker& checker() const { return m_checker; }
+    const RequestFleetStats& stats() const { return m_stats; }
+    LeaderTrouble leaderTrouble() const { return m_leaderTrouble; }
+    /// When the load began.
+    TimePoint began() const { return m_began; }
+
+private:
+    struct LiveAttempt {
+        AttemptNumber id;
+        DispatchId dispatch;
+        InstanceId instance;
+        TimePoint start;
+        /// A hedge may start beside it, so it asks before it relays.
+        bool isConcurrent = false;
+        bool isSent = false;
+        /// The head of a long answer is being relayed; its end has arrived.
+        bool isRelaying = false;
+        bool isComplete = false;
+        bool isClosed = false;
+        bool isOver = false;
+        Duration connectTime {};
+        /// Status of its response and the load in it.
+        unsigned status = 0;
+        std::int32_t load = -1;
+        InstanceEnding ending = InstanceEnding::Answered;
+        AttemptEndKind kind = AttemptEndKind::Failed;
+    };
+    struct LiveRequest {
+        RequestNumber id;
+        HostId host;
+        RequestPlan plan;
+        bool isRetryable = false;
+        TimePoint read;
+        TimePoint deadline;
+        RequestAttempts logic;
+        /// Numbered from 1 by the logic.
+        std::vector<LiveAttempt> attempts;
+        std::optional<DispatchId> pending;
+        std::optional<PlacementResult> granted;
+        std::vector<InstanceId> tried;
+        PlacementRefusal refusal = PlacementRefusal::None;
+        /// Attempt with a complete 500.
+        std::optional<unsigned> fallback;
+        std::optional<unsigned> answer;
+        bool wasDispatched = false;
+    };
+    struct Host {
+        unsigned number = 0;
+        /// Counts the starts of its process.
+        unsigned process = 0;
+        std::optional<TimePoint> stopBegan;
+        bool isDraining = false;
+        std::map<std::string, WeightedSplitter> splitters;
+    };
+
+    // The day.
+    bool startFleet();
+    void addInstances();
+    void scheduleDay();
+    void scheduleGrayInstances();
+    void scheduleLeaderTrouble();
+    void scheduleAloneHosts();
+    void shed(double share);
+    void scaleIn();
+    void putConfig(const NumberedConfig& config, unsigned attempt);
+    void setLeaderTrouble(const HostId& leader, bool begins);
+    void startAloneSpell(const HostId& host);
+    void drawAloneSpell(const HostId& host);
+    void crowd();
+    void cutFromControls(const HostId& host, bool isCut);
+
+    // Stops.
+    void stopBusiest();
+    void checkStop(const HostId& host, unsigned process);
+    void abortRequests(const HostId& host);
+    void exitProcess(const HostId& host);
+    void startProcess(const HostId& host);
+    std::vector<RequestNumber> requestsOf(const HostId& host) const;
+
+    // Requests.
+    void arrive();
+    std::optional<HostId> pickHost();
+    void read(const HostId& host);
+    std::optional<RequestPlan> planFor(const HostId& host, const std::string& target);
+    Duration routeTimeout(const HostId& host, const std::string& target);
+    AttemptConditions conditions(const LiveRequest& request) const;
+    bool fitsBeforeStop(const LiveRequest& request) const;
+    void perform(LiveRequest& request, const AttemptSteps& steps);
+    void dispatch(LiveRequest& request, const PlacementStep& step);
+    void onPlacement(const HostId& host, const PlacementResult& result);
+    void startAttempt(LiveRequest& request, bool isConcurrent);
+    void connected(RequestNumber request, unsigned attempt, bool isOpen);
+    void onInstanceAnswer(AttemptNumber attempt, const InstanceAnswer& answer);
+    void receiveAnswer(
+        RequestNumber request, unsigned attempt, const InstanceAnswer& answer, bool isStreamed);
+    void receiveEnd(RequestNumber request, unsigned attempt);
+    void relay(LiveRequest& request, unsigned attempt);
+    void closeAttempt(LiveRequest& request, unsigned attempt);
+    void endAttempt(RequestNumber request, unsigned attempt, AttemptEndKind kind);
+    PlacementReport makeReport(const LiveRequest& request, const LiveAttempt& attempt) const;
+    void onDeadline(RequestNumber request);
+    void onCallerLeft(RequestNumber request);
+    void finish(LiveRequest& request, RequestEnding ending);
+    void respond(LiveRequest& request, unsigned status);
+    void wake(RequestNumber request);
+    LiveRequest* find(RequestNumber request);
+    Duration wayTo(const HostId& host, const InstanceId& instance) const;
+    void shortenDeadlines(const HostId& host);
+    void watchConfigurations();
+
+    RequestFleetOptions m_options;
+    Random m_random;
+    ControllerFleet m_fleet;
+    AttemptChecker m_checker;
+    SimulatedInstances m_instances;
+    std::map<InstanceId, std::size_t> m_instanceIndex;
+    std::map<HostId, Host> m_hosts;
+    std::map<RequestNumber, LiveRequest> m_requests;
+    std::map<std::pair<HostId, DispatchId>, RequestNumber> m_pending;
+    struct AttemptPlace {
+        RequestNumber request;
+        unsigned attempt = 0;
+    };
+    std::map<AttemptNumber, AttemptPlace> m_attempts;
+    std::map<std::string, Configuration> m_parsed;
+    std::map<HostId, std::uint64_t> m_configNumbers;
+    RequestNumber m_lastRequest;
+    AttemptNumber m_lastAttempt;
+    RequestFleetStats m_stats;
+    LeaderTrouble m_leaderTrouble = LeaderTrouble::None;
+    TimePoint m_began;
+    TimePoint m_loadEnds;
+};
+
+} // namespace laburnum::fakes
