--- a/testsuite/fakes/attempt_checker.cpp
+++ b/testsuite/fakes/attempt_checker.cpp
@@ -49,6 +49,8 @@
     Request& ended = m_requests.at(request);
     ended.ended = now;
     ended.status = status;
+    for (const AttemptNumber attempt : ended.attempts)
+        onClosed(attempt, now);
 }
 
 void AttemptChecker::onAttempt(AttemptNumber attempt, RequestNumber request, TimePoint now)
@@ -56,6 +58,7 @@
     Attempt& started = m_attempts[attempt];
     started.request = request;
     started.started = now;
+    m_requests.at(request).attempts.push_back(attempt);
 }
 
 void AttemptChecker::onSent(AttemptNumber attempt)
@@ -144,7 +147,7 @@
         const Request& request = m_requests.at(attempt.request);
         AttemptViolation violation { attempt.request, number, request.host, attempt.started,
             attempt.stageWhenClosed, *attempt.closed - attempt.started, std::nullopt,
-            request.status, request.answeredBy.has_value() };
+            request.status, request.answeredBy.has_value(), attempt.stop.has_value() };
         if (request.ended)
             violation.untilAnswer = *request.ended - *attempt.closed;
         result.push_back(violation);
@@ -178,6 +181,12 @@
     return result;
 }
 
+std::uint64_t AttemptChecker::unended() const
+{
+    return static_cast<std::uint64_t>(std::count_if(
+        m_requests.begin(), m_requests.end(), [](const auto& item) { return !item.second.ended; }));
+}
+
 std::uint64_t AttemptChecker::served() const
 {
     return static_cast<std::uint64_t>(std::count_if(m_requests.begin(), m_requests.end(),
--- a/testsuite/fakes/attempt_checker.h
+++ b/testsuite/fakes/attempt_checker.h
@@ -36,6 +36,8 @@
     unsigned status = 0;
     /// The caller got an instance's answer in the end.
     bool isServed = false;
+    /// The host had got a stop signal.
+    bool isStopping = false;
 };
 
 /// Attempts that a host ended while their instance was at work, by the cause that allows it.
@@ -61,7 +63,7 @@
     /// The host began to send the caller the answer of `attempt`.
     void onRelayed(RequestNumber request, AttemptNumber attempt, TimePoint now);
     /// The caller got the rest of that answer, or one of the host's own. A status of 0 stands for a
-    /// closed connection.
+    /// closed connection. An attempt that the host has not closed and that goes on is given up now.
     void onEnded(RequestNumber request, unsigned status, TimePoint now);
 
     void onAttempt(AttemptNumber attempt, RequestNumber request, TimePoint now);
@@ -84,6 +86,8 @@
     AllowedEnds allowedEnds() const;
     std::uint64_t requests() const { return m_requests.size(); }
     std::uint64_t attempts() const { return m_attempts.size(); }
+    /// Requests that were read and not ended.
+    std::uint64_t unended() const;
     /// Requests that the caller got an instance's answer for.
     std::uint64_t served() const;
     /// Attempts that waited for a slot of their instance for longer than `time`.
@@ -96,6 +100,7 @@
     };
     struct Request {
         HostId host;
+        std::vector<AttemptNumber> attempts;
         TimePoint sent;
         TimePoint deadline;
         std::optional<TimePoint> callerLeft;
--- a/testsuite/fakes/request_fleet.cpp
+++ b/testsuite/fakes/request_fleet.cpp
@@ -43,7 +43,7 @@
     constexpr unsigned pickTries = 10;
 
     constexpr auto restartDelay = 1000ms;
-    constexpr auto configPollInterval = 10ms;
+    constexpr auto watchInterval = 10ms;
     /// The early abort of PromiseFault::AbortsEarly.
     constexpr auto abortedEarlyBy = 1000ms;
 
@@ -223,6 +223,9 @@
     if (steps.starts) {
         m_stats.hedges += steps.starts->isHedge ? 1 : 0;
         startAttempt(request, steps.starts->concurrent);
+        if (m_options.fault == PromiseFault::EndsWithHedge && steps.starts->isHedge)
+            m_fleet.schedule(
+                0ms, [this, id = request.id, hedge = steps.starts->attempt] { giveUp(id, hedge); });
     }
     if (steps.placement)
         dispatch(request, *steps.placement);
@@ -299,7 +302,14 @@
     }
     request->refusal = result.refusal;
     m_stats.refusedHedges += request->logic.active() > 0 ? 1 : 0;
+    const bool endsAttempts
+        = m_options.fault == PromiseFault::EndsWithRefusedHedge && request->logic.active() > 0;
+    if (m_options.fault == PromiseFault::Forgets && request->logic.active() > 0)
+        return respond(*request, statusBadGateway);
+    const RequestNumber id = request->id;
     perform(*request, request->logic.placementRefused(result.delay, conditions(*request)));
+    if (endsAttempts)
+        giveUp(id, std::nullopt);
 }
 
 void RequestFleet::startAttempt(LiveRequest& request, bool isConcurrent)
@@ -426,6 +436,18 @@
             [this, id = request.id, number] { endAttempt(id, number, AttemptEndKind::Relayed); });
 }
 
+void RequestFleet::giveUp(RequestNumber id, std::optional<unsigned> except)
+{
+    const LiveRequest* request = find(id);
+    for (unsigned number = 1; request != nullptr && number <= request->attempts.size(); ++number) {
+        if (number != except && !request->attempts[number - 1].isOver) {
+            closeAttempt(m_requests.at(id), number);
+            endAttempt(id, number, AttemptEndKind::TimedOut);
+        }
+        request = find(id);
+    }
+}
+
 void RequestFleet::closeAttempt(LiveRequest& request, unsigned number)
 {
     LiveAttempt& attempt = request.attempts[number - 1];
@@ -451,8 +473,11 @@
     m_attempts.erase(attempt.id);
     m_fleet.end(request->host, attempt.dispatch, makeReport(*request, attempt));
     request->tried.push_back(attempt.instance);
-    if (kind == AttemptEndKind::Buffered && attempt.status >= statusServerError)
+    if (kind == AttemptEndKind::Buffered && attempt.status >= statusServerError) {
         request->fallback = number;
+        if (m_options.fault == PromiseFault::EndsWithServerError)
+            m_fleet.schedule(0ms, [this, id] { giveUp(id, std::nullopt); });
+    }
     if (kind == AttemptEndKind::Buffered && attempt.status < statusServerError)
         m_checker.onRelayed(id, attempt.id, m_fleet.now());
     const bool mayHaveRun
@@ -507,11 +532,7 @@
     const LiveRequest* request = find(id);
     if (request == nullptr || m_fleet.now() < request->deadline)
         return;
-    for (unsigned number = 1; request != nullptr && number <= request->attempts.size(); ++number) {
-        closeAttempt(m_requests.at(id), number);
-        endAttempt(id, number, AttemptEndKind::TimedOut);
-        request = find(id);
-    }
+    giveUp(id, std::nullopt);
 }
 
 void RequestFleet::onCallerLeft(RequestNumber id)
@@ -628,16 +649,24 @@
     m_fleet.startEntry(host, dataCentreOf(state.number), regionOf(state.number));
 }
 
-/// PromiseFault::ShortensDeadlines.
-void RequestFleet::watchConfigurations()
+/// PromiseFault::ShortensDeadlines and EndsWithLeader.
+void RequestFleet::watchHosts()
 {
-    m_fleet.schedule(configPollInterval, [this] { watchConfigurations(); });
+    m_fleet.schedule(watchInterval, [this] { watchHosts(); });
     for (const auto& [host, state] : m_hosts) {
         if (!m_fleet.isUp(host))
             continue;
-        const std::uint64_t number = m_fleet.client(host).config().number;
-        if (std::exchange(m_configNumbers[host], number) != number && number != 0)
+        const ControllerClient& client = m_fleet.client(host);
+        const Seen seen
+            = std::exchange(m_seen[host], { client.config().number, client.hasLeader() });
+        if (m_options.fault == PromiseFault::ShortensDeadlines && seen.config != 0
+            && seen.config < client.config().number)
             shortenDeadlines(host);
+        if (m_options.fault == PromiseFault::EndsWithLeader && seen.hasLeader
+            && !client.hasLeader()) {
+            for (const RequestNumber id : requestsOf(host))
+                giveUp(id, std::nullopt);
+        }
     }
 }
 
--- a/testsuite/fakes/request_fleet.h
+++ b/testsuite/fakes/request_fleet.h
@@ -35,6 +35,16 @@
     AbortsEarly,
     /// A configuration with a shorter timeout holds for requests at work, too.
     ShortensDeadlines,
+    /// A hedge that is refused takes the attempt beside it with it.
+    EndsWithRefusedHedge,
+    /// A hedge takes the place of the attempt beside it.
+    EndsWithHedge,
+    /// A server error of one attempt ends the other one.
+    EndsWithServerError,
+    /// A host that loses its leader withdraws its attempts.
+    EndsWithLeader,
+    /// A host that gives an answer of its own forgets the attempts that are at work.
+    Forgets,
 };
 
 /// What happens to the leader.
@@ -45,6 +55,9 @@
     unsigned entries = 120;
     std::uint64_t seed = 1;
     PromiseFault fault = PromiseFault::None;
+    /// Leaders freeze just before the scale-in and the second change, which are then acknowledged
+    /// as late as in the record, and twice more during the stops. Otherwise the trouble is drawn.
+    bool isRecord = false;
 };
 
 struct RequestFleetStats {
@@ -54,7 +67,10 @@
     std::uint64_t placedAlone = 0;
     std::uint64_t refusedAlone = 0;
     std::uint64_t stops = 0;
+    /// Requests refused as not run by a host that stops.
     std::uint64_t stopping = 0;
+    /// Longest time until a change of the configuration was acknowledged.
+    Duration longestConfigCall {};
     std::map<unsigned, std::uint64_t> statuses;
 };
 
@@ -66,6 +82,7 @@
     bool run();
     const AttemptChecker& checker() const { return m_checker; }
     const RequestFleetStats& stats() const { return m_stats; }
+    const SimulatedInstances& instances() const { return m_instances; }
     LeaderTrouble leaderTrouble() const { return m_leaderTrouble; }
     /// When the load began.
     TimePoint began() const { return m_began; }
@@ -128,7 +145,9 @@
     void scheduleAloneHosts();
     void shed(double share);
     void scaleIn();
-    void putConfig(const NumberedConfig& config, unsigned attempt);
+    void changeConfiguration(std::uint64_t number, unsigned first);
+    void putConfig(const NumberedConfig& config, unsigned attempt, TimePoint since);
+    void startLeaderTrouble(Duration length);
     void setLeaderTrouble(const HostId& leader, bool begins);
     void startAloneSpell(const HostId& host);
     void drawAloneSpell(const HostId& host);
@@ -161,6 +180,8 @@
         RequestNumber request, unsigned attempt, const InstanceAnswer& answer, bool isStreamed);
     void receiveEnd(RequestNumber request, unsigned attempt);
     void relay(LiveRequest& request, unsigned attempt);
+    /// Ends all attempts but `except`, for a PromiseFault.
+    void giveUp(RequestNumber request, std::optional<unsigned> except);
     void closeAttempt(LiveRequest& request, unsigned attempt);
     void endAttempt(RequestNumber request, unsigned attempt, AttemptEndKind kind);
     PlacementReport makeReport(const LiveRequest& request, const LiveAttempt& attempt) const;
@@ -172,7 +193,8 @@
     LiveRequest* find(RequestNumber request);
     Duration wayTo(const HostId& host, const InstanceId& instance) const;
     void shortenDeadlines(const HostId& host);
-    void watchConfigurations();
+    void watchHosts();
+    void changeSeeds();
 
     RequestFleetOptions m_options;
     Random m_random;
@@ -189,7 +211,12 @@
     };
     std::map<AttemptNumber, AttemptPlace> m_attempts;
     std::map<std::string, Configuration> m_parsed;
-    std::map<HostId, std::uint64_t> m_configNumbers;
+    /// What watchHosts() saw last.
+    struct Seen {
+        std::uint64_t config = 0;
+        bool hasLeader = false;
+    };
+    std::map<HostId, Seen> m_seen;
     RequestNumber m_lastRequest;
     AttemptNumber m_lastAttempt;
     RequestFleetStats m_stats;
--- a/testsuite/fakes/request_fleet_day.cpp
+++ b/testsuite/fakes/request_fleet_day.cpp
@@ -36,6 +36,8 @@
     constexpr double scaledInShare = 8.0 / 60.0;
     constexpr auto firstChangeAt = 6560ms;
     constexpr auto secondChangeAt = 6760ms;
+    constexpr auto seedsChangeAt = 7000ms;
+    constexpr double changedSeedsShare = 0.2;
     constexpr auto configCallTimeout = 1000ms;
     constexpr auto stopsFrom = 7700ms;
     constexpr auto stopInterval = 400ms;
@@ -49,6 +51,8 @@
     constexpr std::uint64_t troubleRangeMs = 6000;
     constexpr std::uint64_t leastTroubleMs = 1500;
     constexpr std::uint64_t troubleLengthRangeMs = 5500;
+    constexpr std::array<Duration, 4> recordFreezes { 3900ms, 6700ms, 9500ms, 12000ms };
+    constexpr auto recordFreezeTime = 2000ms;
     constexpr double grayShare = 0.2;
     constexpr auto crowdFrom = 3000ms;
     constexpr auto crowdInterval = 1000ms;
@@ -104,23 +108,23 @@
 {
     struct Change {
         Duration peekTimeout;
-        Duration peekObjective;
         Duration grabTimeout;
         Duration slotTimeout;
+        Duration slotObjective;
         std::uint32_t weight;
     };
-    constexpr std::array<Change, 3> changes { { { 6000ms, 2500ms, 5000ms, 4000ms, 3 },
-        { 3500ms, 2500ms, 3000ms, 2500ms, 2 }, { 5000ms, 2000ms, 6000ms, 4500ms, 4 } } };
+    constexpr std::array<Change, 3> changes { { { 6000ms, 5000ms, 4000ms, 1500ms, 3 },
+        { 3500ms, 3000ms, 2500ms, 1500ms, 2 }, { 5000ms, 6000ms, 4500ms, 2000ms, 4 } } };
     const Change& change = changes.at(static_cast<std::size_t>(number - 1));
     Configuration result;
     for (const SiteService& each : siteServices)
         result.services.push_back(service(each.name));
-    result.routes.push_back(
-        route("peek", RequestKind::Safe, change.peekObjective, change.peekTimeout, 1));
+    result.routes.push_back(route("peek", RequestKind::Safe, 2500ms, change.peekTimeout, 1));
     result.routes.back().service = ServiceId("peek");
     result.routes.push_back(route("grab", RequestKind::Unsafe, 2000ms, change.grabTimeout, 0));
     result.routes.back().service = ServiceId("grab");
-    result.routes.push_back(route("slot", RequestKind::Safe, 1500ms, change.slotTimeout, 2));
+    result.routes.push_back(
+        route("slot", RequestKind::Safe, change.slotObjective, change.slotTimeout, 2));
     result.routes.back().split
         = { { ServiceId("slot-a"), change.weight }, { ServiceId("slot-b"), 1 } };
     return result;
@@ -208,8 +212,9 @@
     scheduleDay();
     for (std::size_t i = 0; i < stops; ++i)
         m_fleet.schedule(stopsFrom + stopInterval * i, [this] { stopBusiest(); });
-    if (m_options.fault == PromiseFault::ShortensDeadlines)
-        watchConfigurations();
+    if (m_options.fault == PromiseFault::ShortensDeadlines
+        || m_options.fault == PromiseFault::EndsWithLeader)
+        watchHosts();
     arrive();
     m_fleet.run(m_loadEnds + runAfterLoad - m_began);
     return true;
@@ -220,12 +225,9 @@
     m_fleet.schedule(shedFrom, [this] { shed(shedShare); });
     m_fleet.schedule(shedUntil, [this] { shed(0.0); });
     m_fleet.schedule(scaleInAt, [this] { scaleIn(); });
-    m_fleet.schedule(firstChangeAt, [this] {
-        putConfig({ 2, printConfiguration(siteConfiguration(2)) }, 0);
-    });
-    m_fleet.schedule(secondChangeAt, [this] {
-        putConfig({ 3, printConfiguration(siteConfiguration(3)) }, 1);
-    });
+    m_fleet.schedule(firstChangeAt, [this] { changeConfiguration(2, 0); });
+    m_fleet.schedule(secondChangeAt, [this] { changeConfiguration(3, 1); });
+    m_fleet.schedule(seedsChangeAt, [this] { changeSeeds(); });
     scheduleLeaderTrouble();
     scheduleAloneHosts();
     scheduleGrayInstances();
@@ -248,30 +250,54 @@
         m_instances.drain(instances[i]);
 }
 
+/// The operator changes the configuration, beginning at this control host.
+void RequestFleet::changeConfiguration(std::uint64_t number, unsigned first)
+{
+    putConfig({ number, printConfiguration(siteConfiguration(number)) }, first, m_fleet.now());
+}
+
 /// The operator tries the control hosts in turn until one acknowledges.
-void RequestFleet::putConfig(const NumberedConfig& config, unsigned attempt)
+void RequestFleet::putConfig(const NumberedConfig& config, unsigned attempt, TimePoint since)
 {
     const std::size_t call = m_fleet.call(
         ControllerFleet::control(attempt % controlHosts + 1), PutConfigCall { config });
-    m_fleet.schedule(configCallTimeout, [this, config, attempt, call] {
-        const auto& result = m_fleet.record(call).result;
-        if (!result || !result->done)
-            putConfig(config, attempt + 1);
+    m_fleet.schedule(configCallTimeout, [this, config, attempt, call, since] {
+        const CallRecord& record = m_fleet.record(call);
+        if (!record.result || !record.result->done)
+            return putConfig(config, attempt + 1, since);
+        m_stats.longestConfigCall = std::max(m_stats.longestConfigCall, record.ended - since);
     });
 }
 
+/// The reload of their settings gives some hosts other seeds.
+void RequestFleet::changeSeeds()
+{
+    for (const auto& [host, state] : m_hosts) {
+        if (uniformReal(m_random) < changedSeedsShare && m_fleet.isUp(host))
+            m_fleet.client(host).setSeeds({ ControllerFleet::control(controlHosts),
+                ControllerFleet::control(1), ControllerFleet::control(2) });
+    }
+}
+
 void RequestFleet::scheduleLeaderTrouble()
 {
     m_leaderTrouble = static_cast<LeaderTrouble>(uniformBelow(m_random, 4));
     const Duration from = 1ms * (troubleFromMs + uniformBelow(m_random, troubleRangeMs));
     const Duration length = 1ms * (leastTroubleMs + uniformBelow(m_random, troubleLengthRangeMs));
-    m_fleet.schedule(from, [this, length] {
-        const auto leader = m_fleet.leader();
-        if (!leader || m_leaderTrouble == LeaderTrouble::None)
-            return;
-        setLeaderTrouble(*leader, true);
-        m_fleet.schedule(length, [this, host = *leader] { setLeaderTrouble(host, false); });
-    });
+    if (!m_options.isRecord)
+        return m_fleet.schedule(from, [this, length] { startLeaderTrouble(length); });
+    m_leaderTrouble = LeaderTrouble::Freeze;
+    for (const Duration freeze : recordFreezes)
+        m_fleet.schedule(freeze, [this] { startLeaderTrouble(recordFreezeTime); });
+}
+
+void RequestFleet::startLeaderTrouble(Duration length)
+{
+    const auto leader = m_fleet.leader();
+    if (!leader || m_leaderTrouble == LeaderTrouble::None)
+        return;
+    setLeaderTrouble(*leader, true);
+    m_fleet.schedule(length, [this, host = *leader] { setLeaderTrouble(host, false); });
 }
 
 void RequestFleet::setLeaderTrouble(const HostId& leader, bool begins)
--- a/testsuite/fakes/simulated_instances.cpp
+++ b/testsuite/fakes/simulated_instances.cpp
@@ -126,6 +126,7 @@
 void SimulatedInstances::drain(std::size_t index)
 {
     m_instances[index].record.phase = InstancePhase::Draining;
+    m_instances[index].drainBegan = m_fleet.now();
     announce(index);
 }
 
@@ -185,8 +186,12 @@
 
 void SimulatedInstances::leaveIfDone(Instance& instance)
 {
-    const auto& result = m_fleet.record(*instance.drainCall).result;
-    if (!result || !result->done || !instance.queue.empty() || !instance.running.empty())
+    const CallRecord& call = m_fleet.record(*instance.drainCall);
+    if (!instance.isDrainKnown && call.result && call.result->done) {
+        instance.isDrainKnown = true;
+        m_longestDrainCall = std::max(m_longestDrainCall, call.ended - instance.drainBegan);
+    }
+    if (!instance.isDrainKnown || !instance.queue.empty() || !instance.running.empty())
         return;
     instance.isGone = true;
     const auto host = instance.announcements % controlHosts + 1;
--- a/testsuite/fakes/simulated_instances.h
+++ b/testsuite/fakes/simulated_instances.h
@@ -59,6 +59,8 @@
     void crowd(std::size_t index, unsigned jobs);
     /// Announces the drain until it is acknowledged, works off the queue and leaves.
     void drain(std::size_t index);
+    /// Longest time until a drain was acknowledged.
+    Duration longestDrainCall() const { return m_longestDrainCall; }
 
 private:
     struct Job {
@@ -73,6 +75,8 @@
         std::vector<Job> running;
         unsigned announcements = 0;
         std::optional<std::size_t> drainCall;
+        TimePoint drainBegan;
+        bool isDrainKnown = false;
         bool isGone = false;
     };
 
@@ -90,6 +94,7 @@
     std::vector<Instance> m_instances;
     std::map<InstanceId, std::size_t> m_byId;
     std::uint64_t m_lastJob = 0;
+    Duration m_longestDrainCall {};
 };
 
 } // namespace laburnum::fakes
