--- a/testsuite/fakes/request_fleet.cpp
+++ b/testsuite/fakes/request_fleet.cpp
@@ -176,12 +176,9 @@
     const bool isRetryable = plan->kind == RequestKind::Safe;
     const Duration limit = std::min(callerLimit, plan->timeout);
     const AttemptLimits limits { limit, plan->objective, plan->attempts, isRetryable };
-    LiveRequest& request
-        = m_requests
-              .emplace(m_lastRequest,
-                  LiveRequest { m_lastRequest, host, *plan, isRetryable, now, now + limit,
-                      RequestAttempts(limits), {}, {}, {}, {}, {}, {}, false })
-              .first->second;
+    LiveRequest fresh { m_lastRequest, host, *plan, isRetryable, now, now + limit,
+        RequestAttempts(limits) };
+    LiveRequest& request = m_requests.emplace(m_lastRequest, std::move(fresh)).first->second;
     if (!fitsBeforeStop(request))
         return finish(request, RequestEnding::Stopping);
     m_fleet.schedule(limit, [this, id = request.id] { onDeadline(id); });
@@ -195,8 +192,9 @@
     const auto& began = m_hosts.at(request.host).stopBegan;
     if (!began)
         return true;
-    return PlannedStop(stopGrace).mayStart({ request.read - *began, m_fleet.now() - *began,
-        request.deadline - *began, request.plan.objective, request.plan.timeout });
+    return PlannedStop(m_options.grace)
+        .mayStart({ request.read - *began, m_fleet.now() - *began, request.deadline - *began,
+            request.plan.objective, request.plan.timeout });
 }
 
 AttemptConditions RequestFleet::conditions(const LiveRequest& request) const
@@ -596,7 +594,7 @@
     ++m_stats.stops;
     Host& stopped = m_hosts.at(*busiest);
     stopped.stopBegan = m_fleet.now();
-    m_checker.onStop(*busiest, m_fleet.now(), stopGrace);
+    m_checker.onStop(*busiest, m_fleet.now(), m_options.grace);
     drawAloneSpell(*busiest);
     checkStop(*busiest, stopped.process);
 }
@@ -607,7 +605,7 @@
     Host& state = m_hosts.at(host);
     if (state.process != process || !m_fleet.isUp(host))
         return;
-    const PlannedStop stop(stopGrace);
+    const PlannedStop stop(m_options.grace);
     const Duration elapsed = m_fleet.now() - *state.stopBegan;
     const Duration early
         = m_options.fault == PromiseFault::AbortsEarly ? abortedEarlyBy : Duration::zero();
--- a/testsuite/fakes/request_fleet.h
+++ b/testsuite/fakes/request_fleet.h
@@ -58,6 +58,8 @@
     /// Leaders freeze just before the scale-in and the second change, which are then acknowledged
     /// as late as in the record, and twice more during the stops. Otherwise the trouble is drawn.
     bool isRecord = false;
+    /// Time from SIGTERM to the kill of an entry host; 6 s and 10 s on the users' sites.
+    Duration grace = std::chrono::milliseconds(6000);
 };
 
 struct RequestFleetStats {
--- a/testsuite/fakes/request_fleet_day.h
+++ b/testsuite/fakes/request_fleet_day.h
@@ -13,9 +13,6 @@
 inline constexpr double siteEntries = 120.0;
 inline constexpr double siteRequestsPerSecond = 1050.0;
 
-/// Time from SIGTERM to the kill of an entry host.
-inline constexpr auto stopGrace = std::chrono::milliseconds(6000);
-
 /// Data centre and region of the entry host or instance with this number.
 DataCentreId dataCentreOf(std::size_t number);
 RegionId regionOf(std::size_t number);
--- a/testsuite/load/attempt_promise_test.cpp
+++ b/testsuite/load/attempt_promise_test.cpp
@@ -25,6 +25,12 @@
 constexpr std::uint64_t faultSeeds = 5;
 constexpr std::uint64_t recordSeeds = 3;
 
+/// Grace periods of the users' sites. Only the longer one leaves time for attempts that start more
+/// than 3 s after the signal.
+constexpr auto shortGrace = 6000ms;
+constexpr auto longGrace = 10000ms;
+constexpr std::uint64_t longGraceEvery = 3;
+
 constexpr unsigned statusBadGateway = 502;
 
 std::string describe(const RequestFleet& fleet, const AttemptViolation& violation)
@@ -99,7 +105,8 @@
     Coverage coverage;
     for (std::uint64_t seed = 1; seed <= promiseSeeds; ++seed) {
         CAPTURE(entries, seed);
-        RequestFleet fleet({ entries, seed });
+        const Duration grace = seed % longGraceEvery == 0 ? longGrace : shortGrace;
+        RequestFleet fleet({ entries, seed, PromiseFault::None, false, grace });
         REQUIRE(fleet.run());
         checkPromise(fleet);
         coverage.add(fleet);
