--- a/testsuite/fakes/request_fleet.cpp
+++ b/testsuite/fakes/request_fleet.cpp
@@ -230,7 +230,8 @@
     if (steps.answer)
         request.answer = steps.answer;
     for (const TerminationStep& step : steps.terminations) {
-        closeAttempt(request, step.attempt);
+        if (!terminate(request, step.attempt, step.cause, step.otherStatus))
+            continue;
         const auto kind = step.cause == TerminationCause::CallerDisconnected
             ? AttemptEndKind::CallerDisconnected
             : AttemptEndKind::Terminated;
@@ -449,6 +450,33 @@
     }
 }
 
+/// As Exchange::terminate(): the attempt goes on if the product's table of causes does not permit
+/// its end.
+bool RequestFleet::terminate(
+    LiveRequest& request, unsigned number, TerminationCause cause, unsigned otherStatus)
+{
+    const LiveAttempt& attempt = request.attempts[number - 1];
+    TerminationState state;
+    state.now = m_fleet.now() - request.read;
+    state.deadline = request.deadline - request.read;
+    state.callerClosed = request.callerLeft;
+    state.ownStatus = attempt.status;
+    state.otherStatus = otherStatus;
+    if (const auto& began = m_hosts.at(request.host).stopBegan) {
+        const PlannedStop stop(m_options.grace);
+        state.stopSignals = 1;
+        state.sinceStop = m_fleet.now() - *began;
+        state.abortAfter = stop.abortAfter() - abortLead();
+        state.exitAfter = stop.exitAfter();
+    }
+    if (attempt.isSent && !attempt.isOver && !mayTerminate(cause, state)) {
+        ++m_stats.refusedTerminations;
+        return false;
+    }
+    closeAttempt(request, number);
+    return true;
+}
+
 void RequestFleet::closeAttempt(LiveRequest& request, unsigned number)
 {
     LiveAttempt& attempt = request.attempts[number - 1];
@@ -533,7 +561,11 @@
     const LiveRequest* request = find(id);
     if (request == nullptr || m_fleet.now() < request->deadline)
         return;
-    giveUp(id, std::nullopt);
+    for (unsigned number = 1; request != nullptr && number <= request->attempts.size(); ++number) {
+        if (terminate(m_requests.at(id), number, TerminationCause::Deadline, 0))
+            endAttempt(id, number, AttemptEndKind::TimedOut);
+        request = find(id);
+    }
 }
 
 void RequestFleet::onCallerLeft(RequestNumber id)
@@ -541,6 +573,7 @@
     LiveRequest* request = find(id);
     if (request == nullptr)
         return;
+    request->callerLeft = true;
     m_checker.onCallerLeft(id, m_fleet.now());
     perform(*request, request->logic.callerLeft(conditions(*request)));
 }
@@ -607,34 +640,41 @@
         return;
     const PlannedStop stop(m_options.grace);
     const Duration elapsed = m_fleet.now() - *state.stopBegan;
-    const Duration early
-        = m_options.fault == PromiseFault::AbortsEarly ? abortedEarlyBy : Duration::zero();
     const bool isIdle = elapsed >= minLameDuckTime && requestsOf(host).empty();
     if (isIdle || elapsed >= stop.drainAfter())
         state.isDraining = true;
-    if (elapsed >= stop.abortAfter() - early)
-        abortRequests(host);
+    if (elapsed >= stop.abortAfter() - abortLead())
+        abortRequests(host, TerminationCause::StopAbort);
     if (elapsed >= stop.exitAfter() || (state.isDraining && requestsOf(host).empty()))
         return exitProcess(host);
     m_fleet.schedule(stopPollInterval, [this, host, process] { checkStop(host, process); });
 }
 
-void RequestFleet::abortRequests(const HostId& host)
+void RequestFleet::abortRequests(const HostId& host, TerminationCause cause)
 {
     for (const RequestNumber id : requestsOf(host)) {
         LiveRequest& request = m_requests.at(id);
+        bool isEnded = true;
         for (unsigned number = 1; number <= request.attempts.size(); ++number) {
-            closeAttempt(request, number);
-            if (!request.attempts[number - 1].isOver)
-                m_fleet.end(host, request.attempts[number - 1].dispatch, PlacementReport {});
+            const LiveAttempt& attempt = request.attempts[number - 1];
+            if (attempt.isOver)
+                continue;
+            isEnded = terminate(request, number, cause, 0) && isEnded;
+            m_fleet.end(host, attempt.dispatch, PlacementReport {});
         }
-        respond(request, 0);
+        if (isEnded)
+            respond(request, 0);
     }
 }
 
+Duration RequestFleet::abortLead() const
+{
+    return m_options.fault == PromiseFault::AbortsEarly ? abortedEarlyBy : Duration::zero();
+}
+
 void RequestFleet::exitProcess(const HostId& host)
 {
-    abortRequests(host);
+    abortRequests(host, TerminationCause::StopExit);
     m_fleet.kill(host);
     m_fleet.schedule(restartDelay, [this, host] { startProcess(host); });
 }
--- a/testsuite/fakes/request_fleet.h
+++ b/testsuite/fakes/request_fleet.h
@@ -71,6 +71,8 @@
     std::uint64_t stops = 0;
     /// Requests refused as not run by a host that stops.
     std::uint64_t stopping = 0;
+    /// Ends of attempts that a decision demanded and mayTerminate() forbade.
+    std::uint64_t refusedTerminations = 0;
     /// Longest time until a change of the configuration was acknowledged.
     Duration longestConfigCall {};
     std::map<unsigned, std::uint64_t> statuses;
@@ -127,6 +129,7 @@
         std::optional<unsigned> fallback;
         std::optional<unsigned> answer;
         bool wasDispatched = false;
+        bool callerLeft = false;
         /// As AttemptSteps::wakeAt of the latest steps.
         Duration wakeAt = maxDuration;
     };
@@ -160,7 +163,9 @@
     // Stops.
     void stopBusiest();
     void checkStop(const HostId& host, unsigned process);
-    void abortRequests(const HostId& host);
+    void abortRequests(const HostId& host, TerminationCause cause);
+    /// How much too early the host aborts.
+    Duration abortLead() const;
     void exitProcess(const HostId& host);
     void startProcess(const HostId& host);
     std::vector<RequestNumber> requestsOf(const HostId& host) const;
@@ -183,6 +188,8 @@
         RequestNumber request, unsigned attempt, const InstanceAnswer& answer, bool isStreamed);
     void receiveEnd(RequestNumber request, unsigned attempt);
     void relay(LiveRequest& request, unsigned attempt);
+    bool terminate(
+        LiveRequest& request, unsigned attempt, TerminationCause cause, unsigned otherStatus);
     /// Ends all attempts but `except`, for a PromiseFault.
     void giveUp(RequestNumber request, std::optional<unsigned> except);
     void closeAttempt(LiveRequest& request, unsigned attempt);
--- a/testsuite/load/attempt_promise_test.cpp
+++ b/testsuite/load/attempt_promise_test.cpp
@@ -95,6 +95,7 @@
     if (!violations.empty())
         UNSCOPED_INFO(describe(fleet, violations.front()));
     CHECK(violations.empty());
+    CHECK(fleet.stats().refusedTerminations == 0);
     CHECK(fleet.checker().unended() == 0);
     // The load reaches the instances.
     CHECK(fleet.checker().served() > fleet.checker().requests() / 2);
