--- a/testsuite/fakes/request_fleet.h
+++ b/testsuite/fakes/request_fleet.h
@@ -2,8 +2,9 @@
 /// work: shedding, a scale-in, changes of the configuration, trouble of the leader, hosts that are
 /// alone, and stops of busy hosts. Deterministic for a seed.
 ///
-/// Decisions on attempts, placements, hedges and stops are the product's. Modelled are the
-/// connections, the callers, and what FleetRequest and EntryServer do around those decisions.
+/// Decisions on attempts, placements, hedges and stops, and the causes for which an attempt may be
+/// ended, are the product's. Modelled are the connections, the callers, and what FleetRequest,
+/// Exchange and EntryNode do around those decisions.
 #pragma once
 
 #include <cstdint>
@@ -103,6 +104,7 @@
         /// The head of a long answer is being relayed; its end has arrived.
         bool isRelaying = false;
         bool isComplete = false;
+        bool isTruncated = false;
         bool isClosed = false;
         bool isOver = false;
         Duration connectTime {};
@@ -130,6 +132,9 @@
         std::optional<unsigned> answer;
         bool wasDispatched = false;
         bool callerLeft = false;
+        /// Its body can be sent again, and the buffers have room for that.
+        bool isReplayable = true;
+        bool hasRoom = true;
         /// As AttemptSteps::wakeAt of the latest steps.
         Duration wakeAt = maxDuration;
     };
