An error that no instance stamped ends no attempt at work

What callers saw: two attempts at once; something in front of the second instance answers 404 without stamp, and the first instance, at work, is broken off: the caller gets that 404 in place of its answer. Cause: any complete response below 500 ended the other attempt, whoever had made it. Why it works: such a response counts as a server error does: the other attempt goes on, and the response is passed on only if nothing better comes. mayTerminate() requires the stamp for other-response.

--- a/src/include/laburnumroute/attempt_termination.h
+++ b/src/include/laburnumroute/attempt_termination.h
@@ -28,7 +28,7 @@
     /// A response made no progress for as long as the idle limit, and has no time limit or is not
     /// silent: it sends bytes without end that are none of the body.
     InstanceStalled,
-    /// Another attempt's response is complete or is relayed.
+    /// Another attempt's response, made by its instance, is complete or is relayed.
     OtherResponse,
     /// The bytes are not a response in HTTP.
     NotHttp,
@@ -72,6 +72,8 @@
     unsigned ownStatus = 0;
     /// Status of another attempt's response that is complete or ready to be relayed; 0 if none is.
     unsigned otherStatus = 0;
+    /// That response is an instance's own.
+    bool otherHasStamp = true;
     /// What arrived is not HTTP.
     bool notHttp = false;
     /// What arrived exceeds the limit on bytes that are not the instance's response.
--- a/src/include/laburnumroute/request_attempts.h
+++ b/src/include/laburnumroute/request_attempts.h
@@ -72,6 +72,8 @@
     unsigned status = 0;
     /// False only if it is certain that the instance did not run the request.
     bool mayHaveRun = false;
+    /// The response is an instance's own. Any other ends no attempt that is at work.
+    bool hasStamp = true;
 };
 
 /// A placement to be requested.
@@ -184,6 +186,7 @@
     void updateHedge(const AttemptConditions& conditions, AttemptSteps& steps);
     /// Selects a response to relay and considers a hedge.
     void update(const AttemptConditions& conditions, AttemptSteps& steps);
+    /// Whether the event ends the request regardless of other attempts.
     static bool isDecisive(const AttemptEndEvent& event);
     bool shouldRetry(const AttemptEndEvent& event, const AttemptConditions& conditions) const;
     Active* find(unsigned attempt);
--- a/src/libnet/entry_termination_test.cpp
+++ b/src/libnet/entry_termination_test.cpp
@@ -1,6 +1,7 @@
 // Who may end an attempt at which an instance is at work: the causes, their counters and log lines.
 
 #include <algorithm>
+#include <thread>
 
 #include <catch2/catch.hpp>
 
@@ -207,6 +208,36 @@
     CHECK(terminatedInAll(fixture) == 1);
 }
 
+// Guards against an error page of something in front of one instance that ends the work of another.
+TEST_CASE("termination: an error that no instance stamped ends no attempt at work")
+{
+    const bool secondFails = GENERATE(false, true);
+    Signal secondSent;
+    ScriptedUpstream slow([&](Connection& connection, int) {
+        connection.readHead();
+        secondSent.wait();
+        std::this_thread::sleep_for(200ms);
+        if (!secondFails)
+            connection.send(okResponse);
+        connection.closeSending();
+        connection.readAll();
+    });
+    ScriptedUpstream front([&](Connection& connection, int) {
+        connection.readHead();
+        connection.send("HTTP/1.1 404 Not Found\r\nContent-Length: 4\r\n\r\nnone");
+        secondSent.set();
+        connection.readAll();
+    });
+    OrderedPlacementProvider provider;
+    provider.route.objective = 1s;
+    provider.instances = { slow.endpoint(), front.endpoint() };
+    OrderedFleetFixture fixture(provider);
+    const std::string got = fixture.exchange(get);
+    // It is passed on if there is nothing else.
+    CHECK(got.starts_with(secondFails ? "HTTP/1.1 404 " : "HTTP/1.1 200 "));
+    CHECK(terminated(fixture, "other-response") == "0");
+}
+
 TEST_CASE("termination: a response that is complete is counted for no cause")
 {
     ScriptedUpstream upstream([&](Connection& connection, int) {
--- a/src/libnet/exchange.cpp
+++ b/src/libnet/exchange.cpp
@@ -410,9 +410,10 @@
 asio::awaitable<void> Exchange::writeInterim(std::string bytes)
 {
     m_caller.watchdog.watch(m_caller.deadline, [this] {
-        m_callerDisconnected = terminate(TerminationCause::Deadline, {});
-        if (m_callerDisconnected)
-            m_caller.stream.reset();
+        if (!terminate(TerminationCause::Deadline, {}))
+            return;
+        m_callerDisconnected = true;
+        m_caller.stream.reset();
     });
     co_await m_caller.stream.write(std::move(bytes));
     armDeadline();
@@ -517,6 +518,7 @@
     }
     const std::string& responseStamp = m_caller.entry.options.names.responseStamp;
     const bool proven = responseStamp.empty() || !head->field(responseStamp).empty();
+    m_outcome.hasStamp = proven;
     if (!proven && head->status < statusMultipleChoices) {
         TerminationState state;
         state.hasStamp = false;
--- a/src/libnet/exchange_pvt.h
+++ b/src/libnet/exchange_pvt.h
@@ -103,6 +103,8 @@
     /// Status of the instance's response; 0 if there was none.
     unsigned status = 0;
     Duration latency {};
+    /// The response is an instance's own: it has the stamp, where the fleet has one.
+    bool hasStamp = false;
     /// Time spent waiting for the instance's response head and body.
     Duration instanceWait {};
     std::uint64_t responseBytes = 0;
--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -335,8 +335,10 @@
     finishAttempt(ended, outcome);
     if (m_active.empty())
         m_stream.unwatchPeer();
-    const AttemptSteps steps = m_attempts.ended(
-        { ended.number(), endKind(outcome.end), outcome.status, outcome.mayHaveRun }, conditions());
+    const AttemptSteps steps
+        = m_attempts.ended({ ended.number(), endKind(outcome.end), outcome.status,
+                               outcome.mayHaveRun, outcome.hasStamp },
+            conditions());
     if (steps.answer) {
         // The attempt in whose favour it was abandoned has missed the deadline.
         if (outcome.end == AttemptEnd::Abandoned)
--- a/src/libplace/attempt_termination.cpp
+++ b/src/libplace/attempt_termination.cpp
@@ -13,7 +13,7 @@
 
     bool otherResponseCounts(const State& state)
     {
-        if (state.otherStatus == 0)
+        if (state.otherStatus == 0 || !state.otherHasStamp)
             return false;
         // Between two server errors either may be sent.
         return state.otherStatus < statusServerError || state.ownStatus >= statusServerError;
@@ -38,7 +38,8 @@
                     && s.ownStatus != 0 && s.idle >= s.idleLimit;
             } },
         { Cause::OtherResponse, "other-response", Party::Host,
-            "another response is complete or relayed, and is no server error unless this one is",
+            "another instance's response is complete or relayed, and is no server error unless "
+            "this one is",
             otherResponseCounts },
         { Cause::NotHttp, "not-http", Party::Instance, "such bytes have been read",
             [](const State& s) { return s.notHttp; } },
--- a/src/libplace/attempt_termination_test.cpp
+++ b/src/libplace/attempt_termination_test.cpp
@@ -192,6 +192,9 @@
             const bool expected = other != 0 && (other < 500 || own >= 500);
             INFO("own " << own << ", other " << other);
             CHECK(permitted(state) == (expected ? Names { "other-response" } : Names {}));
+            TerminationState unstamped = state;
+            unstamped.otherHasStamp = false;
+            CHECK(permitted(unstamped).empty());
         }
     }
 }
--- a/src/libplace/request_attempts.cpp
+++ b/src/libplace/request_attempts.cpp
@@ -243,7 +243,8 @@
 bool RequestAttempts::isDecisive(const AttemptEndEvent& event)
 {
     return event.kind == AttemptEndKind::Relayed || event.kind == AttemptEndKind::CallerDisconnected
-        || (event.kind == AttemptEndKind::Buffered && event.status < statusServerError);
+        || (event.kind == AttemptEndKind::Buffered && event.status < statusServerError
+            && event.hasStamp);
 }
 
 bool RequestAttempts::shouldRetry(
--- a/src/libplace/request_attempts_test.cpp
+++ b/src/libplace/request_attempts_test.cpp
@@ -152,6 +152,19 @@
     CHECK(request.ended(end(2, Kind::Terminated), at(2s)).ending == RequestEnding::Attempt);
 }
 
+TEST_CASE("attempts: a response without stamp ends the request only if it is the last one")
+{
+    AttemptEndEvent unstamped = end(2, Kind::Buffered, 404);
+    unstamped.hasStamp = false;
+    RequestAttempts request = withTwo();
+    const AttemptSteps steps = request.ended(unstamped, at(2s));
+    CHECK_FALSE(steps.answer);
+    CHECK(steps.terminations.empty());
+    RequestAttempts last = withOne();
+    unstamped.attempt = 1;
+    CHECK(last.ended(unstamped, at(2s)).ending == RequestEnding::Attempt);
+}
+
 TEST_CASE("attempts: a long response is relayed once the other attempt has ended")
 {
     RequestAttempts request = withTwo();
@@ -344,7 +357,8 @@
     void finish(unsigned number, Kind kind, unsigned status)
     {
         m_active.erase(number);
-        const AttemptEndEvent event = end(number, kind, status);
+        AttemptEndEvent event = end(number, kind, status);
+        event.hasStamp = status < 300 || draw(4) != 0;
         m_runs += event.mayHaveRun ? 1 : 0;
         take(m_request.ended(event, conditions()));
     }
