--- a/src/libplace/request_attempts_test.cpp
+++ b/src/libplace/request_attempts_test.cpp
@@ -259,7 +259,8 @@
 public:
     explicit RandomRequest(std::uint32_t seed)
         : m_random(seed)
-        , m_limits { 4s, objective, 1 + draw(3), draw(4) != 0 }
+        , m_limits { 10s, objective, 1 + draw(3), draw(8) != 0 }
+        , m_pace(16U << draw(4))
         , m_request(m_limits)
     {
     }
@@ -268,7 +269,7 @@
     {
         take(m_request.begin());
         for (unsigned i = 0; i < 10'000 && m_ending == RequestEnding::None; ++i) {
-            m_now += std::chrono::milliseconds(draw(200));
+            m_now += std::chrono::milliseconds(draw(400));
             next();
         }
         REQUIRE(m_ending != RequestEnding::None);
@@ -277,6 +278,12 @@
         REQUIRE(m_runs <= m_limits.attempts);
     }
 
+    unsigned hedges() const { return m_hedges; }
+    /// Attempts that were ended for another one's response.
+    unsigned terminations() const { return m_terminations; }
+    /// Responses that were relayed after the end of another attempt.
+    unsigned relays() const { return m_relays; }
+
 private:
     struct Active {
         unsigned status = 0;
@@ -302,20 +309,20 @@
 
     void next()
     {
-        m_stopping = m_stopping || draw(60) == 0;
+        m_stopping = m_stopping || draw(400) == 0;
+        m_replayable = m_replayable && draw(400) != 0;
         const unsigned kind = draw(10);
         if (m_pending && kind < 3) {
             m_pending = false;
-            if (draw(3) != 0)
-                take(m_request.placementGranted(conditions()));
-            else
-                take(
-                    m_request.placementRefused(std::chrono::milliseconds(draw(800)), conditions()));
+            const bool isGranted = draw(3) != 0;
+            const std::chrono::milliseconds delay(draw(800));
+            take(isGranted ? m_request.placementGranted(conditions())
+                           : m_request.placementRefused(delay, conditions()));
         } else if (!m_active.empty() && kind < 6) {
             auto chosen = m_active.begin();
             std::advance(chosen, draw(static_cast<unsigned>(m_active.size())));
             advance(chosen->first, chosen->second);
-        } else if (draw(40) == 0) {
+        } else if (draw(100) == 0) {
             m_callerLeft = true;
             take(m_request.callerLeft(conditions()));
         } else {
@@ -335,7 +342,7 @@
             return m_now >= m_limits.deadline ? finish(number, Kind::TimedOut, 0) : void();
         if (m_now >= m_limits.deadline)
             return finish(number, Kind::TimedOut, 0);
-        switch (draw(8)) {
+        switch (draw(m_pace)) {
         case 0:
             return finish(number, Kind::NotReached, 0);
         case 1:
@@ -359,8 +366,27 @@
         m_active.erase(number);
         AttemptEndEvent event = end(number, kind, status);
         event.hasStamp = status < 300 || draw(4) != 0;
+        m_hasStamp = event.hasStamp;
         m_runs += event.mayHaveRun ? 1 : 0;
         take(m_request.ended(event, conditions()));
+        m_hasStamp = true;
+    }
+
+    void terminate(const TerminationStep& step)
+    {
+        Active& ended = m_active.at(step.attempt);
+        TerminationState state;
+        state.callerClosed = m_callerLeft;
+        state.ownStatus = ended.status;
+        state.otherStatus = step.otherStatus;
+        state.otherHasStamp = m_hasStamp;
+        REQUIRE(mayTerminate(step.cause, state));
+        REQUIRE_FALSE(ended.terminating);
+        ended.terminating = true;
+        m_terminations += step.cause == TerminationCause::OtherResponse ? 1 : 0;
+        ended.terminatedAs = step.cause == TerminationCause::CallerDisconnected
+            ? Kind::CallerDisconnected
+            : Kind::Terminated;
     }
 
     void take(const AttemptSteps& steps)
@@ -373,44 +399,42 @@
             REQUIRE(m_active.size() < 2);
             REQUIRE(steps.starts->isHedge == (m_active.size() == 1));
             m_active[steps.starts->attempt];
+            m_hedges += steps.starts->isHedge ? 1 : 0;
             m_concurrent[steps.starts->attempt] = steps.starts->concurrent;
         }
         if (steps.placement) {
             REQUIRE_FALSE(m_pending);
             m_pending = true;
         }
-        for (const TerminationStep& step : steps.terminations) {
-            Active& ended = m_active.at(step.attempt);
-            TerminationState state;
-            state.callerClosed = m_callerLeft;
-            state.ownStatus = ended.status;
-            state.otherStatus = step.otherStatus;
-            REQUIRE(mayTerminate(step.cause, state));
-            REQUIRE_FALSE(ended.terminating);
-            ended.terminating = true;
-            ended.terminatedAs = step.cause == TerminationCause::CallerDisconnected
-                ? Kind::CallerDisconnected
-                : Kind::Terminated;
-        }
+        for (const TerminationStep& step : steps.terminations)
+            terminate(step);
         if (steps.relays) {
             REQUIRE(m_active.size() == 1);
             REQUIRE(m_active.begin()->first == *steps.relays);
             m_active.begin()->second.relaying = true;
+            m_relays += m_hedges;
         }
         m_ending = steps.ending;
     }
 
     std::mt19937 m_random;
     AttemptLimits m_limits;
+    /// One in so many steps of an attempt brings an event of each kind.
+    unsigned m_pace;
     RequestAttempts m_request;
     Duration m_now {};
     std::map<unsigned, Active> m_active;
     std::map<unsigned, bool> m_concurrent;
     bool m_pending = false;
     bool m_replayable = true;
+    /// Of the response that has just arrived.
+    bool m_hasStamp = true;
     bool m_stopping = false;
     bool m_callerLeft = false;
     unsigned m_runs = 0;
+    unsigned m_hedges = 0;
+    unsigned m_terminations = 0;
+    unsigned m_relays = 0;
     RequestEnding m_ending = RequestEnding::None;
 };
 
@@ -419,8 +443,21 @@
 TEST_CASE(
     "attempts: random requests end, end no attempt that the promise protects, keep their runs")
 {
-    for (std::uint32_t seed = 1; seed <= 5'000; ++seed) {
+    constexpr std::uint32_t seeds = 5'000;
+    unsigned hedges = 0;
+    unsigned terminations = 0;
+    unsigned relays = 0;
+    for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
         INFO("seed " << seed);
-        RandomRequest(seed).play();
+        RandomRequest request(seed);
+        request.play();
+        hedges += request.hedges();
+        terminations += request.terminations();
+        relays += request.relays();
     }
+    // The draws reach what the test is about.
+    CAPTURE(hedges, terminations, relays);
+    CHECK(hedges > seeds / 10);
+    CHECK(terminations > seeds / 50);
+    CHECK(relays > seeds / 50);
 }
