--- a/testsuite/load/attempt_promise_test.cpp
+++ b/testsuite/load/attempt_promise_test.cpp
@@ -3,7 +3,8 @@
 // record of issue 41 (docs/incidents/2026-12-06-given-up.md).
 //
 // Drawn days are played on a quarter of the users' grown site. On the site itself they take minutes
-// and are a hidden case: build/bin/libhub_promise_test "[grown]"
+// and are a hidden case: build/bin/libhub_promise_test "[grown]". So are 300 further seeds,
+// "[hunt]".
 
 #include <algorithm>
 #include <set>
@@ -22,6 +23,7 @@
 constexpr unsigned quarterSite = 30;
 constexpr unsigned grownSite = 120;
 constexpr std::uint64_t promiseSeeds = 50;
+constexpr std::uint64_t huntSeeds = 350;
 constexpr std::uint64_t faultSeeds = 8;
 constexpr std::uint64_t recordSeeds = 3;
 
@@ -103,10 +105,10 @@
     CHECK(fleet.checker().served() > fleet.checker().requests() / 2);
 }
 
-void checkPromiseOnDrawnDays(unsigned entries)
+void checkPromiseOnDrawnDays(unsigned entries, std::uint64_t first, std::uint64_t last)
 {
     Coverage coverage;
-    for (std::uint64_t seed = 1; seed <= promiseSeeds; ++seed) {
+    for (std::uint64_t seed = first; seed <= last; ++seed) {
         CAPTURE(entries, seed);
         const Duration grace = seed % longGraceEvery == 0 ? longGrace : shortGrace;
         RequestFleet fleet({ entries, seed, PromiseFault::None, false, grace });
@@ -135,7 +137,7 @@
 
 TEST_CASE("promise: no host ends an attempt at which an instance is at work")
 {
-    checkPromiseOnDrawnDays(quarterSite);
+    checkPromiseOnDrawnDays(quarterSite, 1, promiseSeeds);
 }
 
 TEST_CASE("promise: a seed plays the same day each time")
@@ -149,7 +151,15 @@
     CHECK(first.checker().queuedLongerThan(1s) == second.checker().queuedLongerThan(1s));
 }
 
-TEST_CASE("promise: the same on the grown site", "[.grown]") { checkPromiseOnDrawnDays(grownSite); }
+TEST_CASE("promise: the same on the grown site", "[.grown]")
+{
+    checkPromiseOnDrawnDays(grownSite, 1, promiseSeeds);
+}
+
+TEST_CASE("promise: the same with further seeds", "[.hunt]")
+{
+    checkPromiseOnDrawnDays(quarterSite, promiseSeeds + 1, huntSeeds);
+}
 
 TEST_CASE("promise: the same on the record's day, on the grown site")
 {
