The abort of a planned stop is permitted from its own time on, whatever the drain timeout

With a grace period beyond the drain timeout (30 min) mayTerminate() was told the shorter of both, so an early abort would have been permitted; no caller asked for one. 'termination: an abort before its time ends nothing and counts as a defect' with a grace period of 2 h failed before.

--- a/src/libnet/entry_server.cpp
+++ b/src/libnet/entry_server.cpp
@@ -1,6 +1,5 @@
 #include <laburnumroute/entry_server.h>
 
-#include <algorithm>
 #include <mutex>
 #include <unordered_map>
 
@@ -118,7 +117,7 @@
         state.sinceStop = progress.elapsed;
         state.abortAfter = entry->options.drainTimeout;
         if (entry->lameDuck && entry->plannedStop) {
-            state.abortAfter = std::min(state.abortAfter, entry->plannedStop->abortAfter());
+            state.abortAfter = entry->plannedStop->abortAfter();
             state.exitAfter = entry->plannedStop->exitAfter();
         }
         return state;
--- a/src/libnet/entry_termination_test.cpp
+++ b/src/libnet/entry_termination_test.cpp
@@ -311,7 +311,8 @@
         TerminationCause cause;
         StopProgress progress;
     };
-    const PlannedStop stop(12s);
+    const auto grace = GENERATE(Duration(12s), Duration(2h));
+    const PlannedStop stop(grace);
     const auto early = GENERATE_COPY(values<Early>({
         { TerminationCause::StopAbort, { 1, stop.abortAfter() - 1ns } },
         { TerminationCause::StopAbort, { 0, stop.abortAfter() } },
