--- a/src/libkernel/fakes_test.cpp
+++ b/src/libkernel/fakes_test.cpp
@@ -60,3 +60,27 @@
     storage.failSyncs(1);
     REQUIRE_FALSE(storage.sync("log"));
 }
+
+// Guards against a fake disk that keeps names which a power failure loses.
+TEST_CASE("the name of a file that was never synced is kept or lost at a crash")
+{
+    Random random(1);
+    std::size_t kept = 0;
+    for (int i = 0; i < 100; ++i) {
+        FakeStorage storage;
+        REQUIRE(storage.append("synced", "abc"));
+        REQUIRE(storage.sync("synced"));
+        REQUIRE(storage.replace("replaced", "abc"));
+        REQUIRE(storage.append("new", "abc"));
+        i % 2 == 0 ? storage.crash(random) : storage.crashInSectors(random);
+        REQUIRE(storage.read("synced").value() == "abc");
+        REQUIRE(storage.read("replaced").value() == "abc");
+        kept += storage.read("new") ? 1 : 0;
+    }
+    CHECK(kept > 30);
+    CHECK(kept < 70);
+    FakeStorage storage;
+    REQUIRE(storage.append("new", "abc"));
+    storage.crash();
+    CHECK_FALSE(storage.read("new"));
+}
--- a/testsuite/fakes/controller_fleet.cpp
+++ b/testsuite/fakes/controller_fleet.cpp
@@ -300,10 +300,7 @@
 void ControllerFleet::kill(const HostId& host)
 {
     if (const auto control = m_controls.find(host); control != m_controls.end()) {
-        control->second.controller.reset();
-        control->second.reopens = false;
-        control->second.deferred.clear();
-        control->second.inbox.clear();
+        endProcess(control->second);
         control->second.storage.crash(m_random);
     } else {
         m_entries.at(host).client.reset();
@@ -311,6 +308,36 @@
     closeLinksOf(host);
 }
 
+void ControllerFleet::endProcess(ControlHost& control)
+{
+    control.controller.reset();
+    control.reopens = false;
+    control.deferred.clear();
+    control.inbox.clear();
+}
+
+void ControllerFleet::losePower(const HostId& host)
+{
+    const auto control = m_controls.find(host);
+    if (control == m_controls.end())
+        return kill(host);
+    endProcess(control->second);
+    FakeStorage& storage = control->second.storage;
+    const auto kind = uniformBelow(m_random, 3);
+    if (kind == 0)
+        storage.crash();
+    else if (kind == 1)
+        storage.crash(m_random);
+    else
+        storage.crashInSectors(m_random);
+    closeLinksOf(host);
+}
+
+void ControllerFleet::stopAtWrite(const HostId& host, unsigned operation, StopPoint point)
+{
+    m_controls.at(host).storage.stopAt(operation, point);
+}
+
 void ControllerFleet::closeLinksOf(const HostId& host)
 {
     std::vector<LinkId> ended;
@@ -404,7 +431,8 @@
 {
     for (auto& [to, frame] : actions.peerFrames) {
         m_bytes[host] += frame.size();
-        schedule(m_options.delay, [this, host, to = to, frame = std::move(frame)] {
+        const Duration delay = m_options.delay + m_extraDelays[host] + m_extraDelays[to];
+        schedule(delay, [this, host, to = to, frame = std::move(frame)] {
             if (isCut(host, to) || !isUp(to))
                 return;
             frameToController(to, LinkId(0), frame);
--- a/testsuite/fakes/controller_fleet.h
+++ b/testsuite/fakes/controller_fleet.h
@@ -94,10 +94,18 @@
         const RegionId& region = RegionId("r"));
     /// Kills the process; synced data survives.
     void kill(const HostId& host);
+    /// As kill(), but of the writes since the last sync each may be present, missing or torn, or
+    /// all are lost.
+    void losePower(const HostId& host);
+    /// The process of a control host dies in its `operation`-th write from now on, 1 being the next
+    /// one; its machine loses power with losePower(), which must follow.
+    void stopAtWrite(const HostId& host, unsigned operation, StopPoint point);
     /// Kills the process and replaces its disk by an empty one.
     void wipe(const HostId& host);
     /// Drops messages between the two hosts, or restores the path.
     void cut(const HostId& a, const HostId& b, bool isCut = true);
+    /// Adds to the one-way delay between this control host and all other control hosts.
+    void delayFrames(const HostId& host, Duration extra) { m_extraDelays[host] = extra; }
     /// A full disk refuses every write. A control host whose log store fails closes it and tries to
     /// reopen it, as the process does.
     void fillDisk(const HostId& host, bool isFull = true);
@@ -116,6 +124,8 @@
     const CallRecord& record(std::size_t index) const { return m_calls.at(index); }
 
     Controller* controller(const HostId& host);
+    /// Whether the process of the host runs.
+    bool isUp(const HostId& host) const;
     ControllerClient& client(const HostId& host) { return *m_entries.at(host).client; }
     std::optional<HostId> leader();
     /// Placement results that an entry host received, by dispatch; empty if an answer observer is
@@ -186,7 +196,6 @@
 
     void deliver(const HostId& to, std::function<void()> action);
     bool isCut(const HostId& a, const HostId& b) const;
-    bool isUp(const HostId& host) const;
     void tickAll();
     void frameToController(const HostId& host, LinkId link, const std::string& frame);
     void closeAtController(const HostId& host, LinkId link);
@@ -198,6 +207,7 @@
     Duration costOf(const Input& input, const ControllerActions& actions) const;
     void perform(const HostId& host, ControllerActions& actions);
     void perform(const HostId& host, ControllerClientActions& actions);
+    static void endProcess(ControlHost& control);
     void reopenLater(const HostId& host);
     void reopen(const HostId& host);
     void closeLinksOf(const HostId& host);
@@ -219,6 +229,7 @@
     std::map<HostId, EntryHost> m_entries;
     std::set<std::pair<HostId, HostId>> m_cuts;
     std::set<HostId> m_refusing;
+    std::map<HostId, Duration> m_extraDelays;
     std::map<LinkId, Link> m_links;
     LinkId m_lastLink;
     std::vector<CallRecord> m_calls;
--- a/testsuite/fakes/fake_storage.cpp
+++ b/testsuite/fakes/fake_storage.cpp
@@ -83,6 +83,7 @@
     const auto file = m_files.find(name);
     if (file != m_files.end() && !m_ignoreSyncs) {
         file->second.synced = file->second.content.size();
+        file->second.isNamed = true;
         file->second.before.reset();
     }
     ++m_syncs;
@@ -107,8 +108,10 @@
         file.before = file.content;
     file.content = bytes;
     file.synced = bytes.size();
-    if (!m_ignoreSyncs)
+    if (!m_ignoreSyncs) {
         file.before.reset();
+        file.isNamed = true;
+    }
     ++m_syncs;
     if (action == WriteAction::RunThenFail)
         return processDead(name);
@@ -162,8 +165,17 @@
     file.synced = file.content.size();
 }
 
+void FakeStorage::dropNames(const std::function<bool()>& isLost)
+{
+    for (auto file = m_files.begin(); file != m_files.end();)
+        file = !file->second.isNamed && isLost() ? m_files.erase(file) : std::next(file);
+    for (auto& [name, file] : m_files)
+        file.isNamed = true;
+}
+
 void FakeStorage::crash(Random& random)
 {
+    dropNames([&] { return uniformBelow(random, 2) == 0; });
     for (auto& [name, file] : m_files) {
         if (!file.before) {
             const std::size_t unsynced = file.content.size() - file.synced;
@@ -176,6 +188,7 @@
 
 void FakeStorage::crash()
 {
+    dropNames([] { return true; });
     for (auto& [name, file] : m_files)
         dropUnsynced(file);
     resume();
@@ -183,6 +196,7 @@
 
 void FakeStorage::crashInSectors(Random& random)
 {
+    dropNames([&] { return uniformBelow(random, 2) == 0; });
     for (auto& [name, file] : m_files) {
         for (std::size_t at = file.synced; at < file.content.size();) {
             const std::size_t end
--- a/testsuite/fakes/fake_storage.h
+++ b/testsuite/fakes/fake_storage.h
@@ -14,8 +14,8 @@
 /// How much of the last operation of a killed process is carried out.
 enum class StopPoint { Before, Half, After };
 
-/// Tracks for each file which bytes are synced; crash() decides which of the others survive.
-/// Copyable: a copy serves as a backup.
+/// Tracks for each file which bytes are synced; crash() decides which of the others survive, and
+/// whether a file whose name was never synced does. Copyable: a copy serves as a backup.
 class FakeStorage final : public Storage {
 public:
     Expected<std::string> read(std::string_view name) override;
@@ -47,11 +47,13 @@
     unsigned operations() const noexcept { return m_operations; }
     /// Mutation: syncs and replaces report success without making anything durable.
     void ignoreSyncs(bool ignore) { m_ignoreSyncs = ignore; }
-    /// Crash after which a random prefix of the unsynced bytes of each file survives.
+    /// Crash after which a random prefix of the unsynced bytes of each file survives. Each unsynced
+    /// name is kept or lost at random.
     void crash(Random& random);
-    /// Crash that loses all unsynced bytes.
+    /// Crash that loses all unsynced bytes and names.
     void crash();
-    /// Crash after which each 512-byte sector of unsynced data is, at random, written or zero.
+    /// Crash after which each 512-byte sector of unsynced data is, at random, written or zero. Each
+    /// unsynced name is kept or lost at random.
     void crashInSectors(Random& random);
     /// Flips one bit of the byte at `offset`. The file must be longer than `offset`.
     void flipBit(std::string_view name, std::size_t offset, unsigned bit = 0);
@@ -64,6 +66,8 @@
     struct File {
         std::string content;
         std::size_t synced = 0;
+        /// The folder has been synced since the file was created.
+        bool isNamed = false;
         /// Content that a crash restores if a replace was not durable.
         std::optional<std::string> before;
     };
@@ -74,6 +78,8 @@
     bool consumeWriteFailure();
     WriteAction nextWriteAction(std::string_view operation, std::string_view name);
     void dropUnsynced(File& file);
+    /// Drops the files whose names a crash loses.
+    void dropNames(const std::function<bool()>& isLost);
 
     std::map<std::string, File, std::less<>> m_files;
     unsigned m_failWrites = 0;
