A line for each connection that is closed while idle or within a head

`session: idle` and `session: incomplete-head` with the time since the connection's last request and the limit in force. The counters tell that it happens; these lines tell when and by which limit.

--- a/src/libnet/entry_idle_test.cpp
+++ b/src/libnet/entry_idle_test.cpp
@@ -65,6 +65,9 @@
     OrderedFleetFixture fixture(provider);
     Connection caller = fixture.connect();
     CHECK(caller.peerCloses());
+    const auto logged = provider.decisions.wait(1);
+    REQUIRE_FALSE(logged.empty());
+    CHECK(logged.front().find("\"limit_ms\":50") != std::string::npos);
     const std::string metrics = fixture.server().metrics().render();
     CHECK(
         metrics.find("laburnum_connections_ended_total{cause=\"idle\"} 1\n") != std::string::npos);
--- a/src/libnet/session.cpp
+++ b/src/libnet/session.cpp
@@ -55,7 +55,8 @@
     closeIfIdle();
     const CallerLimits limits = callerLimits();
     m_caller.setHeadLimit(limits.headBytes);
-    watchIdle(std::chrono::steady_clock::now());
+    m_idleSince = std::chrono::steady_clock::now();
+    watchIdle(m_idleSince);
     const auto started = co_await m_caller.awaitMessage();
     m_idle = false;
     if (!started) {
@@ -123,8 +124,7 @@
             end = ConnectionEnd::IncompleteHead;
         else if (m_caller.closesIdle())
             end = ConnectionEnd::Idle;
-        m_entry->metrics.countConnectionEnd(end);
-        m_caller.close();
+        endWithoutResponse(end);
         co_return;
     }
     m_watchdog.watch(m_entry->options.bodyIdleTimeout, [this] { m_caller.reset(); });
@@ -133,6 +133,18 @@
     m_entry->metrics.record({ ServiceId(), response.outcome, response.status });
 }
 
+void Session::endWithoutResponse(ConnectionEnd end)
+{
+    m_entry->metrics.countConnectionEnd(end);
+    m_caller.close();
+    if (m_entry->log == nullptr || end == ConnectionEnd::Caller)
+        return;
+    Decision decision { "session", end == ConnectionEnd::Idle ? "idle" : "incomplete-head" };
+    decision.facts["ms"] = Json::Int64(toMillis(std::chrono::steady_clock::now() - m_idleSince));
+    decision.facts["limit_ms"] = Json::Int64(toMillis(callerLimits().idleTimeout));
+    m_entry->log->record(decision);
+}
+
 void Session::closeIfIdle()
 {
     // A request whose first bytes have already arrived is still served.
--- a/src/libnet/session_pvt.h
+++ b/src/libnet/session_pvt.h
@@ -28,6 +28,8 @@
     asio::awaitable<void> reject(const Error& error);
     /// Closes the connection if it is still idle once the limit in force has passed since `since`.
     void watchIdle(SteadyTime since);
+    /// Closes the connection, and records why.
+    void endWithoutResponse(ConnectionEnd end);
     void closeIfIdle();
     CallerLimits callerLimits() const;
 
@@ -35,6 +37,8 @@
     HttpStream m_caller;
     Watchdog m_watchdog;
     bool m_idle = true;
+    /// End of the previous request, or the connection's start.
+    SteadyTime m_idleSince;
     bool m_slowHead = false;
     /// The last response has been written; the connection lingers until the caller closes it.
     bool m_finalResponseSent = false;
