Review: a request that throws gets no second response, its attempts end, and a late head limit is forgotten

Found by a reader who had not seen the work; each by reading.

- Whether a response had begun was a flag of each attempt's own context, so a request that threw after a hedged attempt had relayed its response wrote a 502 behind it (MIXED).
The attempts of a request share it now: `fleet: a request that throws while a hedged attempt relays gets no second response` fails without that (502 at byte 204,888).
- Attempts that such a request drops are ended at the scheduler, where their slots stayed taken (no test).
- An attempt whose own coroutine throws ends without a response; its request waited for it until the process ended (no test: nothing is known that throws there but exhausted memory).
- The limit on a request's head may pass in the turn in which the head arrives; the flag stayed set and a later idle close wrote a 408 (no test).
- The size of a founding quorum made two founding memberships share a voter, not majorities of theirs, for lists of four, six and seven hosts.
The users list at most three, for which it is two as before.

--- a/src/libnet/entry_failure_test.cpp
+++ b/src/libnet/entry_failure_test.cpp
@@ -56,3 +56,33 @@
     REQUIRE_FALSE(logged.empty());
     CHECK(logged.front().find("out of order") != std::string::npos);
 }
+
+// Guards against a response of the host's own that is written into an instance's response.
+TEST_CASE("fleet: a request that throws while a hedged attempt relays gets no second response")
+{
+    constexpr std::size_t length = std::size_t { 200 } * 1024;
+    ScriptedUpstream silent([](Connection& connection, int) {
+        connection.readHead();
+        connection.peerCloses();
+    });
+    ScriptedUpstream streaming([&](Connection& connection, int) {
+        connection.readHead();
+        connection.send("HTTP/1.1 200 OK\r\nStamp: s\r\nId: 7\r\nContent-Length: "
+            + std::to_string(length) + "\r\n\r\n" + std::string(length, 'a'));
+        connection.peerCloses();
+    });
+    OrderedPlacementProvider provider;
+    provider.route.objective = 200ms;
+    provider.instances = { silent.endpoint(), streaming.endpoint() };
+    // The first attempt ends when the other one begins to relay, the other one with its response.
+    provider.onEnd = [ends = 0]() mutable {
+        if (++ends == 2)
+            failInternally();
+    };
+    OrderedFleetFixture fixture(provider);
+    Connection caller = fixture.connect();
+    caller.send(get);
+    const std::string got = caller.readAll();
+    CHECK(got.starts_with("HTTP/1.1 200 "));
+    CHECK(got.find("HTTP/1.1 502 ") == std::string::npos);
+}
--- a/src/libnet/exchange.cpp
+++ b/src/libnet/exchange.cpp
@@ -603,7 +603,7 @@
     }
     addConnectionField(fields, { false, m_caller.request.versionMinor, m_outcome.keepAlive });
     m_streaming = true;
-    m_caller.responseStarted = true;
+    *m_caller.responseStarted = true;
     armIdleTimeout();
     if (m_caller.captureResponse)
         m_caller.stream.unwatchPeer();
--- a/src/libnet/exchange_pvt.h
+++ b/src/libnet/exchange_pvt.h
@@ -89,8 +89,9 @@
     bool removesAccountFields = false;
     /// Name of the caller's account, which instances get; may be empty.
     std::string account;
-    /// The first byte of a final response may have been sent to the caller.
-    bool responseStarted = false;
+    /// The first byte of a final response may have been sent to the caller. Shared by the attempts
+    /// of a request.
+    std::shared_ptr<bool> responseStarted = std::make_shared<bool>(false);
     /// Interim (1xx) responses of the instance are forwarded to the caller.
     bool forwardsInterim = true;
     /// The abort by a stop, once there is one.
--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -189,7 +189,7 @@
     m_context.watchdog.clear();
     m_stream.unwatchPeer();
     co_await endFailedAttempts();
-    if (m_context.responseStarted) {
+    if (*m_context.responseStarted) {
         logRequest(reasons::internalError, 0, RequestOutcome::Unknown);
         m_stream.reset();
         co_return false;
@@ -205,14 +205,26 @@
 asio::awaitable<void> FleetRequest::endFailedAttempts()
 {
     dropPlacement();
-    // An attempt that was not spawned has thrown.
-    std::erase_if(m_active, [](const auto& attempt) { return !attempt->spawned(); });
     for (const auto& attempt : m_active)
         attempt->abandon({ attempt->number(), TerminationCause::InternalError });
-    const auto hasEnded = [](const auto& attempt) { return attempt->outcome().has_value(); };
+    // An attempt that was not spawned has thrown.
+    const auto hasEnded = [](const auto& attempt) {
+        return !attempt->spawned() || attempt->outcome().has_value();
+    };
     while (!m_active.empty()) {
-        if (std::erase_if(m_active, hasEnded) == 0)
+        const auto ended = std::find_if(m_active.begin(), m_active.end(), hasEnded);
+        if (ended == m_active.end()) {
             co_await m_event->wait();
+            continue;
+        }
+        const auto attempt = *ended;
+        m_active.erase(ended);
+        // Otherwise its slot would count as taken for as long as this host runs.
+        try {
+            m_entry.placementProvider->end(attempt->dispatchId(), unsentReport());
+        } catch (const std::exception&) {
+            m_entry.metrics.countInternalError();
+        }
     }
 }
 
@@ -364,7 +376,7 @@
         PlacementRefusal::Busy, defaultRetryAfter };
 }
 
-/// The order is that of request_attempts.h.
+/// Ends of attempts come first: they may make another event void.
 bool FleetRequest::handleEvent()
 {
     const auto ended = std::find_if(m_active.begin(), m_active.end(),
@@ -679,7 +691,7 @@
         m_context.watchdog.watch(m_entry.options.bodyIdleTimeout, [this] { m_stream.reset(); });
     };
     arm();
-    m_context.responseStarted = true;
+    *m_context.responseStarted = true;
     auto sent = co_await m_stream.write(std::move(bytes), arm);
     m_context.watchdog.clear();
     co_return sent;
--- a/src/libnet/fleet_request_attempt.cpp
+++ b/src/libnet/fleet_request_attempt.cpp
@@ -18,6 +18,7 @@
     context.forwardsInterim = false;
     context.removesAccountFields = first.removesAccountFields;
     context.account = first.account;
+    context.responseStarted = first.responseStarted;
     context.cut = first.cut;
 }
 
@@ -50,7 +51,22 @@
     m_context.awaitRelayGrant = [this](unsigned status) { return awaitRelayGrant(status); };
     asio::co_spawn(
         m_context.stream.socket().get_executor(),
-        [self = shared_from_this()] { return self->run(); }, asio::detached);
+        [self = shared_from_this()] { return self->run(); },
+        [self = shared_from_this()](const std::exception_ptr& error) {
+            if (error)
+                self->fail();
+        });
+}
+
+void FleetAttempt::fail()
+{
+    m_context.entry.metrics.countInternalError();
+    m_exchange.abandon({ m_number, TerminationCause::InternalError });
+    m_outcome.emplace();
+    m_outcome->end = AttemptEnd::NoResponse;
+    m_outcome->mayHaveRun = true;
+    m_context.awaitRelayGrant = nullptr;
+    m_changed->set();
 }
 
 void FleetAttempt::abandon(const TerminationStep& step)
--- a/src/libnet/fleet_request_attempt_pvt.h
+++ b/src/libnet/fleet_request_attempt_pvt.h
@@ -55,6 +55,8 @@
     enum class RelayState { Pending, Granted, Denied };
 
     asio::awaitable<bool> awaitRelayGrant(unsigned status);
+    /// Ends an attempt whose coroutine threw, so that its request does not wait for it.
+    void fail();
 
     const unsigned m_number;
     const DispatchId m_dispatchId;
--- a/src/libnet/session.cpp
+++ b/src/libnet/session.cpp
@@ -73,6 +73,8 @@
         co_await reject(head.error());
         co_return false;
     }
+    // The limit may have passed in the turn in which the head arrived.
+    m_slowHead = false;
     const InFlightGuard inFlight(*m_entry);
     const bool kept = co_await serve(std::move(*head));
     co_return kept;
--- a/src/libstate/log_founding.cpp
+++ b/src/libstate/log_founding.cpp
@@ -29,9 +29,8 @@
     return std::find(hosts.begin(), hosts.end(), host) != hosts.end();
 }
 
-/// Any two sets of this many listed hosts share a host, and so does such a set with a majority of
-/// another one. So a membership that has committed an entry leaves too few empty logs for a second
-/// founder. A listed host that lost its disk may vote again with Admission::Listed, so all are
+/// Majorities of any two sets of this many listed hosts share a host. So of two founding memberships
+/// only one can commit an entry, and it leaves too few empty logs for a later founder. A listed host that lost its disk may vote again with Admission::Listed, so all are
 /// needed there.
 std::size_t ReplicatedLog::Impl::foundingQuorum() const
 {
@@ -39,7 +38,7 @@
     if (options.admission == Admission::Listed)
         return listed;
     std::size_t founders = 1;
-    while (founders + founders / 2 + 1 <= listed)
+    while (2 * (founders / 2 + 1) <= listed)
         ++founders;
     return founders;
 }
