--- a/src/libnet/entry_termination_test.cpp
+++ b/src/libnet/entry_termination_test.cpp
@@ -1,6 +1,7 @@
 // Who may end an attempt at which an instance is at work: the causes, their counters and log lines.
 
 #include <algorithm>
+#include <atomic>
 #include <thread>
 
 #include <catch2/catch.hpp>
@@ -349,3 +350,38 @@
     CHECK(counter(fixture, "laburnum_attempt_terminations_refused_total", cause) == "1");
     CHECK(terminatedInAll(fixture) == 0);
 }
+
+// Guards against a key, a leader or a configuration that is asked again for a request at work.
+TEST_CASE(
+    "termination: a request at work outlives its account key, its configuration and all places")
+{
+    const auto refusal = GENERATE(PlanRefusal::KeyUnknown, PlanRefusal::KeyUnconfirmed,
+        PlanRefusal::NoRoute, PlanRefusal::NoConfiguration);
+    std::atomic<bool> withdrawn { false };
+    Signal received;
+    ScriptedUpstream upstream([&](Connection& connection, int) {
+        connection.readHead();
+        received.set();
+        // Longer than the hedge delay, so that a place for a hedge is refused meanwhile.
+        std::this_thread::sleep_for(1300ms);
+        connection.send(okResponse);
+        connection.readAll();
+    });
+    OrderedPlacementProvider provider;
+    provider.route.objective = 1s;
+    provider.planRequest = [&](const PlanQuery&) -> tl::expected<RequestPlan, PlanRefusal> {
+        if (withdrawn)
+            return tl::unexpected<PlanRefusal>(refusal);
+        return provider.route;
+    };
+    provider.instances = { upstream.endpoint() };
+    OrderedFleetFixture fixture(provider);
+    Connection caller = fixture.connect();
+    caller.send(get);
+    REQUIRE(received.wait());
+    withdrawn = true;
+    CHECK_FALSE(fixture.exchange(get).starts_with("HTTP/1.1 200 "));
+    CHECK(caller.readMessage().ends_with("ok"));
+    CHECK(logged(provider, { "hedge", "refused" }));
+    CHECK(terminatedInAll(fixture) == 0);
+}
