Configurations: the number 0 is a number as any other, none is a value of its own

Null in decisions, and no metric, where there is none.

Evidence (x86_64): `a configuration with the smallest or the largest number is in force as any other` and `an entry host follows from the smallest to the largest number` failed for 0 on the code before and pass. The whole programs of libhub, libnet, libtrace, laburnumd_core and platform pass; e2e.requests_at_work and e2e.second_signal begin with configuration 0 now, and pass. key_revocation_test.cpp asks for "no configuration" in its new form, nothing else in it changed.

--- a/src/include/laburnumroute/controller_client.h
+++ b/src/include/laburnumroute/controller_client.h
@@ -174,7 +174,8 @@
         TimePoint now, ControllerClientActions& actions);
     void onConfig(LinkId link, std::string_view frame, ControllerClientActions& actions);
     void onInstances(LinkId link, std::string_view frame, ControllerClientActions& actions);
-    void requestUpdates(LinkId link, std::uint64_t configNumber, ControllerClientActions& actions);
+    void requestUpdates(
+        LinkId link, const ConfigNumber& configNumber, ControllerClientActions& actions);
     /// The connection to the host that was named the leader failed.
     void onLeaderUnreachable(ControllerClientActions& actions);
     /// Asks the connected control hosts for updates, although they do not lead.
@@ -224,7 +225,7 @@
     bool m_leaderSuspected = false;
     NumberedConfig m_config;
     /// Highest number of a configuration that a control host sent, even if it could not be applied.
-    std::uint64_t m_announcedConfig = 0;
+    ConfigNumber m_announcedConfig;
     KeyConfirmation m_keys;
     /// Log index of the cached instances, reported in the HelloFrame.
     LogIndex m_instancesIndex;
--- a/src/include/laburnumroute/fleet_state.h
+++ b/src/include/laburnumroute/fleet_state.h
@@ -11,15 +11,22 @@
 #include <string_view>
 #include <vector>
 
+#include <laburnumroute/decision.h>
 #include <laburnumroute/instance.h>
 #include <laburnumroute/replicated_log.h>
 
 namespace laburnum {
 
-/// A configuration with the number that its author gave it. The highest number is in force; 0 means
-/// no configuration.
+/// The number that its author gave a configuration, 0 included; empty without a configuration,
+/// which orders before all numbers.
+using ConfigNumber = std::optional<std::uint64_t>;
+
+/// The number as a fact of a decision; null without a configuration.
+Json::Value configNumberFact(const ConfigNumber& number);
+
+/// A configuration with its number. The highest number is in force.
 struct NumberedConfig {
-    std::uint64_t number = 0;
+    ConfigNumber number;
     std::string content;
 };
 
@@ -67,7 +74,7 @@
 
     const NumberedConfig& config() const noexcept { return m_config; }
     /// The earlier configuration with `number`, or null when it is no longer kept.
-    const NumberedConfig* earlierConfig(std::uint64_t number) const;
+    const NumberedConfig* earlierConfig(const ConfigNumber& number) const;
     const std::map<InstanceId, InstanceRecord>& instances() const noexcept { return m_instances; }
     /// Log index of the last change to the instances.
     LogIndex instancesIndex() const noexcept { return m_instancesIndex; }
--- a/src/include/laburnumroute/placement_provider.h
+++ b/src/include/laburnumroute/placement_provider.h
@@ -26,8 +26,8 @@
     Duration objective {};
     std::uint32_t priority = 0;
     std::uint32_t attempts = 1;
-    /// Number of the configuration that the route belongs to.
-    std::uint64_t configNumber = 0;
+    /// Number of the configuration that the route belongs to; empty without one.
+    std::optional<std::uint64_t> configNumber;
     /// Empty when the request needs no account.
     ClientAccountId account;
     /// Identifies the account key in logs; empty without an account.
@@ -96,8 +96,8 @@
     /// keys; stopWaiting() with the returned id cancels.
     virtual std::uint64_t awaitConfiguration(std::function<void()> ready) = 0;
     virtual void stopWaiting(std::uint64_t waiter) = 0;
-    /// Number of the configuration in force; 0 if there is none.
-    virtual std::uint64_t configNumber() const { return 0; }
+    /// Number of the configuration in force, if there is one.
+    virtual std::optional<std::uint64_t> configNumber() const { return std::nullopt; }
     /// Limits on what callers may send, from the configuration in force.
     virtual CallerLimits limits() const = 0;
 };
--- a/src/laburnumd/control_node.cpp
+++ b/src/laburnumd/control_node.cpp
@@ -319,7 +319,7 @@
         /// Also true before the first configuration, because instances may register before it.
         bool isDeclared(const ServiceId& service)
         {
-            if (!m_controller || m_controller->state().config().number == 0)
+            if (!m_controller || !m_controller->state().config().number)
                 return true;
             const NumberedConfig& config = m_controller->state().config();
             if (m_servicesConfigNumber != config.number) {
@@ -359,10 +359,10 @@
                 decision.facts["instance"] = depart->deregistration.id.value();
             } else if (const auto* put = std::get_if<PutConfigCall>(&call)) {
                 decision.facts["call"] = "put-config";
-                decision.facts["number"] = Json::UInt64(put->config.number);
+                decision.facts["number"] = configNumberFact(put->config.number);
             } else {
                 decision.facts["call"] = "get-config";
-                decision.facts["number"] = Json::UInt64(result.config.number);
+                decision.facts["number"] = configNumberFact(result.config.number);
             }
             m_log->record(decision);
         }
@@ -430,7 +430,8 @@
             add("laburnum_term", m_controller->log().term().value());
             add("laburnum_commit_index", m_controller->log().commitIndex().value());
             add("laburnum_voters", m_controller->log().membership().voterCount());
-            add("laburnum_config_number", m_controller->state().config().number);
+            if (const auto number = m_controller->state().config().number)
+                add("laburnum_config_number", *number);
             add("laburnum_instances", m_controller->state().instances().size());
             add("laburnum_subscribers", m_controller->subscriberCount());
             add("laburnum_places_granted", m_controller->scheduler().granted());
@@ -471,7 +472,7 @@
         std::map<HostId, PeerConnection> m_peers;
         std::map<CallId, PendingCall> m_pendingCalls;
         CallId m_lastCall { randomSeed() >> 1U };
-        std::uint64_t m_servicesConfigNumber = 0;
+        ConfigNumber m_servicesConfigNumber;
         std::set<ServiceId> m_services;
     };
 
--- a/src/laburnumd/entry_node.cpp
+++ b/src/laburnumd/entry_node.cpp
@@ -296,7 +296,8 @@
             const auto add = [&](const char* name, double value) {
                 addGauge(text, name, std::to_string(value));
             };
-            add("laburnum_config_number", static_cast<double>(m_client.config().number));
+            if (const auto number = m_client.config().number)
+                addGauge(text, "laburnum_config_number", std::to_string(*number));
             add("laburnum_keys_confirmed", m_client.keys().isTrusted(m_clock.now()) ? 1.0 : 0.0);
             add("laburnum_instances_known",
                 static_cast<double>(m_client.localScheduler().instances().size()));
--- a/src/laburnumd/fleet_placement_provider.cpp
+++ b/src/laburnumd/fleet_placement_provider.cpp
@@ -20,8 +20,8 @@
     Findings findings;
     const Configuration configuration = m_adapter.parseConfiguration(config.content, findings);
     Decision decision { "config", findings.hasErrors() ? "unreadable" : "in-force" };
-    decision.facts["number"] = Json::UInt64(config.number);
-    decision.facts["before"] = Json::UInt64(m_configNumber);
+    decision.facts["number"] = configNumberFact(config.number);
+    decision.facts["before"] = configNumberFact(m_configNumber);
     decision.facts["routes"] = Json::UInt64(configuration.routes.size());
     decision.facts["accounts"] = Json::UInt64(configuration.accounts.size());
     m_log.record(decision);
@@ -94,7 +94,7 @@
 
 tl::expected<RequestPlan, PlanRefusal> FleetPlacementProvider::plan(const PlanQuery& query)
 {
-    if (m_configNumber == 0)
+    if (!m_configNumber)
         return tl::unexpected<PlanRefusal>(PlanRefusal::NoConfiguration);
     const RouteSpec* route = m_routes.find(query.method, query.host, query.target);
     if (route == nullptr)
--- a/src/laburnumd/fleet_placement_provider.h
+++ b/src/laburnumd/fleet_placement_provider.h
@@ -33,10 +33,10 @@
     void end(DispatchId dispatch, const PlacementReport& report) override;
     std::uint64_t awaitConfiguration(std::function<void()> ready) override;
     void stopWaiting(std::uint64_t waiter) override { m_configWaiters.erase(waiter); }
-    std::uint64_t configNumber() const override { return m_configNumber; }
+    std::optional<std::uint64_t> configNumber() const override { return m_configNumber; }
     CallerLimits limits() const override { return m_limits; }
 
-    bool hasConfiguration() const noexcept { return m_configNumber != 0; }
+    bool hasConfiguration() const noexcept { return m_configNumber.has_value(); }
 
 private:
     void applyConfiguration(ControllerClientActions& actions);
@@ -54,8 +54,8 @@
     RouteTable m_routes;
     AccountDirectory m_accounts;
     CallerLimits m_limits;
-    /// Number of the active configuration; 0 before the first.
-    std::uint64_t m_configNumber = 0;
+    /// Number of the active configuration; empty before the first.
+    ConfigNumber m_configNumber;
     std::map<ServiceId, Duration> m_serviceDeadlines;
     std::map<std::string, WeightedSplitter> m_splitters;
     std::map<DispatchId, Done> m_pendingDispatches;
--- a/src/laburnumd/fleet_placement_provider_test.cpp
+++ b/src/laburnumd/fleet_placement_provider_test.cpp
@@ -41,9 +41,11 @@
 /// The provider of an entry host in a simulated fleet.
 class ProviderFixture {
 public:
-    ProviderFixture()
+    /// Configurations get numbers from `firstNumber` on.
+    explicit ProviderFixture(std::uint64_t firstNumber = 1)
         : fleet({ .entries = 1, .keyValidity = seconds(5) })
         , m_clock(fleet)
+        , m_nextNumber(firstNumber)
     {
         REQUIRE(fleet.runUntil(seconds(10), [this] { return fleet.leader().has_value(); }));
     }
@@ -59,10 +61,9 @@
 
     void put(const std::string& content)
     {
-        ++m_number;
-        REQUIRE(fleet.callAnywhere(PutConfigCall { { m_number, content } }));
-        REQUIRE(
-            fleet.runUntil(seconds(5), [this] { return client().config().number == m_number; }));
+        const std::uint64_t number = m_nextNumber++;
+        REQUIRE(fleet.callAnywhere(PutConfigCall { { number, content } }));
+        REQUIRE(fleet.runUntil(seconds(5), [&] { return client().config().number == number; }));
         if (!m_provider)
             m_provider.emplace(
                 client(), m_clock, m_adapter, m_log, 1, [](ControllerClientActions&) {});
@@ -91,6 +92,9 @@
             fleet.cut(ControllerFleet::entry(1), ControllerFleet::control(i), isCut);
     }
 
+    bool hasConfiguration() const { return m_provider && m_provider->hasConfiguration(); }
+    std::optional<std::uint64_t> configNumber() const { return m_provider->configNumber(); }
+
     ControllerClient& client() { return fleet.client(ControllerFleet::entry(1)); }
 
     ControllerFleet fleet;
@@ -100,7 +104,7 @@
     TomlAdapter m_adapter;
     NullDecisionLog m_log;
     std::optional<FleetPlacementProvider> m_provider;
-    std::uint64_t m_number = 0;
+    std::uint64_t m_nextNumber;
 };
 
 } // namespace
@@ -169,3 +173,19 @@
     REQUIRE(fixture.refusal("/", { "k1" }) == PlanRefusal::KeyUnconfirmed);
     REQUIRE(fixture.plan("/open/x", {}));
 }
+
+// Guards against a first configuration with the number 0 by which no request is served.
+TEST_CASE("placement provider: the smallest and the largest number are configurations as any other")
+{
+    const std::uint64_t number = GENERATE(std::uint64_t { 0 }, UINT64_MAX);
+    ProviderFixture fixture(number);
+    fixture.configure("[[account]]\nname = \"a\"\nkeys = [\"k1\"]\n");
+    REQUIRE(fixture.hasConfiguration());
+    REQUIRE(fixture.configNumber() == number);
+    const auto plan = fixture.plan("/", { "k1" });
+    REQUIRE(plan);
+    REQUIRE(plan->configNumber == number);
+    REQUIRE(plan->account == ClientAccountId("a"));
+    REQUIRE(fixture.refusal("/", { "k2" }) == PlanRefusal::KeyUnknown);
+    REQUIRE(fixture.plan("/open/x", {}));
+}
--- a/src/libhub/cap_coordinator_pvt.h
+++ b/src/libhub/cap_coordinator_pvt.h
@@ -40,7 +40,7 @@
 private:
     UsageCaps& m_caps;
     AccountsOfConfig m_accountsOf;
-    std::uint64_t m_configNumber = 0;
+    ConfigNumber m_configNumber;
     /// Latest time at which the lease was seen to be held. After a pause of the process, the lease
     /// ended long before that is noticed.
     TimePoint m_leaseHeldAt {};
--- a/src/libhub/controller.cpp
+++ b/src/libhub/controller.cpp
@@ -79,7 +79,7 @@
             frame.isStated = deregister->deregistration.isStated;
         } else if (const auto* put = std::get_if<PutConfigCall>(&call)) {
             frame.kind = static_cast<std::uint8_t>(CallKind::PutConfig);
-            frame.number = put->config.number;
+            frame.number = put->config.number.value();
             frame.content = put->config.content;
         } else {
             frame.kind = static_cast<std::uint8_t>(CallKind::GetConfig);
@@ -236,7 +236,7 @@
         HelloFrame hello;
         /// Versions that the host held according to its latest statement, or was sent since. The
         /// host states them again (VersionsFrame) if they are wrong.
-        std::uint64_t configNumber = 0;
+        ConfigNumber configNumber;
         LogIndex instancesIndex;
         bool hasInstances = false;
         bool isSubscribed = false;
@@ -396,7 +396,7 @@
         Decision decision { kind, reason };
         decision.facts["term"] = Json::UInt64(log->term().value());
         decision.facts["commit"] = Json::UInt64(log->commitIndex().value());
-        decision.facts["config"] = Json::UInt64(state.config().number);
+        decision.facts["config"] = configNumberFact(state.config().number);
         decision.facts["voters"] = Json::UInt64(log->membership().voterCount());
         actions.decisions.push_back(std::move(decision));
     }
@@ -433,7 +433,8 @@
     void onHello(LinkId link, const HelloFrame& hello, TimePoint now, ControllerActions& actions)
     {
         Session& session = m_sessions[link];
-        session = { hello, hello.configNumber, LogIndex(hello.instancesIndex), hello.hasInstances };
+        session = { hello, configNumberOf(hello.configNumber, hello.hasConfig),
+            LogIndex(hello.instancesIndex), hello.hasInstances };
         session.sentLeader = "?";
         session.since = now;
         if (m_isLeader)
@@ -460,7 +461,7 @@
         if (found == m_sessions.end())
             return;
         Session& session = found->second;
-        session.configNumber = versions.configNumber;
+        session.configNumber = configNumberOf(versions.configNumber, versions.hasConfig);
         session.instancesIndex = LogIndex(versions.instancesIndex);
         session.hasInstances = versions.hasInstances;
         session.isFollowing = !m_isLeader;
@@ -565,7 +566,7 @@
     /// which are encoded once.
     void update(LinkId link, Session& session, ControllerActions& actions)
     {
-        const std::uint64_t number = state.config().number;
+        const ConfigNumber number = state.config().number;
         if (number > session.configNumber) {
             actions.frames.emplace_back(link, m_updates.configFrame(session.configNumber));
             session.configNumber = number;
@@ -816,8 +817,9 @@
     {
         if (origin.host != options.host) {
             actions.peerFrames.emplace_back(origin.host,
-                pack(CallResultFrame { origin.call.value(), result.done, result.config.number,
-                    result.config.content }));
+                pack(CallResultFrame { origin.call.value(), result.done,
+                    result.config.number.value_or(0), result.config.content,
+                    result.config.number.has_value() }));
             return;
         }
         if (m_calls.erase(origin.call) != 0)
@@ -827,8 +829,9 @@
     void onResult(const CallResultFrame& frame, ControllerActions& actions)
     {
         if (m_calls.erase(CallId(frame.call)) != 0)
-            actions.results.emplace_back(
-                CallId(frame.call), CallResult { frame.done, { frame.number, frame.content } });
+            actions.results.emplace_back(CallId(frame.call),
+                CallResult {
+                    frame.done, { configNumberOf(frame.number, frame.hasConfig), frame.content } });
     }
 
     LogIndex m_lastSeenApplied;
--- a/src/libhub/controller_client.cpp
+++ b/src/libhub/controller_client.cpp
@@ -158,9 +158,10 @@
 std::string ControllerClient::hello(TimePoint now) const
 {
     HelloFrame frame { m_location.host.value(), m_location.dataCentre.value(),
-        m_location.region.value(), m_config.number, m_instancesIndex.value(), m_hasInstances, {},
-        m_neighbour ? formatEndpoint(*m_neighbour) : "",
-        usageRows(m_localCaps, now - LocalUsageCaps::window, lastAuthority(), now) };
+        m_location.region.value(), m_config.number.value_or(0), m_instancesIndex.value(),
+        m_hasInstances, {}, m_neighbour ? formatEndpoint(*m_neighbour) : "",
+        usageRows(m_localCaps, now - LocalUsageCaps::window, lastAuthority(), now),
+        m_config.number.has_value() };
     for (const auto& [dispatch, placement] : m_placements)
         frame.activePlacements.push_back(
             { dispatch.value(), placement.instance.value(), placement.service.value(),
@@ -198,7 +199,7 @@
         return;
     Decision decision { "leader", "unreachable" };
     decision.facts["leader"] = m_namedLeader ? m_namedLeader->value() : "";
-    decision.facts["config"] = Json::UInt64(m_config.number);
+    decision.facts["config"] = configNumberFact(m_config.number);
     actions.decisions.push_back(std::move(decision));
     followControlHosts(actions);
 }
@@ -210,7 +211,8 @@
     for (auto& [id, link] : m_links) {
         if (link.isFollower && !std::exchange(link.isFollowed, true))
             actions.frames.emplace_back(id,
-                pack(VersionsFrame { m_config.number, m_instancesIndex.value(), m_hasInstances }));
+                pack(VersionsFrame { m_config.number.value_or(0), m_instancesIndex.value(),
+                    m_hasInstances, m_config.number.has_value() }));
     }
 }
 
@@ -328,18 +330,19 @@
 /// Asks the control host at `link` for the updates from the given versions on, once until a
 /// configuration or instances from it apply.
 void ControllerClient::requestUpdates(
-    LinkId link, std::uint64_t configNumber, ControllerClientActions& actions)
+    LinkId link, const ConfigNumber& configNumber, ControllerClientActions& actions)
 {
     Link& sender = m_links.at(link);
     if (std::exchange(sender.updatesRequested, true))
         return;
     Decision decision { "updates", "requested" };
     decision.facts["host"] = sender.host.value();
-    decision.facts["config"] = Json::UInt64(configNumber);
+    decision.facts["config"] = configNumberFact(configNumber);
     decision.facts["instances"] = Json::UInt64(m_instancesIndex.value());
     actions.decisions.push_back(std::move(decision));
-    actions.frames.emplace_back(
-        link, pack(VersionsFrame { configNumber, m_instancesIndex.value(), m_hasInstances }));
+    actions.frames.emplace_back(link,
+        pack(VersionsFrame { configNumber.value_or(0), m_instancesIndex.value(), m_hasInstances,
+            configNumber.has_value() }));
 }
 
 void ControllerClient::onConfig(
@@ -348,20 +351,20 @@
     const auto frame = unpack<ConfigFrame>(bytes);
     if (!frame || frame->number <= m_config.number)
         return;
-    m_announcedConfig = std::max(m_announcedConfig, frame->number);
+    m_announcedConfig = std::max(m_announcedConfig, ConfigNumber(frame->number));
     // The sender's knowledge of this host dates from the HelloFrame on its link. Another leader may
     // have sent newer configurations since.
-    if (frame->base != 0 && frame->base != m_config.number)
+    const ConfigNumber base = configNumberOf(frame->base, frame->hasBase);
+    if (base && base != m_config.number)
         return requestUpdates(link, m_config.number, actions);
-    auto content
-        = decodeDelta(frame->delta, frame->base != 0 ? m_config.content : "", maxConfigBytes);
+    auto content = decodeDelta(frame->delta, base ? m_config.content : "", maxConfigBytes);
     if (!content) {
         Decision decision { "config", "unreadable" };
         decision.facts["number"] = Json::UInt64(frame->number);
-        decision.facts["base"] = Json::UInt64(frame->base);
+        decision.facts["base"] = configNumberFact(base);
         actions.decisions.push_back(std::move(decision));
-        if (frame->base != 0)
-            requestUpdates(link, 0, actions);
+        if (base)
+            requestUpdates(link, std::nullopt, actions);
         return;
     }
     m_links.at(link).updatesRequested = false;
@@ -475,7 +478,7 @@
     Decision decision { "accounts", confirmed ? "confirmed" : "unconfirmed" };
     decision.facts["request_ms_ago"]
         = Json::Int64(toMillis(now - m_keys.confirmedAt().value_or(now)));
-    decision.facts["config"] = Json::UInt64(m_config.number);
+    decision.facts["config"] = configNumberFact(m_config.number);
     decision.facts["connected"] = m_leader.has_value();
     actions.decisions.push_back(std::move(decision));
 }
--- a/src/libhub/controller_losses_test.cpp
+++ b/src/libhub/controller_losses_test.cpp
@@ -265,7 +265,7 @@
         for (const std::size_t index : m_reads) {
             const auto& result = m_fleet.record(index).result;
             if (result && result->done && result->config.number < m_acknowledged)
-                FAIL("read " << result->config.number << " after " << m_acknowledged);
+                FAIL("read " << result->config.number.value_or(0) << " after " << m_acknowledged);
         }
         std::erase_if(
             m_reads, [&](std::size_t index) { return m_fleet.record(index).result.has_value(); });
@@ -277,9 +277,9 @@
             if (!m_fleet.isUp(e(i)))
                 continue;
             const ControllerClient& client = m_fleet.client(e(i));
-            const std::uint64_t number = client.config().number;
-            if (number != 0 && number < m_acknowledged)
-                FAIL("entry host " << i << " obeys " << number << " after " << m_acknowledged);
+            const ConfigNumber number = client.config().number;
+            if (number && number < m_acknowledged)
+                FAIL("entry host " << i << " obeys " << *number << " after " << m_acknowledged);
             const auto& instances = client.localScheduler().instances();
             if (instances.contains(InstanceId("ended")))
                 FAIL("entry host " << i << " knows the deregistered instance");
@@ -341,7 +341,8 @@
             const CallResult& result = *m_fleet.record(index).result;
             REQUIRE(result.done);
             CHECK((result.config.number == m_acknowledged || result.config.number == m_number));
-            CHECK(result.config.content.starts_with("k2 " + std::to_string(result.config.number)));
+            CHECK(result.config.content.starts_with(
+                "k2 " + std::to_string(result.config.number.value())));
             for (unsigned j = 1; j <= entries; ++j)
                 CHECK(m_fleet.client(e(j)).config().number == result.config.number);
         }
--- a/src/libhub/controller_messages_pvt.h
+++ b/src/libhub/controller_messages_pvt.h
@@ -6,12 +6,20 @@
 #include <utility>
 #include <vector>
 
+#include <laburnumroute/fleet_state.h>
 #include <laburnumroute/placement_types.h>
 
 #include "codec_pvt.h"
 
 namespace laburnum::pvt {
 
+/// The number of a configuration in a frame. `isPresent` tells 0 from none; a frame of an earlier
+/// version of the program has no such field and none of its configurations has the number 0.
+inline ConfigNumber configNumberOf(std::uint64_t number, bool isPresent)
+{
+    return number != 0 || isPresent ? ConfigNumber(number) : std::nullopt;
+}
+
 // From entry hosts to control hosts.
 
 struct ActivePlacementRow {
@@ -54,8 +62,9 @@
     std::string neighbour;
     /// Requests placed alone in the last UsageCaps::window.
     LocalUsageRows usage;
+    bool hasConfig = false;
     MSGPACK_DEFINE(host, dataCentre, region, configNumber, instancesIndex, hasInstances,
-        activePlacements, neighbour, usage)
+        activePlacements, neighbour, usage, hasConfig)
 };
 
 struct PlacementRequestFrame {
@@ -106,11 +115,12 @@
 /// then sends the updates from these versions on.
 struct VersionsFrame {
     static constexpr std::uint8_t type = 21;
-    /// 0 requests the whole configuration.
+    /// None requests the whole configuration.
     std::uint64_t configNumber = 0;
     std::uint64_t instancesIndex = 0;
     bool hasInstances = false;
-    MSGPACK_DEFINE(configNumber, instancesIndex, hasInstances)
+    bool hasConfig = false;
+    MSGPACK_DEFINE(configNumber, instancesIndex, hasInstances, hasConfig)
 };
 
 /// Asks the leader to confirm that all configurations it has accepted were sent to this entry host.
@@ -164,10 +174,11 @@
 struct ConfigFrame {
     static constexpr std::uint8_t type = 34;
     std::uint64_t number = 0;
-    /// Number of the configuration that `delta` refers to (text_delta_pvt.h); 0 for none.
+    /// Number of the configuration that `delta` refers to (text_delta_pvt.h).
     std::uint64_t base = 0;
     std::string delta;
-    MSGPACK_DEFINE(number, base, delta)
+    bool hasBase = false;
+    MSGPACK_DEFINE(number, base, delta, hasBase)
 };
 
 struct InstancesFrame {
@@ -271,7 +282,8 @@
     bool done = false;
     std::uint64_t number = 0;
     std::string content;
-    MSGPACK_DEFINE(call, done, number, content)
+    bool hasConfig = false;
+    MSGPACK_DEFINE(call, done, number, content, hasConfig)
 };
 
 /// 49.7 days at most; longer times are sent as that.
--- a/src/libhub/controller_ranges_test.cpp
+++ b/src/libhub/controller_ranges_test.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::uint32_t maxUint32 = std::numeric_limits<std::uint32_t>::max();
+constexpr std::uint64_t maxNumber = std::numeric_limits<std::uint64_t>::max();
+constexpr unsigned controls = 5;
 constexpr std::uint32_t maxRate = 1'000'000'000;
 constexpr Duration year = std::chrono::hours(24 * 365);
 
@@ -34,6 +36,22 @@
         { ClientAccountId("largest"), {}, maxUint32, maxRate, maxRate } };
 }
 
+/// Whether all control hosts read back, and the entry host holds, configuration `number` with
+/// `content`.
+bool isInForce(ControllerFleet& fleet, std::uint64_t number, const std::string& content)
+{
+    for (unsigned i = 1; i <= controls; ++i) {
+        const std::size_t index = fleet.call(ControllerFleet::control(i), GetConfigCall {});
+        fleet.runUntil(1s, [&] { return fleet.record(index).result.has_value(); });
+        const auto& result = fleet.record(index).result;
+        if (!result || !result->done || result->config.number != number
+            || result->config.content != content)
+            return false;
+    }
+    return fleet.client(entryHost).config().number == number
+        && fleet.client(entryHost).config().content == content;
+}
+
 /// One service with two slots.
 struct RangeFleet {
     RangeFleet()
@@ -138,3 +156,77 @@
         REQUIRE(ranges.fleet.controller(*ranges.fleet.leader())->state().config().number == 1);
     }
 }
+
+// Guards against a first configuration with the number 0 that is acknowledged and not in force, and
+// against the same at the other end.
+TEST_CASE("a configuration with the smallest or the largest number is in force as any other")
+{
+    const std::uint64_t number = GENERATE(std::uint64_t { 0 }, maxNumber);
+    CAPTURE(number);
+    ControllerFleet fleet({ .controls = controls, .entries = 1, .keyValidity = 5s });
+    REQUIRE(fleet.runUntil(5s, [&] {
+        return fleet.leader()
+            && fleet.controller(*fleet.leader())->log().membership().voterCount() == controls;
+    }));
+    const std::size_t before = fleet.call(*fleet.leader(), GetConfigCall {});
+    REQUIRE(fleet.runUntil(1s, [&] { return fleet.record(before).result.has_value(); }));
+    REQUIRE(fleet.record(before).result->done);
+    CHECK_FALSE(fleet.record(before).result->config.number);
+
+    const auto isHeld = [&] { return isInForce(fleet, number, "first"); };
+    REQUIRE(fleet.callAnywhere(PutConfigCall { { number, "first" } }));
+    REQUIRE(fleet.runUntil(2500ms, isHeld));
+    // Sent again, with the same and with other content.
+    REQUIRE(fleet.callAnywhere(PutConfigCall { { number, "first" } }));
+    REQUIRE(fleet.callAnywhere(PutConfigCall { { number, "other" } }));
+    fleet.run(1s);
+    REQUIRE(isHeld());
+    CHECK(fleet.client(entryHost).keys().isTrusted(fleet.now()));
+
+    // At the next leader, which meets an entry host that holds it, and one that holds none.
+    const HostId old = *fleet.leader();
+    fleet.kill(old);
+    REQUIRE(fleet.runUntil(5s, [&] { return fleet.leader() && *fleet.leader() != old; }));
+    fleet.startControl(old);
+    REQUIRE(fleet.runUntil(5s, isHeld));
+    fleet.kill(entryHost);
+    fleet.run(100ms);
+    fleet.startEntry(entryHost);
+    REQUIRE(fleet.runUntil(5s, isHeld));
+    // A host with an empty disk gets a snapshot; then all restart.
+    fleet.wipe(old);
+    fleet.startControl(old);
+    fleet.run(5s);
+    for (unsigned i = 1; i <= controls; ++i)
+        fleet.kill(ControllerFleet::control(i));
+    fleet.run(1s);
+    for (unsigned i = 1; i <= controls; ++i)
+        fleet.startControl(ControllerFleet::control(i));
+    REQUIRE(fleet.runUntil(10s, isHeld));
+
+    if (number == 0) {
+        REQUIRE(fleet.callAnywhere(PutConfigCall { { 1, "first and more" } }));
+        REQUIRE(fleet.runUntil(2500ms, [&] { return isInForce(fleet, 1, "first and more"); }));
+        REQUIRE(fleet.callAnywhere(PutConfigCall { { 0, "first" } }));
+        fleet.run(1s);
+        REQUIRE(isInForce(fleet, 1, "first and more"));
+    } else {
+        REQUIRE(fleet.callAnywhere(PutConfigCall { { number - 1, "earlier" } }));
+        fleet.run(1s);
+        REQUIRE(isHeld());
+    }
+}
+
+// Guards against a change from or to an end of the range that an entry host refuses.
+TEST_CASE("an entry host follows from the smallest to the largest number")
+{
+    ControllerFleet fleet({ .controls = controls, .entries = 1 });
+    REQUIRE(fleet.runUntil(5s, [&] { return fleet.leader().has_value(); }));
+    for (const std::uint64_t number :
+        { std::uint64_t { 0 }, std::uint64_t { 1 }, maxNumber - 1, maxNumber }) {
+        CAPTURE(number);
+        const std::string content = "content " + std::to_string(number);
+        REQUIRE(fleet.callAnywhere(PutConfigCall { { number, content } }));
+        REQUIRE(fleet.runUntil(2500ms, [&] { return isInForce(fleet, number, content); }));
+    }
+}
--- a/src/libhub/fleet_state.cpp
+++ b/src/libhub/fleet_state.cpp
@@ -49,14 +49,22 @@
         std::vector<pvt::InstanceRow> instances;
         std::vector<DeregistrationRow> deregistrations;
         std::uint64_t instancesIndex = 0;
-        MSGPACK_DEFINE(number, content, instances, deregistrations, instancesIndex)
+        /// Tells the number 0 from no configuration.
+        bool hasConfig = false;
+        MSGPACK_DEFINE(number, content, instances, deregistrations, instancesIndex, hasConfig)
     };
 
 } // namespace
 
+Json::Value configNumberFact(const ConfigNumber& number)
+{
+    return number ? Json::Value(Json::UInt64(*number)) : Json::Value();
+}
+
 std::string FleetState::encodePutConfig(const NumberedConfig& config)
 {
-    return pvt::pack(PutConfigCommand { config.number, pvt::deflateText(config.content, "") });
+    return pvt::pack(
+        PutConfigCommand { config.number.value(), pvt::deflateText(config.content, "") });
 }
 
 std::string FleetState::encodePutInstance(const InstanceRecord& record)
@@ -81,7 +89,8 @@
         auto content = pvt::inflateText(put->deflated, "", maxContentBytes);
         if (put->number <= m_config.number || !content)
             return;
-        m_earlierConfigs.push_back(std::move(m_config));
+        if (m_config.number)
+            m_earlierConfigs.push_back(std::move(m_config));
         if (m_earlierConfigs.size() > maxEarlierConfigs)
             m_earlierConfigs.pop_front();
         m_config = { put->number, std::move(*content) };
@@ -97,11 +106,11 @@
     }
 }
 
-const NumberedConfig* FleetState::earlierConfig(std::uint64_t number) const
+const NumberedConfig* FleetState::earlierConfig(const ConfigNumber& number) const
 {
     const auto found = std::find_if(m_earlierConfigs.begin(), m_earlierConfigs.end(),
         [&](const NumberedConfig& config) { return config.number == number; });
-    return found == m_earlierConfigs.end() || number == 0 ? nullptr : &*found;
+    return found == m_earlierConfigs.end() ? nullptr : &*found;
 }
 
 std::optional<std::set<InstanceId>> FleetState::changedSince(LogIndex index) const
@@ -254,7 +263,8 @@
 
 std::string FleetState::snapshot() const
 {
-    StateSnapshot image { m_config.number, m_config.content, {}, {}, m_instancesIndex.value() };
+    StateSnapshot image { m_config.number.value_or(0), m_config.content, {}, {},
+        m_instancesIndex.value(), m_config.number.has_value() };
     for (const auto& [id, record] : m_instances)
         image.instances.push_back(pvt::toRow(record));
     for (const InstanceId& id : m_deregistrationOrder) {
@@ -274,7 +284,9 @@
     const auto image = pvt::unpack<StateSnapshot>(bytes);
     if (!image)
         return fail(ErrorCode::Corrupt, "cannot decode the snapshot of the fleet state");
-    m_config = { image->number, image->content };
+    // Snapshots without `hasConfig` hold no configuration with the number 0.
+    if (image->hasConfig || image->number != 0)
+        m_config = { image->number, image->content };
     for (const auto& row : image->instances)
         storeRecord(pvt::fromRow(row));
     for (const auto& row : image->deregistrations) {
--- a/src/libhub/fleet_state_test.cpp
+++ b/src/libhub/fleet_state_test.cpp
@@ -184,3 +184,29 @@
         apply(FleetState::encodePutInstance(instanceRecord("c", "s", 82, i + 1)));
     REQUIRE_FALSE(state.changedSince(seen).has_value());
 }
+
+// Guards against a configuration with the number 0 that is taken for none.
+TEST_CASE("a snapshot tells the configuration number 0 from no configuration")
+{
+    FleetState empty;
+    REQUIRE(empty.restore(FleetState().snapshot()));
+    REQUIRE_FALSE(empty.config().number);
+    REQUIRE(empty.earlierConfig(std::nullopt) == nullptr);
+    constexpr std::uint64_t maxNumber = UINT64_MAX;
+    for (const std::uint64_t number : { std::uint64_t { 0 }, maxNumber }) {
+        FleetState state;
+        Applier apply(state);
+        apply(FleetState::encodePutConfig({ number, "first" }));
+        apply(FleetState::encodePutConfig({ number, "other" }));
+        FleetState copy;
+        REQUIRE(copy.restore(state.snapshot()));
+        REQUIRE(copy.config().number == number);
+        REQUIRE(copy.config().content == "first");
+    }
+    FleetState state;
+    Applier apply(state);
+    apply(FleetState::encodePutConfig({ 0, "zero" }));
+    apply(FleetState::encodePutConfig({ maxNumber, "largest" }));
+    REQUIRE(state.config().number == maxNumber);
+    REQUIRE(state.earlierConfig(0)->content == "zero");
+}
--- a/src/libhub/key_revocation_test.cpp
+++ b/src/libhub/key_revocation_test.cpp
@@ -97,7 +97,7 @@
     std::string admittedAs(const HostId& entry, const std::string& key)
     {
         const ControllerClient& client = fleet.client(entry);
-        if (client.config().number == 0 || !client.keys().isTrusted(fleet.now()))
+        if (!client.config().number || !client.keys().isTrusted(fleet.now()))
             return {};
         const std::string& content = client.config().content;
         const auto [directory, isNew] = m_directories.try_emplace(content);
@@ -111,7 +111,7 @@
     {
         for (unsigned i = 1; i <= entries; ++i) {
             const ControllerClient& client = fleet.client(ControllerFleet::entry(i));
-            if (client.config().number == 0 || !client.keys().isTrusted(fleet.now()))
+            if (!client.config().number || !client.keys().isTrusted(fleet.now()))
                 return false;
         }
         return true;
--- a/src/libhub/update_encoder.cpp
+++ b/src/libhub/update_encoder.cpp
@@ -7,16 +7,17 @@
 
 namespace laburnum::pvt {
 
-const std::string& UpdateEncoder::configFrame(std::uint64_t baseNumber)
+const std::string& UpdateEncoder::configFrame(const ConfigNumber& baseNumber)
 {
     const NumberedConfig& config = m_state.config();
     if (std::exchange(m_configNumber, config.number) != config.number)
         m_configFrames.clear();
     const NumberedConfig* base = m_state.earlierConfig(baseNumber);
-    std::string& bytes = m_configFrames[base != nullptr ? base->number : 0];
+    std::string& bytes = m_configFrames[base != nullptr ? base->number : std::nullopt];
     if (bytes.empty())
-        bytes = pack(ConfigFrame { config.number, base != nullptr ? base->number : 0,
-            encodeDelta(config.content, base != nullptr ? base->content : "") });
+        bytes = pack(ConfigFrame { config.number.value(),
+            base != nullptr ? base->number.value() : 0,
+            encodeDelta(config.content, base != nullptr ? base->content : ""), base != nullptr });
     return bytes;
 }
 
--- a/src/libhub/update_encoder_pvt.h
+++ b/src/libhub/update_encoder_pvt.h
@@ -21,7 +21,7 @@
 
     /// A ConfigFrame with the configuration, as a difference to number `baseNumber` where possible.
     /// Valid until the next call.
-    const std::string& configFrame(std::uint64_t baseNumber);
+    const std::string& configFrame(const ConfigNumber& baseNumber);
     /// An InstancesFrame with the changes to the instances after `known`, or with all instances.
     /// Valid until the next call.
     const std::string& instancesFrame(std::optional<LogIndex> known);
@@ -29,8 +29,8 @@
 private:
     const FleetState& m_state;
     /// By the version that the receiver has.
-    std::map<std::uint64_t, std::string> m_configFrames;
-    std::uint64_t m_configNumber = 0;
+    std::map<ConfigNumber, std::string> m_configFrames;
+    ConfigNumber m_configNumber;
     std::map<std::optional<LogIndex>, std::string> m_instanceFrames;
     LogIndex m_instancesIndex;
 };
--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -783,7 +783,8 @@
     decision.facts["service"] = m_plan.service.value();
     if (!m_plan.account.value().empty())
         decision.facts["account"] = m_plan.account.value();
-    decision.facts["config"] = Json::UInt64(m_plan.configNumber);
+    decision.facts["config"]
+        = m_plan.configNumber ? Json::Value(Json::UInt64(*m_plan.configNumber)) : Json::Value();
     decision.facts["instance"] = m_lastInstance.value();
     decision.facts["outcome"] = outcomeName(outcome);
     decision.facts["status"] = status;
--- a/src/libtrace/request_trace.cpp
+++ b/src/libtrace/request_trace.cpp
@@ -225,7 +225,7 @@
                 [&](const auto& each) { return reason == each.first; });
             setOutcome(trace, found == simpleCauses.end() ? OutcomeCause::Refused : found->second,
                 m_final->host + " refused it: " + reason + " (service '" + m_final->text("service")
-                    + "', configuration " + std::to_string(m_final->number("config")) + ")"
+                    + "', configuration " + m_final->facts["config"].asString() + ")"
                     + accountKeyText());
         }
 
--- a/testsuite/e2e/seeded_harness.py
+++ b/testsuite/e2e/seeded_harness.py
@@ -213,6 +213,12 @@
                        json.dumps(body).encode(), timeout=2.0)[0]
 
 
+def is_readable(host):
+    """Whether a control host reads a configuration back."""
+    url = f"http://{host.address}:{host.calls_port}{e2e_calls.GET_CONFIGURATION}"
+    return fleets.http("GET", url, timeout=2.0)[0] == 200
+
+
 def put_configuration(controls, number, accounts=None):
     """Has a configuration with routes to the service "s" acknowledged; `accounts` maps names to keys."""
     body = e2e_calls.configuration(number, harness.HOST_NAME, "s", accounts)
@@ -266,13 +272,14 @@
         self.instance = HeldInstance("i-1", "s", self.controls)
 
     def start(self):
-        """Starts all and waits until configuration 1 is in force and the instance serves."""
+        """Starts all and waits until the configuration 0, the least, is in force and the instance serves."""
         for host in self.controls:
             host.start(first_start=True)
         self.entry.start()
         fleets.wait_until(lambda: voters(self.controls) == len(self.controls), "the control hosts bootstrap one log")
-        put_configuration(self.controls, 1)
-        self.entry.await_line("config", "in-force", number=1)
+        put_configuration(self.controls, 0)
+        fleets.wait_until(lambda: all(is_readable(host) for host in self.controls), "configuration 0 is read back")
+        self.entry.await_line("config", "in-force", number=0)
         self.instance.start()
         self.await_service("first")
 
