--- a/testsuite/fakes/controller_fleet.h
+++ b/testsuite/fakes/controller_fleet.h
@@ -124,8 +124,6 @@
     const CallRecord& record(std::size_t index) const { return m_calls.at(index); }
 
     Controller* controller(const HostId& host);
-    /// Whether the process of the host runs.
-    bool isUp(const HostId& host) const;
     ControllerClient& client(const HostId& host) { return *m_entries.at(host).client; }
     /// Whether the process runs, frozen or not.
     bool isUp(const HostId& host) const;
--- a/testsuite/fakes/request_fleet.cpp
+++ b/testsuite/fakes/request_fleet.cpp
@@ -153,7 +153,7 @@
 /// From what the operator wrote, not from what the host made of it.
 Duration RequestFleet::routeTimeout(const HostId& host, const std::string& target)
 {
-    const Configuration written = siteConfiguration(m_fleet.client(host).config().number);
+    const Configuration written = siteConfiguration(m_fleet.client(host).config().number.value());
     const auto route = std::find_if(written.routes.begin(), written.routes.end(),
         [&](const RouteSpec& each) { return each.prefix == target; });
     return route->timeout;
@@ -710,8 +710,8 @@
             continue;
         const ControllerClient& client = m_fleet.client(host);
         const Seen seen
-            = std::exchange(m_seen[host], { client.config().number, client.hasLeader() });
-        if (m_options.fault == PromiseFault::ShortensDeadlines && seen.config != 0
+            = std::exchange(m_seen[host], Seen { client.config().number, client.hasLeader() });
+        if (m_options.fault == PromiseFault::ShortensDeadlines && seen.config
             && seen.config < client.config().number)
             shortenDeadlines(host);
         if (m_options.fault == PromiseFault::EndsWithLeader && seen.hasLeader
--- a/testsuite/fakes/request_fleet.h
+++ b/testsuite/fakes/request_fleet.h
@@ -228,7 +228,7 @@
     std::map<std::string, Configuration> m_parsed;
     /// What watchHosts() saw last.
     struct Seen {
-        std::uint64_t config = 0;
+        ConfigNumber config;
         bool hasLeader = false;
     };
     std::map<HostId, Seen> m_seen;
