--- a/src/include/laburnumroute/request_attempts.h
+++ b/src/include/laburnumroute/request_attempts.h
@@ -2,8 +2,9 @@
 /// attempts to end, whether to retry, when the request is finished. No I/O.
 ///
 /// Each event returns the steps to take, in this order: `releasesPlacement`, `cancelsPlacement`,
-/// `starts`, `placement`, `terminations`, `relays`, `ending`. Of events that happened together, ends of
-/// attempts are reported first and poll() last. Attempts are numbered from 1 in the order of their starts.
+/// `starts`, `placement`, `terminations`, `relays`, `ending`. Of events that happened together,
+/// ends of attempts are reported first and poll() last. Attempts are numbered from 1 in the order
+/// of their starts.
 ///
 /// Load pattern: a few instances hang or fail while others answer within the objective. A hedge
 /// bounds the wait for such an instance; the attempt it stands beside goes on, because the instance
--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -208,9 +208,8 @@
     for (const auto& attempt : m_active)
         attempt->abandon({ attempt->number(), TerminationCause::InternalError });
     // An attempt that was not spawned has thrown.
-    const auto hasEnded = [](const auto& attempt) {
-        return !attempt->spawned() || attempt->outcome().has_value();
-    };
+    const auto hasEnded
+        = [](const auto& attempt) { return !attempt->spawned() || attempt->outcome().has_value(); };
     while (!m_active.empty()) {
         const auto ended = std::find_if(m_active.begin(), m_active.end(), hasEnded);
         if (ended == m_active.end()) {
--- a/src/libstate/log_founding.cpp
+++ b/src/libstate/log_founding.cpp
@@ -29,9 +29,9 @@
     return std::find(hosts.begin(), hosts.end(), host) != hosts.end();
 }
 
-/// Majorities of any two sets of this many listed hosts share a host. So of two founding memberships
-/// only one can commit an entry, and it leaves too few empty logs for a later founder. A listed host that lost its disk may vote again with Admission::Listed, so all are
-/// needed there.
+/// Majorities of any two sets of this many listed hosts share a host. So of two founding
+/// memberships only one can commit an entry, and it leaves too few empty logs for a later founder.
+/// A listed host that lost its disk may vote again with Admission::Listed, so all are needed there.
 std::size_t ReplicatedLog::Impl::foundingQuorum() const
 {
     const std::size_t listed = options.controlHosts.size();
