Instances' rate limits are read, logged and counted; no decision uses them yet

The head of each response that its instance made is searched for the field; a host logs a change of the limit that it heard (rate-limit: named, not-named), a value that is no number (unreadable, counted, 32 bytes of it), and counts the placements at instances with a known limit, by the leader or alone.

Times are kept with each statement: it was made between the request's start and the arrival of the head. A limit ends or rises only with a request that was sent after it was heard; of two statements whose order is unknown the stricter holds.

Tests: libplace rate_limit_test, libnet entry_rate_limit_test (reported when the head arrives, before a long body has).

--- a/src/include/laburnumroute/controller_client.h
+++ b/src/include/laburnumroute/controller_client.h
@@ -97,6 +97,10 @@
     /// entry hosts of the region are.
     void reportOverdue(
         DispatchId dispatch, Duration elapsed, TimePoint now, ControllerClientActions& actions);
+    /// A response to the placed attempt, which was sent `sinceSent` ago, named this rate limit of
+    /// its instance, or none.
+    void reportRateLimit(DispatchId dispatch, std::optional<double> perSecond, Duration sinceSent,
+        TimePoint now, ControllerClientActions& actions);
     /// Withdraws a pending placement request. Has no effect on a granted one, which needs end().
     void cancel(DispatchId dispatch, ControllerClientActions& actions);
     /// Reports the end of a placed attempt.
@@ -138,6 +142,7 @@
     };
     struct Placement {
         InstanceId instance;
+        std::uint64_t incarnation = 0;
         ServiceId service;
         TimePoint since;
         TimePoint until;
--- a/src/include/laburnumroute/local_scheduler.h
+++ b/src/include/laburnumroute/local_scheduler.h
@@ -21,6 +21,7 @@
 #include <laburnumroute/health_estimator.h>
 #include <laburnumroute/host_location.h>
 #include <laburnumroute/instance.h>
+#include <laburnumroute/local_rate_limits.h>
 #include <laburnumroute/placement_types.h>
 #include <laburnumroute/random.h>
 #include <laburnumroute/retry_window.h>
@@ -56,6 +57,9 @@
     /// The known instances of `service` for which isClosed() holds.
     std::vector<InstanceId> closedInstances(const ServiceId& service, TimePoint now) const;
 
+    LocalRateLimits& rateLimits() noexcept { return m_rateLimits; }
+    const LocalRateLimits& rateLimits() const noexcept { return m_rateLimits; }
+
     /// Draws an instance for `request`, preferring low cost.
     std::optional<InstanceId> choose(const PlacementRequest& request, TimePoint now);
     /// Takes one retry from this host's share of the budget (RetryBudgetShares).
@@ -82,6 +86,7 @@
     /// Incarnation of each instance that responded that it is leaving.
     std::map<InstanceId, std::uint64_t> m_leaving;
     std::map<InstanceId, TimePoint> m_pausedUntil;
+    LocalRateLimits m_rateLimits;
     std::set<InstanceId> m_doubtful;
     TimePoint m_doubtfulAt {};
     std::map<ServiceId, RetryWindow> m_retryWindows;
--- a/src/include/laburnumroute/placement_provider.h
+++ b/src/include/laburnumroute/placement_provider.h
@@ -90,6 +90,12 @@
     virtual void cancel(DispatchId dispatch) = 0;
     /// Reports that the attempt is still without an answer after `elapsed`, its hedge delay.
     virtual void reportOverdue(DispatchId dispatch, Duration elapsed) = 0;
+    /// The head of a response to the placed attempt, which was sent `sinceSent` ago, named this
+    /// rate limit of its instance, or none.
+    virtual void reportRateLimit(
+        DispatchId /*dispatch*/, std::optional<double> /*perSecond*/, Duration /*sinceSent*/)
+    {
+    }
     /// Ends a placed attempt.
     virtual void end(DispatchId dispatch, const PlacementReport& report) = 0;
     /// Calls `ready` at the next change of the configuration or first confirmation of its account
--- a/src/include/laburnumroute/request_metrics.h
+++ b/src/include/laburnumroute/request_metrics.h
@@ -71,6 +71,8 @@
     void countRefusedTermination(TerminationCause cause);
     /// Counts an exception that ended a request or a caller's connection.
     void countInternalError() noexcept { ++m_internalErrors; }
+    /// Counts a response with a rate limit that is no number.
+    void countUnreadableRateLimit() noexcept { ++m_unreadableRateLimits; }
     void countConnectionEnd(ConnectionEnd end) noexcept
     {
         ++m_connectionEnds[static_cast<std::size_t>(end)];
@@ -91,6 +93,7 @@
     mutable std::mutex m_accountMutex;
     AccountCounters m_accounts;
     std::atomic<std::uint64_t> m_internalErrors { 0 };
+    std::atomic<std::uint64_t> m_unreadableRateLimits { 0 };
     std::array<std::atomic<std::uint64_t>, 3> m_connectionEnds {};
 };
 
--- a/src/laburnumd/entry_node.cpp
+++ b/src/laburnumd/entry_node.cpp
@@ -326,6 +326,7 @@
             add("laburnum_buffer_refusals", static_cast<double>(m_entry.buffers().refusals()));
             add("laburnum_requests_in_flight", static_cast<double>(m_entry.inFlight()));
             text += m_client.localCaps().meter().render();
+            text += m_client.localScheduler().rateLimits().render();
             return text;
         }
 
--- a/src/laburnumd/fleet_placement_provider.cpp
+++ b/src/laburnumd/fleet_placement_provider.cpp
@@ -139,6 +139,14 @@
     apply(actions);
 }
 
+void FleetPlacementProvider::reportRateLimit(
+    DispatchId dispatch, std::optional<double> perSecond, Duration sinceSent)
+{
+    ControllerClientActions actions;
+    m_client.reportRateLimit(dispatch, perSecond, sinceSent, m_clock.now(), actions);
+    apply(actions);
+}
+
 void FleetPlacementProvider::end(DispatchId dispatch, const PlacementReport& report)
 {
     ControllerClientActions actions;
--- a/src/laburnumd/fleet_placement_provider.h
+++ b/src/laburnumd/fleet_placement_provider.h
@@ -30,6 +30,8 @@
     DispatchId dispatch(PlacementRequest request, Done done) override;
     void cancel(DispatchId dispatch) override;
     void reportOverdue(DispatchId dispatch, Duration silence) override;
+    void reportRateLimit(
+        DispatchId dispatch, std::optional<double> perSecond, Duration sinceSent) override;
     void end(DispatchId dispatch, const PlacementReport& report) override;
     std::uint64_t awaitConfiguration(std::function<void()> ready) override;
     void stopWaiting(std::uint64_t waiter) override { m_configWaiters.erase(waiter); }
--- a/src/libhub/controller_client.cpp
+++ b/src/libhub/controller_client.cpp
@@ -619,9 +619,10 @@
         pending.replyDue = now + replyTimeout + transferTime(now);
         return sendRequest(dispatch, pending, now, actions);
     }
-    m_placements[dispatch] = { instance, pending.request.service, now,
+    m_placements[dispatch] = { instance, record->incarnation, pending.request.service, now,
         pending.since + pending.request.remaining, pending.request.bodyKiB };
     m_localScheduler.begin(instance);
+    m_localScheduler.rateLimits().onPlaced(instance, false);
     answer({ dispatch, *record }, actions);
 }
 
@@ -662,8 +663,10 @@
     if (const auto delay = isGranted ? std::nullopt : m_localCaps.take(counted, now))
         return refuseLocally(dispatch, PlacementRefusal::OverCap, *delay, actions);
     const TimePoint until = pending.since + request.remaining;
-    m_placements[dispatch] = { *instance, request.service, now, until, request.bodyKiB };
+    m_placements[dispatch] = { *instance, m_localScheduler.find(*instance)->incarnation,
+        request.service, now, until, request.bodyKiB };
     m_localScheduler.begin(*instance);
+    m_localScheduler.rateLimits().onPlaced(*instance, true);
     if (m_leader)
         actions.frames.emplace_back(*m_leader,
             pack(LocalPlacementFrame { { dispatch.value(), instance->value(),
@@ -684,6 +687,28 @@
         notifyNeighbours(found->second.instance, PlacementOutcome::TimedOut, actions);
 }
 
+void ControllerClient::reportRateLimit(DispatchId dispatch, std::optional<double> perSecond,
+    Duration sinceSent, TimePoint now, ControllerClientActions& actions)
+{
+    const auto found = m_placements.find(dispatch);
+    if (found == m_placements.end())
+        return;
+    const InstanceId& id = found->second.instance;
+    LocalRateLimits& limits = m_localScheduler.rateLimits();
+    const std::optional<double> before = limits.perSecond(id);
+    if ((!perSecond && !before)
+        || !limits.onStatement(
+            { id, found->second.incarnation, { perSecond, now - sinceSent, now } }, now))
+        return;
+    Decision decision { "rate-limit", perSecond ? "named" : "not-named" };
+    decision.facts["instance"] = id.value();
+    if (perSecond)
+        decision.facts["per_second"] = *perSecond;
+    if (before)
+        decision.facts["before"] = *before;
+    actions.decisions.push_back(std::move(decision));
+}
+
 void ControllerClient::cancel(DispatchId dispatch, ControllerClientActions& actions)
 {
     if (m_pendingRequests.erase(dispatch) != 0 && m_leader)
--- a/src/libnet/exchange.cpp
+++ b/src/libnet/exchange.cpp
@@ -5,6 +5,7 @@
 
 #include "asio_endpoint_pvt.h"
 #include "http_status_pvt.h"
+#include "rate_limit_field_pvt.h"
 #include "request_validation_pvt.h"
 
 namespace laburnum::pvt {
@@ -471,14 +472,38 @@
 {
     const std::string& leaving = m_caller.entry.options.names.leaving;
     m_outcome.isLeaving = !leaving.empty() && head.field(leaving) == "1";
-    // A 503 without either mark comes from something in front of the instance.
-    const std::string& responseStamp = m_caller.entry.options.names.responseStamp;
-    const bool isInstance
-        = provesNotRun(head) || (!responseStamp.empty() && !head.field(responseStamp).empty());
-    if (head.status == statusUnavailable && isInstance)
+    if (head.status == statusUnavailable && isFromInstance(head))
         m_outcome.pause = parseRetryAfter(head.field("retry-after"));
 }
 
+bool Exchange::isFromInstance(const HttpHead& head) const
+{
+    const std::string& responseStamp = m_caller.entry.options.names.responseStamp;
+    return provesNotRun(head) || (!responseStamp.empty() && !head.field(responseStamp).empty());
+}
+
+void Exchange::reportRateLimit(const HttpHead& head) const
+{
+    const std::string& name = m_caller.entry.options.names.rateLimit;
+    // A 421 comes from another instance.
+    if (name.empty() || m_caller.entry.placementProvider == nullptr
+        || head.status == statusMisdirected || !isFromInstance(head))
+        return;
+    const RateLimitField field = readRateLimitField(head, name);
+    if (field.isUnreadable) {
+        m_caller.entry.metrics.countUnreadableRateLimit();
+        if (m_caller.entry.log != nullptr)
+            m_caller.entry.log->record(unreadableRateLimit(head, name, m_assigned.instance));
+        return;
+    }
+    // An instance that declines a request may be too busy to say more.
+    if (!field.perSecond && provesNotRun(head))
+        return;
+    m_caller.entry.placementProvider->reportRateLimit(
+        DispatchId(static_cast<std::uint32_t>(m_assigned.attempt.value())), field.perSecond,
+        steadyNow() - m_start);
+}
+
 /// Reads a short response completely before anything is sent to the caller.
 asio::awaitable<void> Exchange::bufferResponse(HttpHead head)
 {
@@ -511,6 +536,7 @@
     }
     recordResponseHead(*head);
     recordClosure(*head);
+    reportRateLimit(*head);
     if (provesNotRun(*head)) {
         m_outcome.end = AttemptEnd::Shed;
         m_outcome.mayHaveRun = false;
--- a/src/libnet/exchange_pvt.h
+++ b/src/libnet/exchange_pvt.h
@@ -197,6 +197,9 @@
     void recordResponseHead(const HttpHead& head);
     /// Records whether the instance wants further requests of this host.
     void recordClosure(const HttpHead& head);
+    /// Whether the instance made the response, not something in front of it.
+    bool isFromInstance(const HttpHead& head) const;
+    void reportRateLimit(const HttpHead& head) const;
     void captureBodyPart(const std::string& part);
     /// Whether the caller disconnected or its body is malformed.
     bool callerFailed() const;
--- a/src/libnet/fleet_fixture_test.h
+++ b/src/libnet/fleet_fixture_test.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <deque>
+#include <sstream>
 
 #include <asio/post.hpp>
 #include <catch2/catch.hpp>
@@ -68,6 +69,13 @@
 
     void cancel(DispatchId) override { reports.add("cancelled"); }
     void reportOverdue(DispatchId, Duration) override { }
+    void reportRateLimit(DispatchId, std::optional<double> perSecond, Duration) override
+    {
+        std::ostringstream text;
+        if (perSecond)
+            text << *perSecond;
+        rateLimits.add(perSecond ? text.str() : "none");
+    }
 
     void end(DispatchId, const PlacementReport& report) override
     {
@@ -112,6 +120,8 @@
     RecordedLines reports;
     /// Whether the instance is leaving and its pause in milliseconds, of each report.
     RecordedLines closures;
+    /// The rate limit in each response that was reported, or `none`.
+    RecordedLines rateLimits;
     /// Reason and outcome of each finished request.
     RecordedLines requestEnds;
     /// Every decision as a log line.
@@ -128,6 +138,7 @@
     result.names.notRun = "Not-Run";
     result.names.responseStamp = "Stamp";
     result.names.leaving = "Leaving";
+    result.names.rateLimit = "Rate-Limit";
     result.names.accountKey = "Api-Key";
     result.names.account = "Account";
     return result;
--- a/src/libnet/request_metrics.cpp
+++ b/src/libnet/request_metrics.cpp
@@ -273,6 +273,9 @@
     writeMetricHeader(out, "laburnum_internal_errors_total", "counter",
         "Exceptions that ended a request or a caller's connection.");
     out << "laburnum_internal_errors_total " << m_internalErrors << '\n';
+    writeMetricHeader(out, "laburnum_rate_limits_unreadable_total", "counter",
+        "Responses of instances with a rate limit that is no number.");
+    out << "laburnum_rate_limits_unreadable_total " << m_unreadableRateLimits << '\n';
     const std::lock_guard lock(m_accountMutex);
     renderAccounts(out, m_accounts);
     return out.str();
--- a/src/libplace/local_scheduler.cpp
+++ b/src/libplace/local_scheduler.cpp
@@ -66,12 +66,14 @@
         m_leaving.erase(leaving);
         m_pausedUntil.erase(record.id);
     }
+    m_rateLimits.onInstance(record.id, record.incarnation);
     m_records[record.id] = record;
 }
 
 void LocalScheduler::remove(const InstanceId& id)
 {
     m_records.erase(id);
+    m_rateLimits.remove(id);
     m_estimators.erase(id);
     m_lastFailure.erase(id);
     m_pathBrokenUntil.erase(id);
