--- a/testsuite/fakes/controller_fleet.cpp
+++ b/testsuite/fakes/controller_fleet.cpp
@@ -647,6 +647,14 @@
     });
 }
 
+void ControllerFleet::reportRateLimit(
+    const HostId& entry, DispatchId dispatch, std::optional<double> perSecond, Duration sinceSent)
+{
+    withClient(entry, [&](ControllerClient& client, ControllerClientActions& out) {
+        client.reportRateLimit(dispatch, perSecond, sinceSent, m_now, out);
+    });
+}
+
 void ControllerFleet::end(const HostId& entry, DispatchId dispatch, const PlacementReport& report)
 {
     withClient(entry, [&](ControllerClient& client, ControllerClientActions& out) {
--- a/testsuite/fakes/controller_fleet.h
+++ b/testsuite/fakes/controller_fleet.h
@@ -140,6 +140,8 @@
     DispatchId dispatch(const HostId& entry, PlacementRequest placementRequest);
     void cancel(const HostId& entry, DispatchId dispatch);
     void reportOverdue(const HostId& entry, DispatchId dispatch, Duration elapsed);
+    void reportRateLimit(const HostId& entry, DispatchId dispatch, std::optional<double> perSecond,
+        Duration sinceSent);
     void end(const HostId& entry, DispatchId dispatch, const PlacementReport& report);
     /// Bytes of frames that control host `host` sent to other control hosts.
     std::uint64_t bytesSent(const HostId& host) { return m_bytes[host]; }
--- a/testsuite/fakes/request_fleet.cpp
+++ b/testsuite/fakes/request_fleet.cpp
@@ -369,7 +369,10 @@
     attempt.isSent = true;
     m_checker.onSent(attempt.id);
     m_fleet.schedule(wayTo(request->host, attempt.instance),
-        [this, instance = attempt.instance, of = attempt.id] { m_instances.arrive(instance, of); });
+        [this, host = request->host, instance = attempt.instance, of = attempt.id] {
+            m_rateLimits.onArrived(instance, host, m_fleet.now());
+            m_instances.arrive(instance, of);
+        });
 }
 
 /// The instance has ended the attempt; its answer is on the way.
@@ -402,6 +405,7 @@
         return;
     attempt.load = answer.load;
     attempt.ending = answer.ending;
+    onRateLimit(*request, attempt, answer);
     switch (answer.ending) {
     case InstanceEnding::Refused:
         return endAttempt(id, number, AttemptEndKind::NotReached);
--- a/testsuite/fakes/request_fleet.h
+++ b/testsuite/fakes/request_fleet.h
@@ -22,6 +22,7 @@
 
 #include "fakes/attempt_checker.h"
 #include "fakes/controller_fleet.h"
+#include "fakes/rate_limit_checker.h"
 #include "fakes/simulated_instances.h"
 
 namespace laburnum::fakes {
@@ -51,6 +52,18 @@
 /// What happens to the leader.
 enum class LeaderTrouble { None, Freeze, Kill, Cut };
 
+/// Which instances name rate limits on the day.
+enum class RateLimitDay {
+    None,
+    /// A part of them.
+    Some,
+    /// A part of them, and all of one service.
+    WholeService,
+};
+
+/// Which entry hosts lose all control hosts on a day with rate limits, for seconds.
+enum class AloneDay { None, Half, All };
+
 struct RequestFleetOptions {
     /// The users' grown site has 120; instances, requests and stops are in proportion.
     unsigned entries = 120;
@@ -61,6 +74,8 @@
     bool isRecord = false;
     /// Time from SIGTERM to the kill of an entry host; 6 s and 10 s on the users' sites.
     Duration grace = std::chrono::milliseconds(6000);
+    RateLimitDay rateLimits = RateLimitDay::None;
+    AloneDay alone = AloneDay::None;
 };
 
 struct RequestFleetStats {
@@ -88,6 +103,8 @@
     const AttemptChecker& checker() const { return m_checker; }
     const RequestFleetStats& stats() const { return m_stats; }
     const SimulatedInstances& instances() const { return m_instances; }
+    const RateLimitChecker& rateLimits() const { return m_rateLimits; }
+    ControllerFleet& fleet() { return m_fleet; }
     LeaderTrouble leaderTrouble() const { return m_leaderTrouble; }
     /// When the load began.
     TimePoint began() const { return m_began; }
@@ -165,6 +182,14 @@
     void crowd();
     void cutFromControls(const HostId& host, bool isCut);
 
+    // Rate limits (request_fleet_limits.cpp).
+    void scheduleRateLimits();
+    void scheduleRateLimits(std::size_t instance, Random& random);
+    void setRateLimit(std::size_t instance, std::optional<double> perSecond);
+    void scheduleAloneDay(Random& random);
+    void onRateLimit(
+        const LiveRequest& request, const LiveAttempt& attempt, const InstanceAnswer& answer);
+
     // Stops.
     void stopBusiest();
     void checkStop(const HostId& host, unsigned process);
@@ -216,6 +241,7 @@
     ControllerFleet m_fleet;
     AttemptChecker m_checker;
     SimulatedInstances m_instances;
+    RateLimitChecker m_rateLimits;
     std::map<InstanceId, std::size_t> m_instanceIndex;
     std::map<HostId, Host> m_hosts;
     std::map<RequestNumber, LiveRequest> m_requests;
--- a/testsuite/fakes/request_fleet_day.cpp
+++ b/testsuite/fakes/request_fleet_day.cpp
@@ -231,6 +231,7 @@
     scheduleLeaderTrouble();
     scheduleAloneHosts();
     scheduleGrayInstances();
+    scheduleRateLimits();
 }
 
 void RequestFleet::shed(double share)
--- a/testsuite/fakes/simulated_instances.cpp
+++ b/testsuite/fakes/simulated_instances.cpp
@@ -115,6 +115,11 @@
     m_instances[index].health = health;
 }
 
+void SimulatedInstances::setRateLimit(std::size_t index, std::optional<double> perSecond)
+{
+    m_instances[index].rateLimit = perSecond;
+}
+
 void SimulatedInstances::crowd(std::size_t index, unsigned jobs)
 {
     Instance& instance = m_instances[index];
@@ -137,7 +142,7 @@
         return;
     m_checker.onInstanceEnded(*job.attempt);
     const auto load = static_cast<std::int32_t>(instance.running.size() + instance.queue.size());
-    m_onEnded(*job.attempt, { ending, status, load });
+    m_onEnded(*job.attempt, { ending, status, load, instance.rateLimit });
 }
 
 Duration SimulatedInstances::serviceTime(const Instance& instance)
--- a/testsuite/fakes/simulated_instances.h
+++ b/testsuite/fakes/simulated_instances.h
@@ -21,6 +21,8 @@
     unsigned status = 200;
     /// Requests that run and wait.
     std::int32_t load = 0;
+    /// Requests per second that the instance takes from all hosts; empty if it names no limit.
+    std::optional<double> rateLimit;
 };
 
 /// How an instance behaves.
@@ -55,6 +57,8 @@
     void disconnect(const InstanceId& instance, AttemptNumber attempt);
 
     void setHealth(std::size_t index, const InstanceHealth& health);
+    /// Named in all answers from now on; empty: in none.
+    void setRateLimit(std::size_t index, std::optional<double> perSecond);
     /// Puts `jobs` of others into the queue.
     void crowd(std::size_t index, unsigned jobs);
     /// Announces the drain until it is acknowledged, works off the queue and leaves.
@@ -71,6 +75,7 @@
     struct Instance {
         InstanceRecord record;
         InstanceHealth health;
+        std::optional<double> rateLimit;
         std::deque<Job> queue;
         std::vector<Job> running;
         unsigned announcements = 0;
