A rate limit that an instance names binds all hosts together

What callers saw: nothing at once. An instance that named 1.3 requests a second got up to 30 in 4 s (allowed 13), from up to 16 hosts that it had told; it asked for less because it could not serve more.

Cause: nothing read the field; the leader granted by slots, load and health alone. The class: what an upstream says to one host binds all hosts together, and a host that keeps it by itself multiplies it by the number of hosts.

Fix: all grants are counted in one place, so the limit is kept there. InstanceRateLimits, beside UsageCaps in FleetScheduler, has a token bucket for each limited instance; every grant takes a token (first attempts, retries, hedges), one that is not sent gives it back, and what a host placed alone is taken by force. Hosts pass on what instances say (RateLimitsFrame), the leader tells all (RateLimitListFrame), so that a new leader learns every limit from the first host that joins, and starts without tokens. Hosts alone have half of a limit together, divided by the number of hosts that the heartbeat tells, with a random start so that a share of one request in minutes is one request of some host; the leader leaves them that part while it misses hosts and in the 2 s after its start. A deposed leader's buckets do not refill. A limit below 0.2 a second is asked at 0.2: an instance that no one asks cannot say that it is well. If all instances of a service are limited, the rate is the room: refused at once, rate-limited, with a Retry-After from the rate; waiters are served before later requests.

--- a/src/include/laburnumroute/controller_client.h
+++ b/src/include/laburnumroute/controller_client.h
@@ -20,6 +20,10 @@
 
 namespace laburnum {
 
+namespace pvt {
+    struct RateLimitRow;
+} // namespace pvt
+
 /// The result of a placement request.
 struct PlacementResult {
     DispatchId dispatch;
@@ -193,6 +197,13 @@
         ControllerClientActions& actions);
     void notifyNeighbours(
         const InstanceId& id, PlacementOutcome outcome, ControllerClientActions& actions) const;
+    /// What `rows` say about known starts of instances.
+    std::vector<InstanceRateLimit> currentLimits(
+        const std::vector<pvt::RateLimitRow>& rows, TimePoint now) const;
+    /// Tells the leader, and while there is none the other hosts of the region, what an instance
+    /// said about its rate limit.
+    void passOnRateLimit(
+        const InstanceRateLimit& limit, TimePoint now, ControllerClientActions& actions) const;
     /// The HelloFrame: this host's location, the versions of its cached data, its placements.
     std::string hello(TimePoint now) const;
     TimePoint lastAuthority() const;
--- a/src/include/laburnumroute/fleet_scheduler.h
+++ b/src/include/laburnumroute/fleet_scheduler.h
@@ -30,6 +30,7 @@
 ///   takes no slot, as far as the reports show.
 /// - Instances that fail at once are always free: they get few requests, however many wait.
 /// - Accounts that send more than their cap: UsageCaps, asked at the first dispatch of a request.
+/// - Instances that name a rate limit: InstanceRateLimits, asked for each grant.
 /// - An account that sends several times its usual rate: requests of one priority are queued in the
 ///   fair order of FairShares, and those beyond their account's share are refused first. The rules
 ///   for accounts apply to a service from its first request that carries one.
@@ -50,6 +51,7 @@
 #include <laburnumroute/fair_shares.h>
 #include <laburnumroute/health_estimator.h>
 #include <laburnumroute/instance.h>
+#include <laburnumroute/instance_rate_limits.h>
 #include <laburnumroute/placement_types.h>
 #include <laburnumroute/priority_room.h>
 #include <laburnumroute/retry_rationing.h>
@@ -72,7 +74,7 @@
     /// Adds an instance or updates its record.
     void upsert(const InstanceRecord& record, TimePoint now);
     /// Removes an instance; attempts in flight at it are still ended by end().
-    void remove(const InstanceId& id);
+    void remove(const InstanceId& id, TimePoint now);
     /// Clears all state, instances included, without replies; called when this host becomes leader
     /// or ceases to be. RetryBudgetLimits::slack counts as used for one window, because the
     /// previous leader's grants are unknown. The caps stay, with levels as after a change of
@@ -81,6 +83,10 @@
     /// The instance sent an announcement; it is cold for another `warmupRemaining`.
     void onAnnouncement(const InstanceId& id, Duration warmupRemaining, TimePoint now);
 
+    /// A host heard what an instance said about its rate limit. Statements of other starts of the
+    /// instance than the registered one change nothing.
+    void onRateLimit(const InstanceRateLimit& limit, TimePoint now);
+
     /// One-way delay between data centres of a region from which on SpilloverPolicy decides which
     /// requests leave their data centre; zero: never.
     void setSpilloverThreshold(Duration from) { m_spillover.setThreshold(from); }
@@ -118,6 +124,9 @@
     /// The caps of client accounts; dispatch() takes from them.
     UsageCaps& caps() noexcept { return m_caps; }
     const UsageCaps& caps() const noexcept { return m_caps; }
+    /// The rate limits of instances; each grant takes from them.
+    InstanceRateLimits& rateLimits() noexcept { return m_rateLimits; }
+    const InstanceRateLimits& rateLimits() const noexcept { return m_rateLimits; }
 
     /// Number of queued requests.
     std::size_t waiting() const noexcept;
@@ -229,11 +238,16 @@
         TimePoint at;
     };
 
-    /// Total slots of a service's usable instances, cached for capacityCacheTime.
+    /// Total slots of a service's usable instances, cached for capacityCacheTime. Of an instance
+    /// with a rate limit, those that count are the ones that the limit keeps in use.
     struct Capacity {
-        std::uint64_t slots = 0;
+        double slots = 0.0;
         std::size_t instances = 0;
+        std::size_t limited = 0;
         TimePoint at;
+
+        /// All instances have a rate limit.
+        bool isRateBound() const { return limited > 0 && limited == instances; }
     };
 
     struct Service {
@@ -326,7 +340,9 @@
     /// Expected time until a request with this place in the queue gets a slot.
     Duration expectedWait(Service& service, const WaiterOrder& order, TimePoint now) const;
     /// Why a request for which there is no room is refused.
-    PlacementRefusal causeOfNoRoom(const Service& service, const WaiterOrder& order) const;
+    PlacementRefusal causeOfNoRoom(Service& service, const WaiterOrder& order, TimePoint now) const;
+    /// When a request should come back whose slot is expected after `wait`.
+    Duration retryAfter(Service& service, Duration wait, TimePoint now) const;
     void refuseWaiter(Service& service, Waiters::iterator waiter, TimePoint now,
         std::vector<PlacementReply>& replies);
     /// Refuses the last requests of each priority that can no longer be served in time.
@@ -368,7 +384,7 @@
     /// Time of the latest restart(); the clock's epoch before the first.
     TimePoint m_startedAt {};
     mutable std::uint64_t m_evaluations = 0;
-    std::array<std::uint64_t, static_cast<std::size_t>(PlacementRefusal::OverShare) + 1>
+    std::array<std::uint64_t, static_cast<std::size_t>(PlacementRefusal::RateLimited) + 1>
         m_refusals {};
     std::map<InstanceId, Instance> m_instances;
     std::map<ServiceId, Service> m_services;
@@ -377,6 +393,7 @@
     std::map<DispatchKey, std::pair<Service*, WaiterOrder>> m_waiterIndex;
     std::uint64_t m_lastWaiterNumber = 0;
     UsageCaps m_caps;
+    InstanceRateLimits m_rateLimits;
 };
 
 } // namespace laburnum
--- a/src/include/laburnumroute/local_scheduler.h
+++ b/src/include/laburnumroute/local_scheduler.h
@@ -57,11 +57,16 @@
     /// The known instances of `service` for which isClosed() holds.
     std::vector<InstanceId> closedInstances(const ServiceId& service, TimePoint now) const;
 
+    /// Whether the statement is of the known start of its instance.
+    bool isCurrent(const InstanceRateLimit& limit) const;
     LocalRateLimits& rateLimits() noexcept { return m_rateLimits; }
     const LocalRateLimits& rateLimits() const noexcept { return m_rateLimits; }
 
     /// Draws an instance for `request`, preferring low cost.
     std::optional<InstanceId> choose(const PlacementRequest& request, TimePoint now);
+    /// After choose() found none: if rate limits are the reason, the time after which some host may
+    /// place a request at one of the instances.
+    std::optional<Duration> rateLimitDelay(const PlacementRequest& request, TimePoint now) const;
     /// Takes one retry from this host's share of the budget (RetryBudgetShares).
     bool takeRetry(const ServiceId& service, TimePoint now);
     /// Counts a new request: in full when choose() follows at the same time, otherwise as one that
@@ -71,6 +76,7 @@
 private:
     void recordClosure(const InstanceId& id, const PlacementReport& report, TimePoint now);
     void recordOutcome(const InstanceId& id, const PlacementReport& report, TimePoint now);
+    bool fits(const InstanceRecord& record, const PlacementRequest& request, TimePoint now) const;
     double cost(const InstanceRecord& record, const PlacementRequest& request, TimePoint now) const;
     std::uint32_t inFlight(const InstanceId& id) const;
     bool isPathBroken(const InstanceId& id, TimePoint now) const;
--- a/src/include/laburnumroute/placement_types.h
+++ b/src/include/laburnumroute/placement_types.h
@@ -68,6 +68,8 @@
     OverCap = 4,
     /// The account asks for more than its share of what is free in time.
     OverShare = 5,
+    /// The instances that serve named rate limits, which are used up.
+    RateLimited = 6,
 };
 
 /// Stable name of `refusal` in logs and answers.
--- a/src/laburnumd/control_node.cpp
+++ b/src/laburnumd/control_node.cpp
@@ -389,9 +389,9 @@
         void addRefusals(std::string& text) const
         {
             text += "# TYPE laburnum_placements_refused_total counter\n";
-            for (const PlacementRefusal cause :
-                { PlacementRefusal::NoInstance, PlacementRefusal::Busy, PlacementRefusal::NoBudget,
-                    PlacementRefusal::OverCap, PlacementRefusal::OverShare })
+            for (const PlacementRefusal cause : { PlacementRefusal::NoInstance,
+                     PlacementRefusal::Busy, PlacementRefusal::NoBudget, PlacementRefusal::OverCap,
+                     PlacementRefusal::OverShare, PlacementRefusal::RateLimited })
                 text += std::string("laburnum_placements_refused_total{reason=\"")
                     + placementRefusalName(cause) + "\"} "
                     + std::to_string(m_controller->scheduler().refusals(cause)) + '\n';
@@ -438,6 +438,7 @@
             add("laburnum_asks_waiting", m_controller->scheduler().waiting());
             add("laburnum_instances_weighed", m_controller->scheduler().evaluations());
             text += m_controller->scheduler().caps().meter().render();
+            text += m_controller->scheduler().rateLimits().render();
             addRefusals(text);
             addSpillover(text, m_controller->scheduler().spillover());
             return text;
--- a/src/libhub/controller.cpp
+++ b/src/libhub/controller.cpp
@@ -8,6 +8,7 @@
 #include "cap_coordinator_pvt.h"
 #include "controller_messages_pvt.h"
 #include "ended_instance_observer_pvt.h"
+#include "rate_limit_coordinator_pvt.h"
 #include "update_encoder_pvt.h"
 
 namespace laburnum {
@@ -208,6 +209,9 @@
             scheduler.tick(now, m_replies);
             sendReplies(actions);
             m_caps.onLease(log->holdsLease(now), now);
+            m_rateLimits.onTick(log->holdsLease(now), now);
+            for (Decision& decision : scheduler.rateLimits().takeDecisions())
+                actions.decisions.push_back(std::move(decision));
             for (Decision& decision : scheduler.caps().meter().takeDecisions(now))
                 actions.decisions.push_back(std::move(decision));
         }
@@ -260,7 +264,7 @@
     {
         return isFrame<PlacementRequestFrame>(frame) || isFrame<AttemptEndFrame>(frame)
             || isFrame<CancelFrame>(frame) || isFrame<LocalPlacementFrame>(frame)
-            || isFrame<LocalUsageFrame>(frame);
+            || isFrame<LocalUsageFrame>(frame) || isFrame<RateLimitsFrame>(frame);
     }
 
     void processFrame(const QueuedFrame& queued, TimePoint now, ControllerActions& actions)
@@ -284,6 +288,8 @@
             onLocalPlacement(queued.link, *adopted, now, actions);
         } else if (const auto placed = unpack<LocalUsageFrame>(queued.frame)) {
             m_caps.onUsage(placed->usage, now - queued.since, now);
+        } else if (const auto limits = unpack<RateLimitsFrame>(queued.frame)) {
+            m_rateLimits.onStatements(*limits, now - queued.since, now);
         }
     }
 
@@ -368,6 +374,7 @@
         m_lastVersions.clear();
         m_caps.apply(state.config(), now);
         scheduler.restart(now);
+        m_rateLimits.restart(now);
         m_caps.onLease(true, now);
         m_announcedNeighbours.clear();
         m_newNeighbours.clear();
@@ -414,7 +421,7 @@
                 const auto found = state.instances().find(id);
                 m_lastVersions.erase(id);
                 if (found == state.instances().end())
-                    scheduler.remove(id);
+                    scheduler.remove(id, now);
                 else
                     scheduler.upsert(found->second, now);
             }
@@ -451,7 +458,13 @@
         const std::string& host = session.mapped().hello.host;
         if (std::none_of(m_sessions.begin(), m_sessions.end(),
                 [&](const auto& other) { return other.second.hello.host == host; }))
-            m_caps.onHostLost(HostId(host), link, now);
+            onHostLost(HostId(host), link, now);
+    }
+
+    void onHostLost(const HostId& host, LinkId link, TimePoint now)
+    {
+        m_caps.onHostLost(host, link, now);
+        m_rateLimits.onHostLost(host, now);
     }
 
     /// The entry host holds other versions than this host assumed.
@@ -506,10 +519,12 @@
             adopt(link, placement, now);
         session.hello.activePlacements.clear();
         m_caps.onHostFound(HostId(session.hello.host), now);
+        m_rateLimits.onHostFound(HostId(session.hello.host));
         m_caps.onUsage(std::exchange(session.hello.usage, {}), now - session.since, now);
         update(link, session, actions);
         announceNeighbour(link, session, actions);
         actions.frames.emplace_back(link, heartbeatWithDoubtful(now));
+        actions.frames.emplace_back(link, m_rateLimits.listFrame(now));
     }
 
     /// Sends an entry host the addresses of the others in its region. The others learn of it with
@@ -582,7 +597,7 @@
 
     std::string heartbeatWithDoubtful(TimePoint now) const
     {
-        HeartbeatFrame frame { true, {} };
+        HeartbeatFrame frame { true, {}, m_rateLimits.hosts() };
         for (const InstanceId& id : scheduler.doubtful(now))
             frame.doubtful.push_back(id.value());
         return pack(frame);
@@ -594,11 +609,16 @@
         sendNewNeighbours(actions);
         auto doubtful = scheduler.doubtful(now);
         const bool includesDoubtful = now >= m_nextDoubtfulUpdate && doubtful != m_sentDoubtful;
-        const std::string frame
-            = includesDoubtful ? heartbeatWithDoubtful(now) : pack(HeartbeatFrame {});
+        const std::string frame = includesDoubtful
+            ? heartbeatWithDoubtful(now)
+            : pack(HeartbeatFrame { false, {}, m_rateLimits.hosts() });
+        const auto limits = m_rateLimits.takeUpdate(now);
         for (const auto& [link, session] : m_sessions) {
-            if (session.isSubscribed)
-                actions.frames.emplace_back(link, frame);
+            if (!session.isSubscribed)
+                continue;
+            actions.frames.emplace_back(link, frame);
+            if (limits)
+                actions.frames.emplace_back(link, *limits);
         }
         if (!includesDoubtful)
             return;
@@ -845,6 +865,7 @@
     /// Of the registered incarnations, as far as announced to this leader since the last change.
     std::map<InstanceId, std::uint64_t> m_lastVersions;
     CapCoordinator m_caps { scheduler.caps(), options.accountsOf };
+    RateLimitCoordinator m_rateLimits { scheduler };
     std::vector<PlacementReply> m_replies;
     std::deque<QueuedFrame> m_backlog;
     std::set<std::string> m_announcedNeighbours;
--- a/src/libhub/controller_client.cpp
+++ b/src/libhub/controller_client.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "controller_messages_pvt.h"
+#include "rate_limit_coordinator_pvt.h"
 #include "text_delta_pvt.h"
 
 namespace laburnum {
@@ -275,6 +276,9 @@
                 usageRows(m_localCaps, m_links.at(link).usageReportedAt, lastLeader, now) }));
     m_localCaps.onCounted(m_links.at(link).usageReportedAt);
     m_links.at(link).usageReportedAt = now;
+    LocalRateLimits& limits = m_localScheduler.rateLimits();
+    actions.frames.emplace_back(
+        link, pack(RateLimitsFrame { limits.hosts(), toRows(limits.statements(), now) }));
     sendPlacementChanges(link, now, actions);
     // Resend the requests that the previous leader did not answer.
     for (auto& [id, pending] : m_pendingRequests) {
@@ -426,6 +430,11 @@
             ids.emplace_back(id);
         if (heartbeat->includesDoubtful)
             m_localScheduler.setDoubtfulInstances(ids, now);
+        if (m_leader == link)
+            m_localScheduler.rateLimits().setHosts(heartbeat->hosts);
+    } else if (const auto limits = unpack<RateLimitListFrame>(bytes)) {
+        if (m_leader == link)
+            m_localScheduler.rateLimits().onLeaderStatements(currentLimits(limits->rows, now), now);
     } else if (const auto welcome = unpack<WelcomeFrame>(bytes)) {
         onWelcome(link, welcome->controlHosts, now, actions);
         m_reportsDelays = welcome->wantsDelays;
@@ -445,6 +454,7 @@
         m_leaderSuspected = false;
         m_lastHeard = now;
         m_localCaps.onLeaderFound();
+        m_localScheduler.rateLimits().onLeaderHeard();
     }
 }
 
@@ -503,13 +513,27 @@
 
 void ControllerClient::receiveDatagram(const Endpoint& from, std::string_view bytes, TimePoint now)
 {
+    if (!m_neighbours.contains(from))
+        return;
+    if (const auto limit = unpack<PeerRateLimitFrame>(bytes)) {
+        for (const InstanceRateLimit& each : currentLimits({ limit->row }, now))
+            m_localScheduler.rateLimits().onPeerStatement(each, now);
+    }
     const auto outcome = unpack<PeerOutcomeFrame>(bytes);
-    if (outcome && m_neighbours.contains(from)
-        && outcome->end <= static_cast<std::uint8_t>(PlacementOutcome::Unused))
+    if (outcome && outcome->end <= static_cast<std::uint8_t>(PlacementOutcome::Unused))
         m_localScheduler.onPeerOutcome(
             InstanceId(outcome->instance), static_cast<PlacementOutcome>(outcome->end), now);
 }
 
+std::vector<InstanceRateLimit> ControllerClient::currentLimits(
+    const std::vector<RateLimitRow>& rows, TimePoint now) const
+{
+    std::vector<InstanceRateLimit> limits = fromRows(rows, Duration::zero(), now);
+    std::erase_if(
+        limits, [&](const InstanceRateLimit& limit) { return !m_localScheduler.isCurrent(limit); });
+    return limits;
+}
+
 void ControllerClient::tick(TimePoint now, ControllerClientActions& actions)
 {
     if (m_leader && now - m_lastHeartbeat > heartbeatTimeout)
@@ -622,7 +646,7 @@
     m_placements[dispatch] = { instance, record->incarnation, pending.request.service, now,
         pending.since + pending.request.remaining, pending.request.bodyKiB };
     m_localScheduler.begin(instance);
-    m_localScheduler.rateLimits().onPlaced(instance, false);
+    m_localScheduler.rateLimits().onPlaced(instance, false, now);
     answer({ dispatch, *record }, actions);
 }
 
@@ -655,10 +679,14 @@
     const PlacementRequest& request = pending.request;
     const bool allowed = !request.retry || m_localScheduler.takeRetry(request.service, now);
     const auto instance = allowed ? m_localScheduler.choose(request, now) : std::nullopt;
-    if (!instance)
+    if (!instance && allowed) {
+        const auto delay = m_localScheduler.rateLimitDelay(request, now);
         return refuseLocally(dispatch,
-            allowed ? PlacementRefusal::NoInstance : PlacementRefusal::NoBudget, defaultRetryAfter,
-            actions);
+            delay ? PlacementRefusal::RateLimited : PlacementRefusal::NoInstance,
+            std::max<Duration>(delay.value_or(defaultRetryAfter), defaultRetryAfter), actions);
+    }
+    if (!instance)
+        return refuseLocally(dispatch, PlacementRefusal::NoBudget, defaultRetryAfter, actions);
     const ClientAccountId counted = request.resubmitted ? ClientAccountId() : request.account;
     if (const auto delay = isGranted ? std::nullopt : m_localCaps.take(counted, now))
         return refuseLocally(dispatch, PlacementRefusal::OverCap, *delay, actions);
@@ -666,7 +694,7 @@
     m_placements[dispatch] = { *instance, m_localScheduler.find(*instance)->incarnation,
         request.service, now, until, request.bodyKiB };
     m_localScheduler.begin(*instance);
-    m_localScheduler.rateLimits().onPlaced(*instance, true);
+    m_localScheduler.rateLimits().onPlaced(*instance, true, now);
     if (m_leader)
         actions.frames.emplace_back(*m_leader,
             pack(LocalPlacementFrame { { dispatch.value(), instance->value(),
@@ -693,15 +721,19 @@
     const auto found = m_placements.find(dispatch);
     if (found == m_placements.end())
         return;
-    const InstanceId& id = found->second.instance;
+    const InstanceRateLimit limit { found->second.instance, found->second.incarnation,
+        { perSecond, now - sinceSent, now } };
+    if (!m_localScheduler.isCurrent(limit))
+        return;
     LocalRateLimits& limits = m_localScheduler.rateLimits();
-    const std::optional<double> before = limits.perSecond(id);
-    if ((!perSecond && !before)
-        || !limits.onStatement(
-            { id, found->second.incarnation, { perSecond, now - sinceSent, now } }, now))
+    const std::optional<double> before = limits.perSecond(limit.instance);
+    const LocalRateLimits::News news = limits.onOwnStatement(limit, now);
+    if (news.isPassedOn)
+        passOnRateLimit(limit, now, actions);
+    if (!news.isChanged)
         return;
     Decision decision { "rate-limit", perSecond ? "named" : "not-named" };
-    decision.facts["instance"] = id.value();
+    decision.facts["instance"] = limit.instance.value();
     if (perSecond)
         decision.facts["per_second"] = *perSecond;
     if (before)
@@ -709,6 +741,20 @@
     actions.decisions.push_back(std::move(decision));
 }
 
+void ControllerClient::passOnRateLimit(
+    const InstanceRateLimit& limit, TimePoint now, ControllerClientActions& actions) const
+{
+    const RateLimitRow row = toRow(limit, now);
+    if (m_leader)
+        actions.frames.emplace_back(
+            *m_leader, pack(RateLimitsFrame { m_localScheduler.rateLimits().hosts(), { row } }));
+    if (m_leader && !m_leaderSuspected)
+        return;
+    const std::string datagram = pack(PeerRateLimitFrame { row });
+    for (const Endpoint& neighbour : m_neighbours)
+        actions.datagrams.emplace_back(neighbour, datagram);
+}
+
 void ControllerClient::cancel(DispatchId dispatch, ControllerClientActions& actions)
 {
     if (m_pendingRequests.erase(dispatch) != 0 && m_leader)
--- a/src/libhub/controller_messages_pvt.h
+++ b/src/libhub/controller_messages_pvt.h
@@ -151,6 +151,28 @@
     MSGPACK_DEFINE(delays)
 };
 
+struct RateLimitRow {
+    std::string instance;
+    std::uint64_t incarnation = 0;
+    /// False: the instance named no limit.
+    bool isLimited = false;
+    double perSecond = 0.0;
+    /// Time since the request was sent, and since the head of its response arrived.
+    std::uint32_t sentAgeMs = 0;
+    std::uint32_t headAgeMs = 0;
+    MSGPACK_DEFINE(instance, incarnation, isLimited, perSecond, sentAgeMs, headAgeMs)
+};
+
+/// What an entry host heard from instances about their rate limits: all that it knows in answer to
+/// a WelcomeFrame, a single statement later.
+struct RateLimitsFrame {
+    static constexpr std::uint8_t type = 25;
+    /// Number of entry hosts, as a leader told it.
+    std::uint32_t hosts = 0;
+    std::vector<RateLimitRow> rows;
+    MSGPACK_DEFINE(hosts, rows)
+};
+
 // From control hosts to entry hosts.
 
 /// This control host is the leader and serves placement requests from now on.
@@ -222,7 +244,9 @@
     /// `doubtful` is present and replaces the list sent before.
     bool includesDoubtful = false;
     std::vector<std::string> doubtful;
-    MSGPACK_DEFINE(includesDoubtful, doubtful)
+    /// Number of entry hosts.
+    std::uint32_t hosts = 0;
+    MSGPACK_DEFINE(includesDoubtful, doubtful, hosts)
 };
 
 /// Entry hosts of the same region, which exchange outcomes of attempts while they have no leader.
@@ -240,6 +264,14 @@
     MSGPACK_DEFINE(number)
 };
 
+/// The rate limits of instances that the leader knows, and those that ended lately. Sent after the
+/// WelcomeFrame, and with a heartbeat when a limit has changed.
+struct RateLimitListFrame {
+    static constexpr std::uint8_t type = 42;
+    std::vector<RateLimitRow> rows;
+    MSGPACK_DEFINE(rows)
+};
+
 // Between entry hosts, as datagrams.
 
 /// An attempt of the sender failed or timed out.
@@ -250,6 +282,13 @@
     MSGPACK_DEFINE(instance, end)
 };
 
+/// An instance named a rate limit in a response to the sender, or none any more.
+struct PeerRateLimitFrame {
+    static constexpr std::uint8_t type = 65;
+    RateLimitRow row;
+    MSGPACK_DEFINE(row)
+};
+
 // Between control hosts.
 
 /// A message of the replicated log.
--- a/src/libplace/fleet_scheduler.cpp
+++ b/src/libplace/fleet_scheduler.cpp
@@ -106,6 +106,8 @@
         return "over-cap";
     case PlacementRefusal::OverShare:
         return "over-share";
+    case PlacementRefusal::RateLimited:
+        return "rate-limited";
     }
     return "unknown";
 }
@@ -136,6 +138,7 @@
     }
     if (!inserted)
         detach(instance);
+    m_rateLimits.onInstance(record.id, record.incarnation, now);
     instance.record = record;
     instance.lastAnnouncement = now;
     Service& service = serviceOf(record.service);
@@ -155,19 +158,21 @@
     std::erase(service.instances, &instance);
 }
 
-void FleetScheduler::remove(const InstanceId& id)
+void FleetScheduler::remove(const InstanceId& id, TimePoint now)
 {
     const auto found = m_instances.find(id);
     if (found == m_instances.end())
         return;
     detach(found->second);
     m_instances.erase(found);
+    m_rateLimits.remove(id, now);
 }
 
 void FleetScheduler::restart(TimePoint now)
 {
     m_startedAt = now;
     m_caps.restart(now);
+    m_rateLimits.restart(now);
     m_waiterIndex.clear();
     m_services.clear();
     m_instances.clear();
@@ -186,6 +191,15 @@
     found->second.coldUntil = now + warmupRemaining;
 }
 
+void FleetScheduler::onRateLimit(const InstanceRateLimit& limit, TimePoint now)
+{
+    const auto found = m_instances.find(limit.instance);
+    if (found == m_instances.end() || found->second.record.incarnation != limit.incarnation)
+        return;
+    serviceOf(found->second.record.service).capacity.reset();
+    m_rateLimits.onStatement(limit, now);
+}
+
 bool FleetScheduler::usable(const Instance& instance, TimePoint now) const
 {
     if (instance.record.phase != InstancePhase::Serving)
@@ -204,7 +218,7 @@
     const std::uint32_t slots = instance.coldUntil > now
         ? std::min(coldSlots, instance.record.slots)
         : instance.record.slots + instance.transitSlots;
-    return instance.busy + externalLoad < slots;
+    return instance.busy + externalLoad < slots && m_rateLimits.mayGrant(instance.record.id, now);
 }
 
 bool FleetScheduler::isHeldBack(const Instance& instance, TimePoint now) const
@@ -235,11 +249,14 @@
 {
     if (service.capacity && now - service.capacity->at <= capacityCacheTime)
         return *service.capacity;
-    Capacity capacity { 0, 0, now };
+    Capacity capacity;
+    capacity.at = now;
     m_evaluations += service.instances.size();
     for (const Instance* instance : service.instances) {
         if (usable(*instance, now)) {
-            capacity.slots += instance->record.slots;
+            capacity.slots += m_rateLimits.usableSlots(
+                instance->record.id, instance->record.slots, typicalLatencyOf(service));
+            capacity.limited += m_rateLimits.isLimited(instance->record.id) ? 1 : 0;
             ++capacity.instances;
         }
     }
@@ -359,7 +376,7 @@
         if (rankedCost >= bestCost)
             break;
         if (std::find(excluded.begin(), excluded.end(), instance) != excluded.end()
-            || !usable(*instance, now))
+            || !usable(*instance, now) || !m_rateLimits.admits(instance->record.id, now))
             continue;
         if (!hasFreeSlot(*instance, now)) {
             if (instance->record.slots > 0)
@@ -411,6 +428,7 @@
     const bool isProbe = m_spillover.isOn() && isProbeDue(instance, request, now);
     ++instance.busy;
     instance.lastGranted = now;
+    m_rateLimits.take(instance.record.id, request.key, now);
     const InstanceRecord& record = instance.record;
     const InstanceId& id = record.id;
     const bool hasLeft = m_spillover.onGrant(request.service, request.dataCentre, record.dataCentre,
@@ -432,6 +450,10 @@
     }
     if (!request.account.value().empty())
         service.shares.try_emplace(request.priority);
+    // Tokens come with time, not with the end of an attempt, so none of the waiters has been
+    // offered those since the last tick.
+    if (!service.waiters.empty() && capacityOf(service, now).isRateBound())
+        serveWaiters(service, now, replies);
     if (request.isHedge)
         return dispatchHedge(request, service, now, replies);
     if (request.retry && !takeRetry(service, request, now))
@@ -488,6 +510,7 @@
         dropWaiter(service, service.waiters.find(found->second.second));
     }
     m_caps.giveBack(key, now);
+    m_rateLimits.giveBack(key, now);
     end(key, {}, now, replies);
 }
 
--- a/src/libplace/fleet_scheduler_outcomes.cpp
+++ b/src/libplace/fleet_scheduler_outcomes.cpp
@@ -45,10 +45,13 @@
         return;
     const Placement placement = found->second;
     m_placements.erase(found);
-    if (report.isUnsent)
+    if (report.isUnsent) {
         m_caps.giveBack(key, now);
-    else
+        m_rateLimits.giveBack(key, now);
+    } else {
         m_caps.settle(key);
+        m_rateLimits.settle(key);
+    }
     release(placement);
     correctCharge(serviceOf(placement.service), placement, now - placement.since);
     recordOutcome(placement, report, now);
@@ -114,6 +117,10 @@
     m_placements[placement.key]
         = { placement.instance, placement.service, now - placement.age, now + placement.remaining };
     m_caps.takeByForce(placement.account, 1, placement.age, now);
+    // What was placed before this leader's start is part of what an earlier leader granted, or of
+    // what hosts have alone.
+    if (now - placement.age >= m_startedAt)
+        m_rateLimits.takeByForce(placement.instance, now);
 }
 
 void FleetScheduler::dropLink(LinkId link, TimePoint now)
@@ -151,6 +158,7 @@
         }
         release(active);
         m_caps.settle(placement->first);
+        m_rateLimits.settle(placement->first);
         correctCharge(serviceOf(active.service), active, now - active.since);
         placement = m_placements.erase(placement);
     }
--- a/src/libplace/fleet_scheduler_queue.cpp
+++ b/src/libplace/fleet_scheduler_queue.cpp
@@ -38,8 +38,9 @@
 Duration FleetScheduler::expectedWait(Service& service, std::size_t ahead, TimePoint now) const
 {
     const double typicalSeconds = std::chrono::duration<double>(typicalLatencyOf(service)).count();
-    return fromSeconds(typicalSeconds * static_cast<double>(ahead + 1)
-        / static_cast<double>(std::max<std::uint64_t>(capacityOf(service, now).slots, 1)));
+    const double slots = capacityOf(service, now).slots;
+    return fromSeconds(
+        typicalSeconds * static_cast<double>(ahead + 1) / (slots > 0.0 ? slots : 1.0));
 }
 
 Duration FleetScheduler::expectedWait(
@@ -86,10 +87,9 @@
         if (const auto free = choose(request, service, now, SelectionPolicy::AnyFree);
             free.instance != nullptr)
             return grantAtOnce(request, *free.instance, now, replies);
-        const Duration delay = std::clamp<Duration>(wait, minRetryAfter, maxRetryAfter);
         return refuse(request,
-            anyUsable ? causeOfNoRoom(service, order) : PlacementRefusal::NoInstance, delay, now,
-            replies);
+            anyUsable ? causeOfNoRoom(service, order, now) : PlacementRefusal::NoInstance,
+            retryAfter(service, wait, now), now, replies);
     }
     ++m_lastWaiterNumber;
     const Duration cheaperWait = std::min(maxWait, maxWaitForCheaper(request, service));
@@ -107,9 +107,19 @@
     refuseExcess(service, now, replies);
 }
 
+Duration FleetScheduler::retryAfter(Service& service, Duration wait, TimePoint now) const
+{
+    const Duration limit = capacityOf(service, now).isRateBound()
+        ? Duration(maxRateLimitedRetryAfter)
+        : Duration(maxRetryAfter);
+    return std::clamp<Duration>(wait, minRetryAfter, limit);
+}
+
 PlacementRefusal FleetScheduler::causeOfNoRoom(
-    const Service& service, const WaiterOrder& order) const
+    Service& service, const WaiterOrder& order, TimePoint now) const
 {
+    if (capacityOf(service, now).isRateBound())
+        return PlacementRefusal::RateLimited;
     const auto shares = service.shares.find(order.priority);
     const double work = std::chrono::duration<double>(typicalLatencyOf(service)).count();
     return shares != service.shares.end() && shares->second.isBeyondShare(order.startTag, work)
@@ -122,9 +132,8 @@
 void FleetScheduler::refuseWaiter(
     Service& service, Waiters::iterator waiter, TimePoint now, std::vector<PlacementReply>& replies)
 {
-    const Duration delay = std::clamp<Duration>(
-        expectedWait(service, waiter->first, now), minRetryAfter, maxRetryAfter);
-    refuse(waiter->second.request, causeOfNoRoom(service, waiter->first), delay, now, replies);
+    const Duration delay = retryAfter(service, expectedWait(service, waiter->first, now), now);
+    refuse(waiter->second.request, causeOfNoRoom(service, waiter->first, now), delay, now, replies);
     dropWaiter(service, waiter);
 }
 
--- a/src/libplace/local_scheduler.cpp
+++ b/src/libplace/local_scheduler.cpp
@@ -53,6 +53,7 @@
 LocalScheduler::LocalScheduler(HostLocation location, std::uint64_t seed)
     : m_location(std::move(location))
     , m_random(seed)
+    , m_rateLimits(seed + 1)
 {
 }
 
@@ -228,6 +229,32 @@
                                               : explorationWeightByDistance[2];
 }
 
+bool LocalScheduler::isCurrent(const InstanceRateLimit& limit) const
+{
+    const InstanceRecord* record = find(limit.instance);
+    return record != nullptr && record->incarnation == limit.incarnation;
+}
+
+bool LocalScheduler::fits(
+    const InstanceRecord& record, const PlacementRequest& request, TimePoint now) const
+{
+    return record.service == request.service && record.phase == InstancePhase::Serving
+        && !isClosed(record.id, now)
+        && std::find(request.avoid.begin(), request.avoid.end(), record.id) == request.avoid.end();
+}
+
+std::optional<Duration> LocalScheduler::rateLimitDelay(
+    const PlacementRequest& request, TimePoint now) const
+{
+    double perSecond = 0.0;
+    for (const auto& [id, record] : m_records) {
+        const auto limit = m_rateLimits.perSecond(id);
+        if (limit && fits(record, request, now))
+            perSecond += RateLimitShares::alone * std::max(*limit, RateLimitShares::minPerSecond);
+    }
+    return perSecond > 0.0 ? std::optional(fromSeconds(1.0 / perSecond)) : std::nullopt;
+}
+
 std::optional<InstanceId> LocalScheduler::choose(const PlacementRequest& request, TimePoint now)
 {
     if (!request.resubmitted && m_latestRequest == std::pair(request.service, now))
@@ -242,10 +269,7 @@
     double lowestCost = std::numeric_limits<double>::infinity();
     double explorationSum = 0.0;
     for (const auto& [id, record] : m_records) {
-        const bool fits = record.service == request.service
-            && record.phase == InstancePhase::Serving && !isClosed(id, now)
-            && std::find(request.avoid.begin(), request.avoid.end(), id) == request.avoid.end();
-        if (!fits)
+        if (!fits(record, request, now) || !m_rateLimits.mayPlace(id, now))
             continue;
         // A resubmitted request may be on its last attempt, so it is not used for exploration.
         const double exploration = request.resubmitted ? 0.0 : explorationWeight(record, now);
--- a/testsuite/load/rate_limit_load_test.cpp
+++ b/testsuite/load/rate_limit_load_test.cpp
@@ -54,6 +54,31 @@
     }
 }
 
+/// Reports the fullest window and the share of requests that were served, of 50 days.
+void reportFigures(const char* name, RateLimitDay limits, AloneDay alone)
+{
+    double fullest = 0.0;
+    std::uint64_t served = 0;
+    std::uint64_t requests = 0;
+    std::uint64_t arrived = 0;
+    for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
+        RequestFleetOptions options;
+        options.entries = quarterSite;
+        options.seed = seed;
+        options.rateLimits = limits;
+        options.alone = alone;
+        RequestFleet fleet(options);
+        REQUIRE(fleet.run());
+        fullest = std::max(fullest, fleet.rateLimits().fullestWindow());
+        arrived += fleet.rateLimits().counted();
+        served += fleet.checker().served();
+        requests += fleet.checker().requests();
+    }
+    WARN(name << ": fullest window " << fullest << " of what is allowed, served "
+              << static_cast<double>(served) / static_cast<double>(requests) << " of " << requests
+              << ", " << arrived << " at limited instances");
+}
+
 } // namespace
 
 // Guards against a limit that is kept by each host for itself, or by none (LIMIT).
@@ -90,3 +115,13 @@
     const auto alone = GENERATE(AloneDay::None, AloneDay::Half, AloneDay::All);
     checkRateLimits(quarterSite, limits, alone, seedCount + 1, huntSeeds);
 }
+
+TEST_CASE("rate limits: figures of the days", "[.figures]")
+{
+    reportFigures("no limits", RateLimitDay::None, AloneDay::None);
+    reportFigures("a quarter of the instances", RateLimitDay::Some, AloneDay::None);
+    reportFigures("the same, half of the hosts alone", RateLimitDay::Some, AloneDay::Half);
+    reportFigures("the same, all hosts alone", RateLimitDay::Some, AloneDay::All);
+    reportFigures("a whole service besides", RateLimitDay::WholeService, AloneDay::None);
+    reportFigures("the same, all hosts alone", RateLimitDay::WholeService, AloneDay::All);
+}
