Rate limits: hosts are told what changed, not the whole list

At 720 instances that name changing limits a list of 36 KB each half second would fill a quarter of an entry host's link of 2.1 Mbit/s (worked out). The whole list goes to a host that joins; later frames carry the instances whose limit changed since the last heartbeat. Test: a list of changes leaves other limits of the leader as they were, a full one does not.

--- a/src/include/laburnumroute/instance_rate_limits.h
+++ b/src/include/laburnumroute/instance_rate_limits.h
@@ -18,6 +18,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -63,8 +64,9 @@
     std::size_t size() const noexcept { return m_buckets.size(); }
     /// The limits in force, and those that ended in the last minute.
     std::vector<InstanceRateLimit> statements() const { return m_stated.statements(); }
-    /// Grows with each change of a limit.
-    std::uint64_t version() const noexcept { return m_version; }
+    /// Those of them that changed since the last call. A limit that ended because its instance did
+    /// is not among them.
+    std::vector<InstanceRateLimit> takeChanges();
 
     /// The log lines `rate-limit: in-force` and `rate-limit: lifted` due since the last call.
     std::vector<Decision> takeDecisions();
@@ -89,7 +91,7 @@
     std::map<DispatchKey, InstanceId> m_takes;
     double m_share = 1.0;
     std::optional<TimePoint> m_refillUntil;
-    std::uint64_t m_version = 0;
+    std::set<InstanceId> m_changed;
     std::uint64_t m_learned = 0;
     std::uint64_t m_lifted = 0;
     std::uint64_t m_granted = 0;
--- a/src/include/laburnumroute/local_rate_limits.h
+++ b/src/include/laburnumroute/local_rate_limits.h
@@ -45,12 +45,14 @@
     {
         m_stated.update(limit, now);
     }
-    /// The leader's limits and what ended lately; replaces its last list.
-    void onLeaderStatements(const std::vector<InstanceRateLimit>& limits, TimePoint now);
+    /// The leader's limits, and those that ended lately: all of them, or those that changed.
+    void onLeaderStatements(
+        const std::vector<InstanceRateLimit>& limits, bool isFull, TimePoint now);
     /// The instance is registered as this start. What another start said is void.
     void onInstance(const InstanceId& id, std::uint64_t incarnation)
     {
-        m_stated.onInstance(id, incarnation);
+        if (m_stated.onInstance(id, incarnation))
+            m_leaderLimited.erase(id);
     }
     void remove(const InstanceId& id);
 
@@ -75,7 +77,7 @@
     RateLimitBucket& bucketOf(const InstanceId& id, double perSecond, TimePoint now);
 
     StatedRateLimits m_stated;
-    /// Instances with a limit in the leader's last list.
+    /// Instances with a limit according to the leader.
     std::set<InstanceId> m_leaderLimited;
     std::map<InstanceId, TimePoint> m_passedOnAt;
     std::map<InstanceId, RateLimitBucket> m_buckets;
--- a/src/include/laburnumroute/rate_limit.h
+++ b/src/include/laburnumroute/rate_limit.h
@@ -75,6 +75,8 @@
     std::size_t limited() const noexcept { return m_limited; }
     /// The limits, and those that ended in the last minute.
     std::vector<InstanceRateLimit> statements() const;
+    /// One of them; empty if there is none of the instance.
+    std::optional<InstanceRateLimit> statement(const InstanceId& id) const;
 
 private:
     struct Limit {
--- a/src/libhub/controller_messages_pvt.h
+++ b/src/libhub/controller_messages_pvt.h
@@ -264,12 +264,14 @@
     MSGPACK_DEFINE(number)
 };
 
-/// The rate limits of instances that the leader knows, and those that ended lately. Sent after the
-/// WelcomeFrame, and with a heartbeat when a limit has changed.
+/// The rate limits of instances that the leader knows, and those that ended lately: all of them
+/// after the WelcomeFrame, and with a heartbeat those that have changed.
 struct RateLimitListFrame {
     static constexpr std::uint8_t type = 42;
+    /// `rows` replaces what the receiver had of the sender.
+    bool full = false;
     std::vector<RateLimitRow> rows;
-    MSGPACK_DEFINE(rows)
+    MSGPACK_DEFINE(full, rows)
 };
 
 // Between entry hosts, as datagrams.
--- a/src/libhub/rate_limit_coordinator.cpp
+++ b/src/libhub/rate_limit_coordinator.cpp
@@ -65,7 +65,6 @@
     m_statedHosts = 0;
     m_startedAt = now;
     m_leaseHeldAt = now;
-    m_sentVersion = 0;
 }
 
 void RateLimitCoordinator::onHostFound(const HostId& host)
@@ -118,15 +117,15 @@
 
 std::string RateLimitCoordinator::listFrame(TimePoint now) const
 {
-    return pack(RateLimitListFrame { toRows(m_scheduler.rateLimits().statements(), now) });
+    return pack(RateLimitListFrame { true, toRows(m_scheduler.rateLimits().statements(), now) });
 }
 
 std::optional<std::string> RateLimitCoordinator::takeUpdate(TimePoint now)
 {
-    if (m_sentVersion == m_scheduler.rateLimits().version())
+    const auto changes = m_scheduler.rateLimits().takeChanges();
+    if (changes.empty())
         return std::nullopt;
-    m_sentVersion = m_scheduler.rateLimits().version();
-    return listFrame(now);
+    return pack(RateLimitListFrame { false, toRows(changes, now) });
 }
 
 } // namespace laburnum::pvt
--- a/src/libhub/rate_limit_coordinator_pvt.h
+++ b/src/libhub/rate_limit_coordinator_pvt.h
@@ -45,7 +45,7 @@
     std::uint32_t hosts() const;
     /// The limits in force, for a host that joins.
     std::string listFrame(TimePoint now) const;
-    /// The same for all hosts, if a limit changed since the last call.
+    /// For all hosts, the limits that changed since the last call, if there are any.
     std::optional<std::string> takeUpdate(TimePoint now);
 
 private:
@@ -59,7 +59,6 @@
     TimePoint m_startedAt {};
     /// Latest time at which the lease was seen to be held.
     TimePoint m_leaseHeldAt {};
-    std::uint64_t m_sentVersion = 0;
 };
 
 } // namespace laburnum::pvt
--- a/src/libplace/instance_rate_limits.cpp
+++ b/src/libplace/instance_rate_limits.cpp
@@ -20,7 +20,7 @@
     m_buckets.clear();
     m_takes.clear();
     m_refillUntil.reset();
-    ++m_version;
+    m_changed.clear();
     setShare(1.0 - RateLimitShares::alone, now);
 }
 
@@ -56,7 +56,7 @@
 
 void InstanceRateLimits::onChange(const InstanceId& id, TimePoint now)
 {
-    ++m_version;
+    m_changed.insert(id);
     const auto perSecond = m_stated.perSecond(id);
     Decision decision { "rate-limit", perSecond ? "in-force" : "lifted" };
     decision.facts["instance"] = id.value();
@@ -148,6 +148,16 @@
         static_cast<double>(slots), rate * std::chrono::duration<double>(latency).count());
 }
 
+std::vector<InstanceRateLimit> InstanceRateLimits::takeChanges()
+{
+    std::vector<InstanceRateLimit> changes;
+    for (const InstanceId& id : std::exchange(m_changed, {})) {
+        if (auto statement = m_stated.statement(id))
+            changes.push_back(std::move(*statement));
+    }
+    return changes;
+}
+
 std::vector<Decision> InstanceRateLimits::takeDecisions() { return std::exchange(m_decisions, {}); }
 
 std::string InstanceRateLimits::render() const
--- a/src/libplace/local_rate_limits.cpp
+++ b/src/libplace/local_rate_limits.cpp
@@ -29,19 +29,23 @@
 }
 
 void LocalRateLimits::onLeaderStatements(
-    const std::vector<InstanceRateLimit>& limits, TimePoint now)
+    const std::vector<InstanceRateLimit>& limits, bool isFull, TimePoint now)
 {
-    m_leaderLimited.clear();
+    if (isFull)
+        m_leaderLimited.clear();
     for (const InstanceRateLimit& limit : limits) {
         m_stated.update(limit, now);
         if (limit.statement.perSecond)
             m_leaderLimited.insert(limit.instance);
+        else
+            m_leaderLimited.erase(limit.instance);
     }
 }
 
 void LocalRateLimits::remove(const InstanceId& id)
 {
     m_stated.remove(id);
+    m_leaderLimited.erase(id);
     m_passedOnAt.erase(id);
     m_buckets.erase(id);
 }
--- a/src/libplace/local_rate_limits_test.cpp
+++ b/src/libplace/local_rate_limits_test.cpp
@@ -33,7 +33,7 @@
         std::deque<LocalRateLimits> fleet;
         for (std::uint32_t i = 0; i < hosts; ++i) {
             fleet.emplace_back(seed * 1000 + i).setHosts(hosts);
-            fleet.back().onLeaderStatements({ limit(perSecond, 0s, 1s) }, start + 1s);
+            fleet.back().onLeaderStatements({ limit(perSecond, 0s, 1s) }, true, start + 1s);
         }
         std::deque<TimePoint> inWindow;
         std::size_t fullest = 0;
@@ -88,11 +88,11 @@
     CHECK(passesOn(limit({}, 3s, 4s)));
     CHECK_FALSE(passesOn(limit({}, 4s, 5s)));
     // The leader heard of the limit and of its end in another order.
-    limits.onLeaderStatements({ limit(1.0, 2s, 2900ms) }, start + 6s);
+    limits.onLeaderStatements({ limit(1.0, 2s, 2900ms) }, true, start + 6s);
     CHECK_FALSE(limits.perSecond(instance));
     CHECK(passesOn(limit({}, 5s, 6s)));
     CHECK(passesOn(limit({}, 6s, 7s)));
-    limits.onLeaderStatements({ limit({}, 6s, 7s) }, start + 8s);
+    limits.onLeaderStatements({ limit({}, 6s, 7s) }, false, start + 8s);
     CHECK_FALSE(passesOn(limit({}, 8s, 9s)));
 }
 
@@ -101,9 +101,9 @@
     LocalRateLimits limits(1);
     limits.onPeerStatement(limit(3.0, 1s, 2s), start + 2s);
     CHECK(limits.perSecond(instance) == 3.0);
-    limits.onLeaderStatements({ limit({}, 0s, 1s) }, start + 3s);
+    limits.onLeaderStatements({ limit({}, 0s, 1s) }, true, start + 3s);
     CHECK(limits.perSecond(instance) == 3.0);
-    limits.onLeaderStatements({ limit({}, 2s, 3s) }, start + 3s);
+    limits.onLeaderStatements({ limit({}, 2s, 3s) }, false, start + 3s);
     CHECK_FALSE(limits.perSecond(instance));
     limits.onPeerStatement(limit(3.0, 1s, 2s), start + 4s);
     CHECK_FALSE(limits.perSecond(instance));
@@ -126,3 +126,19 @@
     }
     CHECK(limits.statements().size() <= 62);
 }
+
+TEST_CASE("a list of changes leaves other limits of the leader as they were, a full one does not")
+{
+    LocalRateLimits limits(1);
+    InstanceRateLimit other = limit(1.0, 1s, 2s);
+    other.instance = InstanceId("j");
+    const auto isPassedOn = [&](Duration at) {
+        return limits.onOwnStatement(limit({}, at, at + 10ms), start + at + 10ms).isPassedOn;
+    };
+    limits.onLeaderStatements({ limit(1.0, 1s, 2s) }, true, start + 2s);
+    limits.onLeaderStatements({ other }, false, start + 3s);
+    CHECK(isPassedOn(4s));
+    CHECK(isPassedOn(5s));
+    limits.onLeaderStatements({ other }, true, start + 6s);
+    CHECK_FALSE(isPassedOn(7s));
+}
--- a/src/libplace/rate_limit.cpp
+++ b/src/libplace/rate_limit.cpp
@@ -118,6 +118,14 @@
     return found == m_limits.end() ? std::nullopt : found->second.stated.perSecond();
 }
 
+std::optional<InstanceRateLimit> StatedRateLimits::statement(const InstanceId& id) const
+{
+    const auto found = m_limits.find(id);
+    if (found == m_limits.end())
+        return std::nullopt;
+    return InstanceRateLimit { id, found->second.incarnation, found->second.stated.latest() };
+}
+
 std::vector<InstanceRateLimit> StatedRateLimits::statements() const
 {
     std::vector<InstanceRateLimit> result;
