--- a/src/libhub/controller_client.cpp
+++ b/src/libhub/controller_client.cpp
@@ -434,7 +434,8 @@
             m_localScheduler.rateLimits().setHosts(heartbeat->hosts);
     } else if (const auto limits = unpack<RateLimitListFrame>(bytes)) {
         if (m_leader == link)
-            m_localScheduler.rateLimits().onLeaderStatements(currentLimits(limits->rows, now), limits->full, now);
+            m_localScheduler.rateLimits().onLeaderStatements(
+                currentLimits(limits->rows, now), limits->full, now);
     } else if (const auto welcome = unpack<WelcomeFrame>(bytes)) {
         onWelcome(link, welcome->controlHosts, now, actions);
         m_reportsDelays = welcome->wantsDelays;
