e2e.gray_upstream prints the decisions on the instance when it does not return

The next failure brings the lines that tell whether a trial was granted, got no traffic or failed. No check changes.

--- a/testsuite/e2e/gray_upstream.py
+++ b/testsuite/e2e/gray_upstream.py
@@ -27,6 +27,17 @@
     return [d for host in fleet.entries for d in host.decisions() if d["kind"] == kind]
 
 
+def describe(fleet, instance):
+    """Prints what the hosts decided about the instance, for the trace of a failure."""
+    kinds = {"eject", "return", "trial", "grant-ejection", "deny-ejection"}
+    lines = [(d["time_ms"], host.name, d) for host in fleet.entries for d in host.decisions()
+             if d["kind"] in kinds and d.get("instance") == instance]
+    lines += [(d["time_ms"], host.name, d) for host in fleet.entries for d in host.decisions()
+              if d["kind"] in {"ownership", "member"}]
+    for _, host, decision in sorted(lines, key=lambda line: line[0]):
+        print(host, decision)
+
+
 def main():
     checks = harness.Checks()
     fleet = fleets.Fleet(["claimdesk"], upstreams_per_service=6)
@@ -55,7 +66,11 @@
             lookups(fleet, ROUND)
             return any(d.get("instance") == faulty.name for d in decisions(fleet, "return"))
 
-        fleets.wait_until(returned, "the recovered instance returns to service", 120)
+        try:
+            fleets.wait_until(returned, "the recovered instance returns to service", 120)
+        except TimeoutError:
+            describe(fleet, faulty.name)
+            raise
         checks.check(lookups(fleet, ROUND) == ROUND, "all lookups are answered after the return")
     finally:
         failed = fleet.stop()
