--- a/src/libhub/rate_limit_coordinator.cpp
+++ b/src/libhub/rate_limit_coordinator.cpp
@@ -53,6 +53,7 @@
 std::vector<RateLimitRow> toRows(const std::vector<InstanceRateLimit>& limits, TimePoint now)
 {
     std::vector<RateLimitRow> rows;
+    rows.reserve(limits.size());
     for (const InstanceRateLimit& limit : limits)
         rows.push_back(toRow(limit, now));
     return rows;
@@ -91,7 +92,8 @@
     if (now - m_startedAt < takeoverTime)
         return 1.0 - RateLimitShares::alone;
     const auto lost = static_cast<double>(m_lostHosts.size());
-    return 1.0 - RateLimitShares::alone * lost / std::max(lost + m_hosts.size(), 1.0);
+    return 1.0
+        - RateLimitShares::alone * lost / std::max(lost + static_cast<double>(m_hosts.size()), 1.0);
 }
 
 void RateLimitCoordinator::onTick(bool isLeaseHeld, TimePoint now)
--- a/src/libplace/fleet_scheduler_rate_limits_test.cpp
+++ b/src/libplace/fleet_scheduler_rate_limits_test.cpp
@@ -17,10 +17,8 @@
 constexpr TimePoint start { 1000s };
 constexpr auto tick = 50ms;
 constexpr auto work = 300ms;
-/// The users' rule.
+/// Of the users' rule.
 constexpr auto window = 4s;
-constexpr double factor = 1.5;
-constexpr double slack = 5.0;
 
 /// A scheduler of one service without caps, long after its start.
 struct Fixture {
--- a/src/libplace/rate_limit.cpp
+++ b/src/libplace/rate_limit.cpp
@@ -129,6 +129,7 @@
 std::vector<InstanceRateLimit> StatedRateLimits::statements() const
 {
     std::vector<InstanceRateLimit> result;
+    result.reserve(m_limits.size());
     for (const auto& [id, limit] : m_limits)
         result.push_back({ id, limit.incarnation, limit.stated.latest() });
     return result;
