End-to-end fleets: ports below the range of outgoing connections

KNOWN-RED.txt had e2e.control_faults: 'timed out waiting for: every host answers' (20 s), once beside load, not traced. The start of a fleet now prints what silent hosts wrote. Ports now come from 12000 to 31999, a block of 100 for each process.

--- a/testsuite/fleet.py
+++ b/testsuite/fleet.py
@@ -1,6 +1,7 @@
 """Starts and stops a small fleet of laburnumd processes and stand-in upstreams on loopback."""
 
 import json
+import os
 import pathlib
 import shutil
 import signal
@@ -20,18 +21,28 @@
 REGIONS = {"cpt": ["cpt-1", "cpt-2"], "jnb": ["jnb-1", "jnb-2"], "dur": ["dur-1", "dur-2"]}
 
 
+# Below the range from which the kernel takes the ports of outgoing connections: one of those could take a port between
+# its choice and its use. Processes that run at the same time begin at different places.
+FIRST_PORT, LAST_PORT, PORTS_PER_PROCESS = 12000, 31999, 100
 GIVEN_PORTS = set()
 
 
 def free_port():
     """Returns a TCP port on loopback that was free just now and that no other call has returned."""
-    while True:
+    size = LAST_PORT - FIRST_PORT + 1
+    begin = os.getpid() * PORTS_PER_PROCESS % size
+    for i in range(size):
+        port = FIRST_PORT + (begin + i) % size
+        if port in GIVEN_PORTS:
+            continue
         with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
-        if port not in GIVEN_PORTS:
-            GIVEN_PORTS.add(port)
-            return port
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        GIVEN_PORTS.add(port)
+        return port
+    raise RuntimeError("no port is free")
 
 
 def http(method, url, body=None, headers=None, timeout=10.0):
@@ -177,12 +188,23 @@
         for host in self.hosts:
             host.write_settings(self.hosts)
             host.start()
-        wait_until(lambda: all(host.status() for host in self.hosts), "every host answers")
+        try:
+            wait_until(lambda: all(host.status() for host in self.hosts), "every host answers")
+        except TimeoutError:
+            self.describe_silent_hosts()
+            raise
         for upstream in self.upstreams:
             upstream.start()
         wait_until(lambda: all(host.status()["instances"] == len(self.upstreams) for host in self.entries),
                    "every entry host knows every instance")
 
+    def describe_silent_hosts(self):
+        """Prints, for the trace of a failed start, the exit code and the last output of hosts that do not answer."""
+        for host in self.hosts:
+            if not host.status():
+                output = (host.folder / "output.log").read_text(errors="replace")[-500:]
+                print(f"{host.name} does not answer, exit code {host.process.poll()}, output: {output!r}")
+
     def ctl(self, *arguments, control=None):
         """Runs laburnumctl against a control host, by default the first; returns the completed process."""
         host = control or self.controls[0]
