--- a/src/libplace/fleet_scheduler.cpp
+++ b/src/libplace/fleet_scheduler.cpp
@@ -191,15 +191,6 @@
     found->second.coldUntil = now + warmupRemaining;
 }
 
-void FleetScheduler::onRateLimit(const InstanceRateLimit& limit, TimePoint now)
-{
-    const auto found = m_instances.find(limit.instance);
-    if (found == m_instances.end() || found->second.record.incarnation != limit.incarnation)
-        return;
-    serviceOf(found->second.record.service).capacity.reset();
-    m_rateLimits.onStatement(limit, now);
-}
-
 bool FleetScheduler::usable(const Instance& instance, TimePoint now) const
 {
     if (instance.record.phase != InstancePhase::Serving)
--- a/src/libplace/fleet_scheduler_outcomes.cpp
+++ b/src/libplace/fleet_scheduler_outcomes.cpp
@@ -1,5 +1,5 @@
-// Placements of FleetScheduler after their grant: how they end, what their outcomes say about
-// instances and services, and which of them are adopted, orphaned or overdue.
+// Placements of FleetScheduler after their grant: how they end, what their outcomes and responses
+// say about instances and services, and which of them are adopted, orphaned or overdue.
 
 #include <algorithm>
 
@@ -91,6 +91,15 @@
     instance.health.reset();
 }
 
+void FleetScheduler::onRateLimit(const InstanceRateLimit& limit, TimePoint now)
+{
+    const auto found = m_instances.find(limit.instance);
+    if (found == m_instances.end() || found->second.record.incarnation != limit.incarnation)
+        return;
+    serviceOf(found->second.record.service).capacity.reset();
+    m_rateLimits.onStatement(limit, now);
+}
+
 void FleetScheduler::updateTransitShare(Service& service, Duration held, Duration latency)
 {
     if (held <= Duration::zero())
