Test: hosts share limits by at least the number of hosts

A host states the number that it knows, 64 before any leader told it; so a new leader tells at least 64 for its first 30 s, which errs towards the limit.

--- a/src/libhub/controller_rate_limits_test.cpp
+++ b/src/libhub/controller_rate_limits_test.cpp
@@ -148,6 +148,9 @@
         CHECK(fleet.fullest(bound) <= 6);
         CHECK(fleet.since(bound) >= 7);
         CHECK(fleet.refused == 0);
+        // Alone, each of them has a share of one in this number.
+        for (unsigned i = 1; i <= entries; ++i)
+            CHECK(fleet.fleet.client(e(i)).localScheduler().rateLimits().hosts() >= entries);
         for (unsigned i = 1; i <= entries; ++i)
             CHECK(
                 fleet.fleet.client(e(i)).localScheduler().rateLimits().perSecond(limited) == limit);
