A response whose status is not of three digits from 100 to 599 is malformed

What callers saw: a response with the status 000, 099, 20, 0200, 600 or 999 was passed on as a final response, also 000 or 099 in front of a sound response, as an odd interim one.

Cause: http_parser takes any number up to 999 for a status and reports only its value, so that `20` and `0200` are statuses; nothing checked the value. Whatever was not below 200 went out as the final response; whatever was below, 000 and 099 included, as an interim one.

Evidence: scripted instances on loopback, statuses whole and a byte a segment, new and reused connections, requests that may run once and that may be retried, fleet and listed instances.

Change: HttpDecoder checks the status code of a response as it was sent, three digits from 100 to 599, in the one place that all responses pass through; a response with another one is malformed. So a status below 200 is always 1xx, and the test for interim responses holds as it is. The instance gets a failure, a safe request is retried at another instance, an unsafe one ends as 502 `bad-answer`, unknown.

Both ends of what is allowed are tested: 099 and 100, 199 and 200, 599 and 600.

--- /dev/null
+++ b/src/libnet/entry_invalid_response_test.cpp
@@ -0,0 +1,218 @@
+// Instances whose responses have an invalid status or field name.
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+
+#include "fleet_fixture_test.h"
+
+using namespace laburnum;
+using namespace laburnum::test;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::string sound = "HTTP/1.1 200 OK\r\nStamp: x\r\nId: 7\r\nContent-Length: 5\r\n\r\nsound";
+
+std::string request(const std::string& method, const std::string& id = "7")
+{
+    return method + " /s HTTP/1.1\r\nHost: h\r\nConnection: close\r\nId: " + id
+        + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+/// Sends `text` in segments of `segmentBytes` bytes, or in one with 0.
+void sendSegmented(Connection& connection, const std::string& text, std::size_t segmentBytes)
+{
+    if (segmentBytes == 0)
+        return connection.send(text);
+    connection.setNoDelay();
+    for (std::size_t at = 0; at < text.size(); at += segmentBytes)
+        connection.send(std::string_view(text).substr(at, segmentBytes));
+}
+
+/// An instance that sends `response` for a request and closes its connection. With `reused`, it
+/// answers the first request of each connection first, whose id is 6.
+class FaultyUpstream {
+public:
+    explicit FaultyUpstream(std::string response, std::size_t segmentBytes = 0, bool reused = false)
+        : m_response(std::move(response))
+        , m_segmentBytes(segmentBytes)
+        , m_reused(reused)
+        , m_scripted([this](Connection& connection, int) { run(connection); })
+    {
+    }
+
+    Endpoint endpoint() const { return m_scripted.endpoint(); }
+    /// Number of requests received that got `response`.
+    int runs() const { return m_runs; }
+
+private:
+    void run(Connection& connection)
+    {
+        if (m_reused) {
+            connection.readHead();
+            connection.send("HTTP/1.1 200 OK\r\nStamp: x\r\nId: 6\r\nContent-Length: 2\r\n\r\nok");
+        }
+        if (connection.readHead().empty())
+            return;
+        ++m_runs;
+        sendSegmented(connection, m_response, m_segmentBytes);
+        connection.closeSending();
+        connection.readAll();
+    }
+
+    std::string m_response;
+    std::size_t m_segmentBytes;
+    bool m_reused;
+    std::atomic<int> m_runs { 0 };
+    ScriptedUpstream m_scripted;
+};
+
+/// Connections are reused for requests that must not run twice.
+EntryOptions reusingOptions()
+{
+    EntryOptions options = fleetOptions();
+    options.unsafeReuseTimeout = 5s;
+    return options;
+}
+
+/// All that a caller of a listed fleet gets for `text`.
+std::string exchangeListed(const FaultyUpstream& upstream, const std::string& text)
+{
+    EntryFixture fixture;
+    fixture.addInstance(upstream.endpoint());
+    Connection caller = fixture.connect();
+    caller.send(text);
+    return caller.readAll();
+}
+
+/// All that a caller of a fleet gets for a request at an instance that may run once.
+std::string exchangeOnce(OrderedPlacementProvider& provider, const FaultyUpstream& upstream,
+    const std::string& method = "POST", bool reused = false)
+{
+    provider.route.kind = RequestKind::Unsafe;
+    provider.instances = { upstream.endpoint(), upstream.endpoint() };
+    OrderedFleetFixture fixture(provider, reusingOptions());
+    if (reused)
+        CHECK(fixture.exchange(request("POST", "6")).ends_with("\r\n\r\nok"));
+    Connection caller = fixture.connect();
+    caller.send(request(method));
+    return caller.readAll();
+}
+
+std::string response(const std::string& status)
+{
+    return "HTTP/1.1 " + status + " X\r\nStamp: x\r\nId: 7\r\nContent-Length: 5\r\n\r\nwrong";
+}
+
+const std::vector<std::string> invalidStatuses { "000", "001", "099", "20", "0200", "1000", "600",
+    "999", "-200", "+200", "2e2", "20x" };
+
+} // namespace
+
+// Guards against a final status that a caller's library cannot read, or reads as another one.
+TEST_CASE("a response whose status is not of three digits from 100 to 599 is never passed on")
+{
+    const auto status = GENERATE(from_range(invalidStatuses));
+    const auto segmentBytes = GENERATE(std::size_t { 0 }, std::size_t { 1 });
+    // The invalid status is that of the final response, or of an interim one before a sound one.
+    const bool isInterim = GENERATE(false, true);
+    const std::string text
+        = isInterim ? "HTTP/1.1 " + status + " X\r\n\r\n" + sound : response(status);
+    CAPTURE(status, segmentBytes, isInterim);
+    SECTION("fleet, a request that may run once")
+    {
+        const bool reused = GENERATE(false, true);
+        FaultyUpstream upstream(text, segmentBytes, reused);
+        OrderedPlacementProvider provider;
+        CHECK(exchangeOnce(provider, upstream, "POST", reused).starts_with("HTTP/1.1 502 "));
+        CHECK(upstream.runs() == 1);
+        CHECK(provider.reports.wait(reused ? 2 : 1).back() == "failure");
+        CHECK(provider.requestEnds.wait(reused ? 2 : 1).back() == "bad-answer unknown");
+    }
+    SECTION("fleet, a request that may be retried")
+    {
+        FaultyUpstream upstream(text, segmentBytes);
+        FaultyUpstream good(sound);
+        OrderedPlacementProvider provider;
+        provider.instances = { upstream.endpoint(), good.endpoint() };
+        OrderedFleetFixture fixture(provider);
+        const std::string got = fixture.exchange(request("GET"));
+        CHECK(got.starts_with("HTTP/1.1 200 "));
+        CHECK(got.ends_with("\r\n\r\nsound"));
+        CHECK(upstream.runs() == 1);
+        CHECK(good.runs() == 1);
+        CHECK(provider.reports.wait(2) == std::vector<std::string> { "failure", "success" });
+    }
+    SECTION("listed instances")
+    {
+        FaultyUpstream upstream(text, segmentBytes);
+        CHECK(exchangeListed(upstream, request("POST")).starts_with("HTTP/1.1 502 "));
+        CHECK(upstream.runs() == 1);
+    }
+}
+
+TEST_CASE("fleet: a response to another request with an invalid status ends the attempt")
+{
+    const auto status = GENERATE(from_range(invalidStatuses));
+    FaultyUpstream upstream(
+        "HTTP/1.1 " + status + " X\r\nId: 6\r\nContent-Length: 0\r\n\r\n" + sound, 0, true);
+    OrderedPlacementProvider provider;
+    CAPTURE(status);
+    CHECK(exchangeOnce(provider, upstream, "POST", true).starts_with("HTTP/1.1 502 "));
+    CHECK(upstream.runs() == 1);
+}
+
+TEST_CASE("each final status from 200 to 599 is passed on")
+{
+    const auto status = GENERATE(as<std::string>(), "200", "299", "399", "400", "499", "599");
+    const auto segmentBytes = GENERATE(std::size_t { 0 }, std::size_t { 1 });
+    FaultyUpstream upstream(response(status), segmentBytes);
+    CAPTURE(status, segmentBytes);
+    SECTION("fleet")
+    {
+        OrderedPlacementProvider provider;
+        const std::string got = exchangeOnce(provider, upstream);
+        CHECK(got.starts_with("HTTP/1.1 " + status + " X\r\n"));
+        CHECK(got.ends_with("\r\n\r\nwrong"));
+    }
+    SECTION("listed instances")
+    {
+        const std::string got = exchangeListed(upstream, request("POST"));
+        CHECK(got.starts_with("HTTP/1.1 " + status + " X\r\n"));
+        CHECK(got.ends_with("\r\n\r\nwrong"));
+    }
+}
+
+TEST_CASE("each status from 102 to 199 is an interim response and is passed on as one")
+{
+    const auto status = GENERATE(as<std::string>(), "102", "103", "199");
+    const auto segmentBytes = GENERATE(std::size_t { 0 }, std::size_t { 1 });
+    const std::string interim = "HTTP/1.1 " + status + " X\r\n\r\n";
+    FaultyUpstream upstream(interim + sound, segmentBytes);
+    CAPTURE(status, segmentBytes);
+    SECTION("fleet")
+    {
+        OrderedPlacementProvider provider;
+        const std::string got = exchangeOnce(provider, upstream);
+        CHECK(got.starts_with(interim + "HTTP/1.1 200 "));
+        CHECK(got.ends_with("\r\n\r\nsound"));
+    }
+    SECTION("listed instances")
+    {
+        const std::string got = exchangeListed(upstream, request("POST"));
+        CHECK(got.starts_with(interim + "HTTP/1.1 200 "));
+        CHECK(got.ends_with("\r\n\r\nsound"));
+    }
+}
+
+TEST_CASE("100 Continue is not passed on, and 101 ends the attempt")
+{
+    const bool switches = GENERATE(false, true);
+    FaultyUpstream upstream(
+        (switches ? "HTTP/1.1 101 X\r\n\r\n" : "HTTP/1.1 100 Continue\r\n\r\n") + sound);
+    OrderedPlacementProvider provider;
+    const std::string got = exchangeOnce(provider, upstream);
+    CHECK(got.starts_with(switches ? "HTTP/1.1 502 " : "HTTP/1.1 200 "));
+}
--- a/src/libnet/http_decoder.cpp
+++ b/src/libnet/http_decoder.cpp
@@ -65,6 +65,44 @@
         bool m_done = false;
     };
 
+    /// Checks the status code in the first line of a response as it was sent. http_parser reports
+    /// only its value, so that `20` and `0200` would be statuses.
+    class StatusCodeValidator {
+    public:
+        /// Returns false if the code is complete and invalid. Bytes after the code are ignored.
+        bool validate(std::string_view bytes)
+        {
+            for (const char c : bytes) {
+                if (m_complete)
+                    break;
+                readByte(c);
+            }
+            return !m_complete || (m_digits == statusDigits && pvt::isStatusCode(m_value));
+        }
+
+    private:
+        void readByte(char c)
+        {
+            if (!m_afterVersion) {
+                m_afterVersion = c == ' ';
+            } else if (c >= '0' && c <= '9') {
+                ++m_digits;
+                m_value = m_value * 10 + static_cast<unsigned>(c - '0');
+                m_complete = m_digits > statusDigits;
+            } else {
+                // http_parser skips blanks before the code.
+                m_complete = c != ' ' || m_digits > 0;
+            }
+        }
+
+        static constexpr unsigned statusDigits = 3;
+
+        bool m_afterVersion = false;
+        bool m_complete = false;
+        unsigned m_digits = 0;
+        unsigned m_value = 0;
+    };
+
 } // namespace
 
 struct HttpDecoder::State {
@@ -80,6 +118,7 @@
         parser.data = this;
         head = HttpHead {};
         headValidator = HeadValidator(kind);
+        statusValidator = StatusCodeValidator();
         trailers.clear();
         body.clear();
         errorDetail = nullptr;
@@ -95,6 +134,7 @@
     http_parser parser {};
     HttpHead head;
     HeadValidator headValidator { MessageKind::Request };
+    StatusCodeValidator statusValidator;
     std::vector<HeaderField> trailers;
     std::string body;
     /// Error found by the callbacks, or null.
@@ -274,8 +314,13 @@
     const std::size_t bodyBefore = state.body.size();
     const std::size_t consumed
         = http_parser_execute(&state.parser, &parserSettings, bytes.data(), bytes.size());
-    if (!headWasDone && !state.headValidator.validate(bytes.substr(0, consumed + 1)))
-        return fail(ErrorCode::InvalidArgument, "malformed HTTP: forbidden byte in the head");
+    if (!headWasDone) {
+        const std::string_view examined = bytes.substr(0, consumed + 1);
+        if (state.kind == MessageKind::Response && !state.statusValidator.validate(examined))
+            return fail(ErrorCode::InvalidArgument, "malformed HTTP: invalid status code");
+        if (!state.headValidator.validate(examined))
+            return fail(ErrorCode::InvalidArgument, "malformed HTTP: forbidden byte in the head");
+    }
     const http_errno code = HTTP_PARSER_ERRNO(&state.parser);
     if (code != HPE_OK && code != HPE_PAUSED)
         return fail(code == HPE_HEADER_OVERFLOW ? ErrorCode::TooLarge : ErrorCode::InvalidArgument,
--- a/src/libnet/http_decoder_test.cpp
+++ b/src/libnet/http_decoder_test.cpp
@@ -49,6 +49,35 @@
     REQUIRE_FALSE(decodeBody(decoder, text, text.size()).has_value());
 }
 
+TEST_CASE("a response has a status of three digits from 100 to 599, for every part size")
+{
+    const auto [status, valid] = GENERATE(table<std::string, bool>({ { "099", false },
+        { "100", true }, { "199", true }, { "200", true }, { "599", true }, { "600", false },
+        { "000", false }, { "999", false }, { "20", false }, { "0200", false }, { "2000", false },
+        { "-200", false }, { "+200", false }, { "2e2", false }, { "0x1", false }, { "", false } }));
+    const std::string end = GENERATE(as<std::string>(), " OK\r\n", " \r\n", "\r\n");
+    const std::string text = "HTTP/1.1 " + status + end + "Content-Length: 0\r\n\r\n";
+    CAPTURE(status, end);
+    for (std::size_t partBytes = 1; partBytes <= text.size(); ++partBytes) {
+        HttpDecoder decoder(MessageKind::Response);
+        const auto body = decodeBody(decoder, text, partBytes);
+        REQUIRE(body.has_value() == valid);
+        if (valid)
+            REQUIRE(decoder.head().status == std::stoul(status));
+        else
+            REQUIRE(body.error().code == ErrorCode::InvalidArgument);
+    }
+}
+
+TEST_CASE("the status of each message on a connection is checked")
+{
+    HttpDecoder decoder(MessageKind::Response);
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    REQUIRE(decodeBody(decoder, interim, interim.size()).has_value());
+    decoder.reset();
+    CHECK_FALSE(decodeBody(decoder, "HTTP/1.1 000 X\r\n\r\n", 100).has_value());
+}
+
 TEST_CASE("a truncated response is reported as closed")
 {
     HttpDecoder decoder(MessageKind::Response);
--- a/src/libnet/loopback_test.cpp
+++ b/src/libnet/loopback_test.cpp
@@ -89,6 +89,12 @@
     return ::poll(&waiting, 1, readLimitMillis) == 1 && !readMore();
 }
 
+void Connection::setNoDelay()
+{
+    std::error_code ignored;
+    m_socket.set_option(tcp::no_delay(true), ignored);
+}
+
 void Connection::closeSending()
 {
     std::error_code ignored;
--- a/src/libnet/loopback_test.h
+++ b/src/libnet/loopback_test.h
@@ -40,6 +40,8 @@
     /// After the end of the connection: whether the peer reset it instead of closing it.
     bool wasReset() const { return m_reset; }
 
+    /// Sends each part of a message in a segment of its own.
+    void setNoDelay();
     void closeSending();
     void close();
     void reset();
