Tests: a field name that is no token is refused wherever a response may have it

Nine names that are no tokens (with a blank, a tab, a control byte, DEL, NUL, nothing, a byte above 127, a blank or tab in front of the colon) in twelve places (heads with a length, chunked, until the end of the connection, of 204, 304 and 500; first and second interim heads, 100 Continue; first and second trailers), whole and a byte a segment, on new and reused connections, fleet and listed instances; responses to HEAD; late responses to other requests, heads and trailers; a retried request; claimed responses, which are not stored. The decoder is tested with each of the 256 bytes in a name, in a head and in a trailer, for every part size.

A response whose trailers are invalid may have begun when they arrive; its caller gets no last chunk then.

--- a/src/libnet/entry_claim_test.cpp
+++ b/src/libnet/entry_claim_test.cpp
@@ -257,6 +257,31 @@
     CHECK(claims.stored->body == std::string(2000, 'x'));
 }
 
+TEST_CASE("a response with an invalid status or field name is not stored")
+{
+    const auto response
+        = GENERATE(as<std::string>(), "HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\nmade",
+            "HTTP/1.1 099 X\r\nContent-Length: 4\r\n\r\nmade",
+            "HTTP/1.1 600 X\r\nContent-Length: 4\r\n\r\nmade",
+            "HTTP/1.1 0200 X\r\nContent-Length: 4\r\n\r\nmade",
+            "HTTP/1.1 201 Created\r\nX Bad: 1\r\nContent-Length: 4\r\n\r\nmade",
+            "HTTP/1.1 201 Created\r\nX\001Bad: 1\r\nContent-Length: 4\r\n\r\nmade",
+            "HTTP/1.1 103 X\r\nX Bad: 1\r\n\r\n" + std::string(created),
+            "HTTP/1.1 201 Created\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nmade\r\n0\r\nX Bad: "
+            "1\r\n\r\n");
+    FakeClaimClient claims;
+    claims.decision = verdict(ClaimVerdict::Run);
+    CountingUpstream instance(response);
+    EntryFixture fixture({}, &claims);
+    fixture.addInstance(instance.upstream.endpoint());
+    CAPTURE(response);
+    CHECK(fixture.exchange(keyedRequest("abc")).starts_with("HTTP/1.1 502 "));
+    REQUIRE(claims.finished.wait());
+    CHECK(instance.runs == 1);
+    CHECK(claims.finishedEnd == ClaimOutcome::Unknown);
+    CHECK_FALSE(claims.stored.has_value());
+}
+
 TEST_CASE("a request with a key and an incomplete body requests no claim")
 {
     FakeClaimClient claims;
--- a/src/libnet/entry_invalid_response_test.cpp
+++ b/src/libnet/entry_invalid_response_test.cpp
@@ -109,6 +109,50 @@
 const std::vector<std::string> invalidStatuses { "000", "001", "099", "20", "0200", "1000", "600",
     "999", "-200", "+200", "2e2", "20x" };
 
+/// Field names that are no tokens (RFC 9110, section 5.6.2).
+const std::vector<std::string> invalidNames { "X Bad", "X\tBad", "Bad ", "Bad\t", "X\001Bad",
+    "X\177Bad", std::string("X\0Bad", 5), "", "X\xe9" };
+
+/// A response with the field `name`, by its place and its framing.
+struct FieldPlace {
+    std::string description;
+    std::string before;
+    std::string after;
+};
+
+const std::string stampedHead = "HTTP/1.1 200 OK\r\nStamp: x\r\nId: 7\r\n";
+const std::string interimHead = "HTTP/1.1 103 Early Hints\r\n";
+
+const std::vector<FieldPlace> fieldPlaces {
+    { "head, with a length", stampedHead, ": 1\r\nContent-Length: 5\r\n\r\nwrong" },
+    { "head, after the length", stampedHead + "Content-Length: 5\r\n", ": 1\r\n\r\nwrong" },
+    { "head, chunked", stampedHead,
+        ": 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n" },
+    { "head, until the end of the connection", stampedHead, ": 1\r\n\r\nwrong" },
+    { "head without a body", "HTTP/1.1 204 X\r\nStamp: x\r\nId: 7\r\n", ": 1\r\n\r\n" },
+    { "head of a response that is not modified", "HTTP/1.1 304 X\r\nStamp: x\r\nId: 7\r\n",
+        ": 1\r\n\r\n" },
+    { "head of an error", "HTTP/1.1 500 X\r\nStamp: x\r\nId: 7\r\n",
+        ": 1\r\nContent-Length: 5\r\n\r\nwrong" },
+    { "interim head", interimHead, ": 1\r\n\r\n" + sound },
+    { "second interim head", interimHead + "\r\n" + interimHead, ": 1\r\n\r\n" + sound },
+    { "head of 100 Continue", "HTTP/1.1 100 Continue\r\n", ": 1\r\n\r\n" + sound },
+    { "trailers", stampedHead + "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n",
+        ": 1\r\n\r\n" },
+    { "second trailer",
+        stampedHead + "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\nX-A: 1\r\n",
+        ": 1\r\n\r\n" },
+};
+
+/// Whether `got` is a final response that a caller takes for complete and for the instance's. A
+/// response whose trailers are invalid may have begun, and is then cut within its body.
+bool looksComplete(const std::string& got)
+{
+    const auto begin = got.find("HTTP/1.1 200 ");
+    return begin != std::string::npos
+        && (got.find("chunked", begin) == std::string::npos || got.ends_with("0\r\n\r\n"));
+}
+
 } // namespace
 
 // Guards against a final status that a caller's library cannot read, or reads as another one.
@@ -216,3 +260,106 @@
     const std::string got = exchangeOnce(provider, upstream);
     CHECK(got.starts_with(switches ? "HTTP/1.1 502 " : "HTTP/1.1 200 "));
 }
+
+// Guards against a line that other parsers read as another field, or as a different framing.
+TEST_CASE("a response with a field name that is no token is never passed on")
+{
+    const auto name = GENERATE(from_range(invalidNames));
+    const auto place = GENERATE(from_range(fieldPlaces));
+    const auto segmentBytes = GENERATE(std::size_t { 0 }, std::size_t { 1 });
+    const std::string text = place.before + name + place.after;
+    CAPTURE(place.description, text, segmentBytes);
+    const bool mayBegin = place.description.ends_with("trailer") || place.description == "trailers";
+    const auto expectFailure = [&](const std::string& got) {
+        CHECK_FALSE(looksComplete(got));
+        CHECK((mayBegin || got.find("HTTP/1.1 502 ") != std::string::npos));
+        if (!name.empty())
+            CHECK(got.find(name + ": 1") == std::string::npos);
+    };
+    SECTION("fleet, a request that may run once")
+    {
+        const auto [method, reused] = GENERATE(
+            table<std::string, bool>({ { "POST", false }, { "POST", true }, { "GET", false } }));
+        FaultyUpstream upstream(text, segmentBytes, reused);
+        OrderedPlacementProvider provider;
+        expectFailure(exchangeOnce(provider, upstream, method, reused));
+        CHECK(upstream.runs() == 1);
+        CHECK(provider.reports.wait(reused ? 2 : 1).back() == "failure");
+    }
+    SECTION("listed instances")
+    {
+        FaultyUpstream upstream(text, segmentBytes);
+        expectFailure(exchangeListed(upstream, request("POST")));
+        CHECK(upstream.runs() == 1);
+    }
+}
+
+TEST_CASE("a response to HEAD with a field name that is no token is never passed on")
+{
+    const auto name = GENERATE(from_range(invalidNames));
+    const auto framing = GENERATE(
+        as<std::string>(), "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", "");
+    const auto segmentBytes = GENERATE(std::size_t { 0 }, std::size_t { 1 });
+    FaultyUpstream upstream(stampedHead + framing + name + ": 1\r\n\r\n", segmentBytes);
+    CAPTURE(name, framing, segmentBytes);
+    OrderedPlacementProvider provider;
+    CHECK(exchangeOnce(provider, upstream, "HEAD").starts_with("HTTP/1.1 502 "));
+    CHECK(exchangeListed(upstream, request("HEAD")).starts_with("HTTP/1.1 502 "));
+}
+
+TEST_CASE(
+    "fleet: a response to another request with a field name that is no token ends the attempt")
+{
+    const auto name = GENERATE(from_range(invalidNames));
+    const auto late = GENERATE(as<std::string>(), "HTTP/1.1 200 OK\r\nStamp: x\r\nId: 6\r\n",
+        "HTTP/1.1 200 OK\r\nStamp: x\r\n");
+    const auto rest = GENERATE(as<std::string>(), ": 1\r\nContent-Length: 2\r\n\r\nok",
+        ": 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+    const auto segmentBytes = GENERATE(std::size_t { 0 }, std::size_t { 1 });
+    FaultyUpstream upstream(late + name + rest + sound, segmentBytes, true);
+    CAPTURE(name, late, segmentBytes);
+    OrderedPlacementProvider provider;
+    CHECK(exchangeOnce(provider, upstream, "POST", true).starts_with("HTTP/1.1 502 "));
+    CHECK(upstream.runs() == 1);
+    CHECK(provider.reports.wait(2).back() == "failure");
+}
+
+TEST_CASE("fleet: trailers of a response to another request with an invalid name end the attempt")
+{
+    const auto name = GENERATE(from_range(invalidNames));
+    FaultyUpstream upstream("HTTP/1.1 200 OK\r\nId: 6\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            "2\r\nok\r\n0\r\n"
+            + name + ": 1\r\n\r\n" + sound,
+        0, true);
+    CAPTURE(name);
+    OrderedPlacementProvider provider;
+    CHECK(exchangeOnce(provider, upstream, "POST", true).starts_with("HTTP/1.1 502 "));
+    CHECK(upstream.runs() == 1);
+}
+
+TEST_CASE("a safe request whose response has an invalid field name is retried")
+{
+    const auto name = GENERATE(from_range(invalidNames));
+    FaultyUpstream upstream(stampedHead + name + ": 1\r\nContent-Length: 5\r\n\r\nwrong");
+    FaultyUpstream good(sound);
+    OrderedPlacementProvider provider;
+    provider.instances = { upstream.endpoint(), good.endpoint() };
+    OrderedFleetFixture fixture(provider);
+    CAPTURE(name);
+    CHECK(fixture.exchange(request("GET")).ends_with("\r\n\r\nsound"));
+    CHECK(upstream.runs() == 1);
+    CHECK(good.runs() == 1);
+    CHECK(provider.reports.wait(2) == std::vector<std::string> { "failure", "success" });
+}
+
+TEST_CASE("every character of a token is passed on in a field name")
+{
+    const std::string name = "aZ09!#$%&'*+-.^_`|~";
+    const auto segmentBytes = GENERATE(std::size_t { 0 }, std::size_t { 1 });
+    FaultyUpstream upstream(
+        stampedHead + name + ": 1\r\nContent-Length: 5\r\n\r\nright", segmentBytes);
+    OrderedPlacementProvider provider;
+    const std::string got = exchangeOnce(provider, upstream);
+    CHECK(got.find("\r\n" + name + ": 1\r\n") != std::string::npos);
+    CHECK(got.ends_with("\r\n\r\nright"));
+}
--- a/src/libnet/http_decoder_test.cpp
+++ b/src/libnet/http_decoder_test.cpp
@@ -78,6 +78,32 @@
     CHECK_FALSE(decodeBody(decoder, "HTTP/1.1 000 X\r\n\r\n", 100).has_value());
 }
 
+TEST_CASE("each byte of a field name in a head or a trailer must belong to a token")
+{
+    static const std::string marks = "!#$%&'*+-.^_`|~";
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    for (int byte = 0; byte < 256; ++byte) {
+        const auto c = static_cast<char>(byte);
+        const bool valid = (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z')
+            || (c >= 'A' && c <= 'Z') || (c != 0 && marks.find(c) != std::string::npos);
+        const std::string field = std::string("X-A") + c + "b: 1\r\n";
+        // A colon ends the name.
+        if (c == ':')
+            continue;
+        const std::string inHead = head + field + "Content-Length: 2\r\n\r\nok";
+        const std::string inTrailer
+            = head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + field + "\r\n";
+        for (const std::string& text : { inHead, inTrailer }) {
+            for (std::size_t partBytes = 1; partBytes <= text.size(); ++partBytes) {
+                CAPTURE(byte, text, partBytes);
+                HttpDecoder decoder(MessageKind::Response);
+                const auto body = decodeBody(decoder, text, partBytes);
+                REQUIRE((body && decoder.messageComplete()) == valid);
+            }
+        }
+    }
+}
+
 TEST_CASE("a truncated response is reported as closed")
 {
     HttpDecoder decoder(MessageKind::Response);
