A response without length that is reset under an upload is not complete

What callers saw: an instance answered an upload at once with a 200 without length, sent part of its body and reset the connection while the upload was still being sent. The caller got the part as a complete response, and with an idempotency key it was stored as one.

Cause: the write of the upload that the reset breaks off takes the error from the socket (the reactor performs writes before reads). The next read finds no error but an end of the connection, which `HttpStream::readMore` passed to `feedEof` as the peer's own, the end of a response without length.

Responses with a length or chunked are cut, as before.

Change: HttpStream remembers the error of a failed write, and a read that finds the end of the connection after it fails with Closed. A broken pipe is the exception: the kernel reports it instead of a reset if the peer has sent a FIN before, so the end that the reader finds is the peer's own.

What else takes a socket's error, by reading: the check of idle connections peeks, and each of its users drops a connection on which it finds an error (a test: a request that must not run twice goes out on another connection); watches of callers and of closed peers poll, which takes nothing; a connection that is being opened has carried no request; links between hosts read frames of a stated length, so an end within one completes nothing; the wait before a connection is closed discards what it reads. A failed first write of a request goes through the same place.

--- a/src/libnet/entry_claim_test.cpp
+++ b/src/libnet/entry_claim_test.cpp
@@ -282,6 +282,38 @@
     CHECK_FALSE(claims.stored.has_value());
 }
 
+TEST_CASE("a response that is reset while its request is being sent is not stored")
+{
+    const bool isReset = GENERATE(false, true);
+    FakeClaimClient claims;
+    claims.decision = verdict(ClaimVerdict::Run);
+    Signal uploadWaits;
+    ScriptedUpstream upstream([&](Connection& connection, int) {
+        connection.readHead();
+        connection.send("HTTP/1.1 200 OK\r\n\r\npart");
+        uploadWaits.wait();
+        if (isReset)
+            return connection.reset();
+        connection.closeSending();
+        connection.waitForClose();
+    });
+    EntryOptions options;
+    options.receiveBufferBytes = options.sendBufferBytes = 16 * 1024;
+    options.lingerTimeout = 50ms;
+    EntryFixture fixture(options, &claims);
+    fixture.addInstance(upstream.endpoint());
+    Connection caller = fixture.connect();
+    caller.send("POST /s HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k1\r\n"
+                "Content-Length: 100000000\r\n\r\n");
+    caller.sendUntilBlocked('u');
+    uploadWaits.set();
+    CAPTURE(isReset);
+    CHECK(caller.readAll().ends_with("0\r\n\r\n") == !isReset);
+    REQUIRE(claims.finished.wait());
+    CHECK(claims.finishedEnd == (isReset ? ClaimOutcome::Unknown : ClaimOutcome::Answered));
+    CHECK(claims.stored.has_value() == !isReset);
+}
+
 TEST_CASE("a request with a key and an incomplete body requests no claim")
 {
     FakeClaimClient claims;
--- a/src/libnet/http_stream.cpp
+++ b/src/libnet/http_stream.cpp
@@ -92,6 +92,8 @@
             m_buffer = std::make_unique<std::array<char, readBytes>>();
         const auto [code, count]
             = co_await m_socket.async_read_some(asio::buffer(*m_buffer), useTuple);
+        if (code && m_brokenOff)
+            co_return fail(ErrorCode::Closed, "write: " + m_brokenOff.message());
         if (code) {
             if (code != asio::error::eof || !m_decoder.started())
                 co_return fail(ErrorCode::Closed, "read: " + code.message());
@@ -166,8 +168,13 @@
     while (written < bytes.size()) {
         const auto [code, count] = co_await m_socket.async_write_some(
             asio::buffer(bytes.data() + written, bytes.size() - written), useTuple);
-        if (code)
+        if (code) {
+            // A broken pipe means that the peer had sent a FIN before: the end that a read finds is
+            // the peer's own.
+            if (code != asio::error::broken_pipe && !m_brokenOff)
+                m_brokenOff = code;
             co_return fail(ErrorCode::Closed, "write: " + code.message());
+        }
         written += count;
         if (onProgress && written < bytes.size())
             onProgress();
--- a/src/libnet/loopback_test.cpp
+++ b/src/libnet/loopback_test.cpp
@@ -1,6 +1,7 @@
 #include "loopback_test.h"
 
 #include <poll.h>
+#include <sys/socket.h>
 
 #include <asio/write.hpp>
 #include <catch2/catch.hpp>
@@ -12,6 +13,8 @@
 namespace {
 
     constexpr int readLimitMillis = 20000;
+    /// A peer that accepts nothing for this long is taken to read nothing.
+    constexpr int blockedMillis = 100;
     constexpr auto signalTimeout = std::chrono::seconds(20);
     constexpr unsigned workerCount = 2;
 
@@ -36,6 +39,21 @@
     return !code;
 }
 
+std::size_t Connection::sendUntilBlocked(char byte)
+{
+    const std::string bytes(std::size_t { 64 } * 1024, byte);
+    std::size_t sent = 0;
+    pollfd waiting { m_socket.native_handle(), POLLOUT, 0 };
+    while (::poll(&waiting, 1, blockedMillis) == 1) {
+        const ssize_t count = ::send(
+            m_socket.native_handle(), bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (count < 0)
+            break;
+        sent += static_cast<std::size_t>(count);
+    }
+    return sent;
+}
+
 bool Connection::readMore()
 {
     pollfd waiting { m_socket.native_handle(), POLLIN, 0 };
@@ -89,6 +107,12 @@
     return ::poll(&waiting, 1, readLimitMillis) == 1 && !readMore();
 }
 
+bool Connection::waitForClose()
+{
+    pollfd waiting { m_socket.native_handle(), POLLRDHUP, 0 };
+    return ::poll(&waiting, 1, readLimitMillis) == 1;
+}
+
 void Connection::setNoDelay()
 {
     std::error_code ignored;
--- a/src/libnet/loopback_test.h
+++ b/src/libnet/loopback_test.h
@@ -26,6 +26,9 @@
     void send(std::string_view text);
     /// Sends all of `text`. Returns false if the peer has disconnected.
     bool trySend(std::string_view text);
+    /// Sends copies of `byte` until the peer accepts no more for a while. Returns how many were
+    /// sent.
+    std::size_t sendUntilBlocked(char byte);
     /// Reads up to and including `marker`, or to the end of the connection.
     std::string readUntil(std::string_view marker);
     /// Reads a message head, up to and including the empty line.
@@ -37,6 +40,8 @@
     std::string readMessage();
     /// Waits until the peer closes. Returns false if it sends something or on timeout.
     bool peerCloses();
+    /// Waits until the peer closes or resets, reading nothing. Returns false on timeout.
+    bool waitForClose();
     /// After the end of the connection: whether the peer reset it instead of closing it.
     bool wasReset() const { return m_reset; }
 
