The log says what was wrong with a broken response, with listed instances too

What operators saw: an `attempt` line with the cause `not-http` or `connection-lost`, which does not tell an invalid status from an invalid field name or from bytes of no protocol; and no line at all in a listed fleet, only the counter by cause.

Cause: the message of the reader's error was dropped in `Exchange::endForError`, and the entry server of a listed fleet had no log.

Change: the outcome of an attempt keeps the message, and `attempt` lines have it as `error`. The line is made in one place for both fleets; a listed fleet logs the attempts that an instance failed. Lines on callers' connections (`session: idle`, `incomplete-head`) stay with the seeded fleet.

--- a/src/include/laburnumroute/entry_server.h
+++ b/src/include/laburnumroute/entry_server.h
@@ -75,10 +75,12 @@
 class EntryServer {
 public:
     /// Selects instances with the local dispatcher. With null `claims`, requests with an
-    /// idempotency key run without a claim. `dispatcher` and `claims` must outlive the io_context's
-    /// last handler.
+    /// idempotency key run without a claim. Attempts that an instance failed are logged to `log`
+    /// unless it is null. `dispatcher`, `claims` and `log` must outlive the io_context's last
+    /// handler.
     EntryServer(asio::io_context& context, SynchronizedDispatcher& dispatcher,
-        const EntryOptions& options = {}, ClaimClient* claims = nullptr);
+        const EntryOptions& options = {}, ClaimClient* claims = nullptr,
+        DecisionLog* log = nullptr);
     /// Requests a placement for each attempt from the fleet's scheduler through `provider`.
     /// `provider` and `log` must outlive the io_context's last handler; the io_context must run on
     /// one thread.
--- a/src/laburnumd/node.cpp
+++ b/src/laburnumd/node.cpp
@@ -61,7 +61,7 @@
         , m_fleet(m_controlContext, m_settings, m_transport, m_clock, *m_log, m_sharedDispatcher)
         , m_claims(m_controlContext, m_settings, m_transport, m_clock, *m_log)
         , m_claimClient(m_claims)
-        , m_entry(m_context, m_sharedDispatcher, {}, &m_claimClient)
+        , m_entry(m_context, m_sharedDispatcher, {}, &m_claimClient, m_log.get())
         , m_operators(key)
         , m_unauthenticated(!key)
     {
--- a/src/libnet/entry_context_pvt.h
+++ b/src/libnet/entry_context_pvt.h
@@ -35,7 +35,7 @@
     /// each attempt.
     SynchronizedDispatcher* sharedDispatcher;
     PlacementProvider* placementProvider;
-    /// Set together with `placementProvider`.
+    /// May be null without `placementProvider`.
     DecisionLog* log;
     const EntryOptions options;
     /// May be null.
--- a/src/libnet/entry_invalid_response_test.cpp
+++ b/src/libnet/entry_invalid_response_test.cpp
@@ -174,6 +174,8 @@
         CHECK(upstream.runs() == 1);
         CHECK(provider.reports.wait(reused ? 2 : 1).back() == "failure");
         CHECK(provider.requestEnds.wait(reused ? 2 : 1).back() == "bad-answer unknown");
+        CHECK(provider.decisions.waitFor({ R"("attempt")", R"("cause":"not-http")",
+            R"("by":"instance")", R"("error":"malformed HTTP: invalid status code")" }));
     }
     SECTION("fleet, a request that may be retried")
     {
@@ -363,3 +365,47 @@
     CHECK(got.find("\r\n" + name + ": 1\r\n") != std::string::npos);
     CHECK(got.ends_with("\r\n\r\nright"));
 }
+
+TEST_CASE("the log says what was wrong with a response")
+{
+    const auto [text, cause, error] = GENERATE(table<std::string, std::string, std::string>({
+        { response("000"), "not-http", "malformed HTTP: invalid status code" },
+        { response("600"), "not-http", "malformed HTTP: invalid status code" },
+        { stampedHead + "X Bad: 1\r\nContent-Length: 5\r\n\r\nwrong", "not-http",
+            "malformed HTTP: header field name is not a token" },
+        { stampedHead + "X\001Bad: 1\r\n\r\nwrong", "not-http",
+            "malformed HTTP: forbidden byte in the head" },
+        { stampedHead + "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\nX Bad: 1\r\n\r\n",
+            "not-http", "malformed HTTP: malformed trailer field" },
+        { "", "connection-lost", "read: End of file" },
+        { stampedHead + "Content-Length: 200000\r\n\r\nwrong", "connection-lost",
+            "connection closed before the end of the HTTP message" },
+    }));
+    const std::vector<std::string> parts { R"("kind":"attempt")", R"("may_have_run":true)",
+        R"("by":"instance")", R"("cause":")" + cause + '"', R"("error":")" + error + '"' };
+    FaultyUpstream upstream(text);
+    CAPTURE(text);
+    SECTION("fleet")
+    {
+        OrderedPlacementProvider provider;
+        exchangeOnce(provider, upstream);
+        CHECK(provider.decisions.waitFor(parts));
+    }
+    SECTION("listed instances")
+    {
+        EntryFixture fixture;
+        fixture.addInstance(upstream.endpoint());
+        fixture.exchange(request("POST"));
+        CHECK(fixture.decisions().waitFor(parts));
+    }
+}
+
+TEST_CASE("listed instances: a response that is passed on is no line of its own")
+{
+    FaultyUpstream upstream(sound);
+    EntryFixture fixture;
+    fixture.addInstance(upstream.endpoint());
+    CHECK(fixture.exchange(request("POST")).ends_with("\r\n\r\nsound"));
+    for (const std::string& line : fixture.decisions().wait(1))
+        CHECK(line.find(R"("kind":"attempt")") == std::string::npos);
+}
--- a/src/libnet/entry_reset_response_test.cpp
+++ b/src/libnet/entry_reset_response_test.cpp
@@ -185,6 +185,8 @@
         provider.route.kind = GENERATE(RequestKind::Unsafe, RequestKind::Safe);
         CHECK_FALSE(completesInFleet(provider, upstream, head, got));
         CHECK(provider.reports.wait(1).at(0) == "failure");
+        CHECK(provider.decisions.waitFor({ R"("cause":"connection-lost")", R"("by":"instance")",
+            R"(: Connection reset by peer")" }));
         if (provider.route.kind == RequestKind::Unsafe)
             CHECK(upstream.runs() == 1);
     }
--- a/src/libnet/entry_server.cpp
+++ b/src/libnet/entry_server.cpp
@@ -215,10 +215,9 @@
 };
 
 EntryServer::EntryServer(asio::io_context& context, SynchronizedDispatcher& dispatcher,
-    const EntryOptions& options, ClaimClient* claims)
+    const EntryOptions& options, ClaimClient* claims, DecisionLog* log)
     : m_impl(std::make_shared<Impl>(context,
-        std::make_shared<pvt::EntryContext>(
-            context, &dispatcher, nullptr, nullptr, options, claims)))
+        std::make_shared<pvt::EntryContext>(context, &dispatcher, nullptr, log, options, claims)))
 {
 }
 
--- a/src/libnet/entry_termination_test.cpp
+++ b/src/libnet/entry_termination_test.cpp
@@ -96,23 +96,6 @@
     return sum;
 }
 
-/// Waits for a log line that contains all of `parts`.
-bool logged(OrderedPlacementProvider& provider, const std::vector<std::string>& parts)
-{
-    const auto contains = [&](const std::string& line) {
-        return std::all_of(parts.begin(), parts.end(),
-            [&](const std::string& part) { return line.find(part) != std::string::npos; });
-    };
-    for (std::size_t count = 1; count < 20; ++count) {
-        const auto lines = provider.decisions.wait(count);
-        if (std::any_of(lines.begin(), lines.end(), contains))
-            return true;
-        if (lines.size() < count)
-            return false;
-    }
-    return false;
-}
-
 /// Ends a connection once it has received a request.
 struct FaultCase {
     std::string cause;
@@ -143,8 +126,8 @@
     provider.instances = { upstream.endpoint() };
     OrderedFleetFixture fixture(provider);
     CHECK(fixture.exchange(get).starts_with("HTTP/1.1 502 "));
-    CHECK(logged(
-        provider, { "attempt", "\"cause\":\"" + fault.cause + '"', "\"by\":\"" + fault.by + '"' }));
+    CHECK(provider.decisions.waitFor(
+        { "attempt", "\"cause\":\"" + fault.cause + '"', "\"by\":\"" + fault.by + '"' }));
     CHECK(terminated(fixture, fault.cause) == "1");
     CHECK(terminatedInAll(fixture) == 1);
 }
@@ -164,7 +147,8 @@
     caller.send(get);
     REQUIRE(received.wait());
     caller.close();
-    CHECK(logged(provider, { "attempt", R"("by":"caller")", R"("cause":"caller-gone")" }));
+    CHECK(
+        provider.decisions.waitFor({ "attempt", R"("by":"caller")", R"("cause":"caller-gone")" }));
     CHECK(terminated(fixture, "caller-gone") == "1");
     CHECK(terminatedInAll(fixture) == 1);
 }
@@ -180,7 +164,7 @@
     provider.instances = { upstream.endpoint() };
     OrderedFleetFixture fixture(provider);
     CHECK(fixture.exchange(get).starts_with("HTTP/1.1 504 "));
-    CHECK(logged(provider, { "attempt", R"("by":"operator")", R"("cause":"deadline")" }));
+    CHECK(provider.decisions.waitFor({ "attempt", R"("by":"operator")", R"("cause":"deadline")" }));
     CHECK(terminated(fixture, "deadline") == "1");
     CHECK(terminatedInAll(fixture) == 1);
 }
@@ -204,7 +188,8 @@
     OrderedFleetFixture fixture(provider);
     const bool isWhole = fixture.exchange(get).ends_with(std::string(length, 'o'));
     CHECK(isWhole);
-    CHECK(logged(provider, { "attempt", R"("by":"host")", R"("cause":"other-response")" }));
+    CHECK(
+        provider.decisions.waitFor({ "attempt", R"("by":"host")", R"("cause":"other-response")" }));
     CHECK(terminated(fixture, "other-response") == "1");
     CHECK(terminatedInAll(fixture) == 1);
 }
@@ -300,7 +285,7 @@
     }
     CHECK(caller.readAll().empty());
     CHECK(caller.wasReset());
-    CHECK(logged(provider,
+    CHECK(provider.decisions.waitFor(
         { "attempt", R"("by":"operator")", "\"cause\":\"" + cause + '"', R"("id":"7")" }));
     CHECK(terminated(fixture, cause) == "1");
     CHECK(terminatedInAll(fixture) == 1);
@@ -344,7 +329,7 @@
         aborted = fixture.server().abort(early.cause, early.progress);
     });
     CHECK_FALSE(aborted);
-    CHECK(logged(provider, { "stop", "abort-refused", "\"cause\":\"" + cause + '"' }));
+    CHECK(provider.decisions.waitFor({ "stop", "abort-refused", "\"cause\":\"" + cause + '"' }));
     release.set();
     CHECK(caller.readMessage().ends_with("ok"));
     CHECK(counter(fixture, "laburnum_attempt_terminations_refused_total", cause) == "1");
@@ -382,6 +367,6 @@
     withdrawn = true;
     CHECK_FALSE(fixture.exchange(get).starts_with("HTTP/1.1 200 "));
     CHECK(caller.readMessage().ends_with("ok"));
-    CHECK(logged(provider, { "hedge", "refused" }));
+    CHECK(provider.decisions.waitFor({ "hedge", "refused" }));
     CHECK(terminatedInAll(fixture) == 0);
 }
--- a/src/libnet/exchange_pvt.h
+++ b/src/libnet/exchange_pvt.h
@@ -131,8 +131,17 @@
     Duration pause {};
     /// Why the attempt was ended while the instance was at work; unset if it was not.
     std::optional<TerminationCause> cause;
+    /// What was wrong with the instance's bytes or its connection; empty if nothing was.
+    std::string error;
 };
 
+/// Stable word for logs.
+const char* attemptEndName(AttemptEnd end);
+
+/// Log line of an attempt that has ended.
+Decision attemptDecision(
+    const CallerContext& caller, const Assignment& assigned, const AttemptOutcome& outcome);
+
 /// Runs one attempt. Must be used from the session's strand.
 class Exchange {
 public:
--- a/src/libnet/fleet_fixture_test.h
+++ b/src/libnet/fleet_fixture_test.h
@@ -12,31 +12,6 @@
 
 namespace laburnum::test {
 
-/// Thread-safe list of lines in order of arrival, with a blocking read.
-class RecordedLines {
-public:
-    void add(const std::string& line)
-    {
-        const std::lock_guard lock(m_mutex);
-        m_lines.push_back(line);
-        m_condition.notify_all();
-    }
-    /// Waits until there are at least `count` lines or a timeout of 5 s passes, and returns the
-    /// lines.
-    std::vector<std::string> wait(std::size_t count)
-    {
-        std::unique_lock lock(m_mutex);
-        m_condition.wait_for(
-            lock, std::chrono::seconds(5), [&] { return m_lines.size() >= count; });
-        return m_lines;
-    }
-
-private:
-    std::mutex m_mutex;
-    std::condition_variable m_condition;
-    std::vector<std::string> m_lines;
-};
-
 /// Grants each placement request the next of `instances` immediately, with its port as id. Refuses
 /// if none is left.
 class OrderedPlacementProvider final : public PlacementProvider, public DecisionLog {
--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -83,38 +83,6 @@
         return report;
     }
 
-    const char* endReason(AttemptEnd end)
-    {
-        switch (end) {
-        case AttemptEnd::NotConnected:
-            return reasons::notConnected;
-        case AttemptEnd::Shed:
-            return reasons::shed;
-        case AttemptEnd::NoResponse:
-            return reasons::noAnswer;
-        case AttemptEnd::BadResponse:
-            return reasons::badAnswer;
-        case AttemptEnd::TimedOut:
-            return reasons::deadline;
-        case AttemptEnd::Abandoned:
-            return "given-up";
-        case AttemptEnd::CallerSlow:
-            return reasons::slowBody;
-        case AttemptEnd::CallerMalformed:
-            return reasons::malformedBody;
-        case AttemptEnd::CallerDisconnected:
-            return "caller-gone";
-        case AttemptEnd::Truncated:
-            return "cut";
-        case AttemptEnd::ServerError:
-            return "server-error";
-        case AttemptEnd::Completed:
-        case AttemptEnd::Buffered:
-            return "answered";
-        }
-        return "unknown";
-    }
-
     /// An attempt that was ended for the caller's disconnect reports it as its own end.
     AttemptEndKind endKind(AttemptEnd end)
     {
@@ -642,7 +610,7 @@
 
 asio::awaitable<bool> FleetRequest::finish(AttemptOutcome outcome)
 {
-    const char* reason = endReason(outcome.end);
+    const char* reason = attemptEndName(outcome.end);
     if (outcome.end == AttemptEnd::Completed) {
         logRequest(reason, outcome.status, RequestOutcome::Answered);
         co_return outcome.keepAlive;
@@ -766,22 +734,11 @@
 
 void FleetRequest::logAttempt(const FleetAttempt& attempt, const AttemptOutcome& outcome) const
 {
-    Decision decision { "attempt", endReason(outcome.end) };
-    decision.alwaysLog = true;
-    decision.facts["id"] = std::string(m_request.field(m_entry.options.names.requestId));
-    decision.facts["instance"] = attempt.instance().value();
-    decision.facts["status"] = outcome.status;
-    decision.facts["service"] = m_plan.service.value();
+    Decision decision = attemptDecision(m_context, attempt.assignment(), outcome);
     decision.facts["send"] = attempt.number();
     decision.facts["alone"] = m_placedAlone;
     decision.facts["after_ms"] = Json::Int64(
         toMillis(std::chrono::steady_clock::now() - m_context.arrival - outcome.latency));
-    decision.facts["ms"] = Json::Int64(toMillis(outcome.latency));
-    decision.facts["may_have_run"] = outcome.mayHaveRun;
-    if (outcome.cause) {
-        decision.facts["cause"] = terminationCauseName(*outcome.cause);
-        decision.facts["by"] = terminationPartyName(terminationRule(*outcome.cause).party);
-    }
     if (outcome.end == AttemptEnd::Abandoned) {
         decision.facts["limit_ms"] = Json::Int64(toMillis(hedgeDelay(m_plan.objective)));
         decision.facts["left_ms"]
--- a/src/libnet/fleet_request_attempt_pvt.h
+++ b/src/libnet/fleet_request_attempt_pvt.h
@@ -45,6 +45,7 @@
     bool sent() const { return m_exchange.sent(); }
     DispatchId dispatchId() const { return m_dispatchId; }
     const InstanceId& instance() const { return m_assigned.instance; }
+    const Assignment& assignment() const { return m_assigned; }
     SteadyTime start() const { return m_start; }
     /// Number of the attempt within the request, from 1.
     unsigned number() const { return m_number; }
--- a/src/libnet/http_stream_pvt.h
+++ b/src/libnet/http_stream_pvt.h
@@ -104,8 +104,8 @@
     std::uint64_t m_bytesRead = 0;
     std::optional<std::size_t> m_readLimitLeft;
     bool m_closesIdle = false;
-    /// Why a write found the connection broken off. The failed write took the error from the socket,
-    /// so that a read finds what looks like a FIN of the peer.
+    /// Why a write found the connection broken off. The failed write took the error from the
+    /// socket, so that a read finds what looks like a FIN of the peer.
     std::error_code m_brokenOff;
     std::shared_ptr<PeerWatch> m_watch;
 };
--- a/src/libnet/loopback_test.cpp
+++ b/src/libnet/loopback_test.cpp
@@ -194,7 +194,8 @@
 EntryFixture::EntryFixture(const EntryOptions& options, ClaimClient* claims, Duration deadline)
     : m_dispatcher({ HostId("e1") }, 1, m_log)
     , m_sharedDispatcher(m_dispatcher, m_clock)
-    , m_server(std::make_unique<EntryServer>(m_context, m_sharedDispatcher, options, claims))
+    , m_server(
+          std::make_unique<EntryServer>(m_context, m_sharedDispatcher, options, claims, &m_log))
     , m_work(m_context.get_executor())
 {
     Configuration configuration;
--- a/src/libnet/loopback_test.h
+++ b/src/libnet/loopback_test.h
@@ -1,6 +1,7 @@
 /// Test support: an entry server with scripted upstreams and callers on the loopback interface.
 #pragma once
 
+#include <algorithm>
 #include <condition_variable>
 #include <functional>
 #include <list>
@@ -89,6 +90,42 @@
     std::thread m_acceptThread;
 };
 
+/// Thread-safe list of lines in order of arrival, with a blocking read.
+class RecordedLines {
+public:
+    void add(const std::string& line)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_lines.push_back(line);
+        m_condition.notify_all();
+    }
+    /// Waits until there are at least `count` lines or a timeout of 5 s passes, and returns the
+    /// lines.
+    std::vector<std::string> wait(std::size_t count)
+    {
+        std::unique_lock lock(m_mutex);
+        m_condition.wait_for(
+            lock, std::chrono::seconds(5), [&] { return m_lines.size() >= count; });
+        return m_lines;
+    }
+    /// Waits until a line contains all of `parts`. Returns false on a timeout of 5 s.
+    bool waitFor(const std::vector<std::string>& parts)
+    {
+        const auto matches = [&](const std::string& line) {
+            return std::all_of(parts.begin(), parts.end(),
+                [&](const std::string& part) { return line.find(part) != std::string::npos; });
+        };
+        std::unique_lock lock(m_mutex);
+        return m_condition.wait_for(lock, std::chrono::seconds(5),
+            [&] { return std::any_of(m_lines.begin(), m_lines.end(), matches); });
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_condition;
+    std::vector<std::string> m_lines;
+};
+
 /// An entry server with one service "s", routed by the path prefix /s.
 class EntryFixture {
 public:
@@ -102,9 +139,16 @@
     /// Sends `request` on a new connection and reads to the end of the connection.
     std::string exchange(const std::string& request);
     EntryServer& server() { return *m_server; }
+    /// Every decision as a log line.
+    RecordedLines& decisions() { return m_log.lines; }
 
 private:
-    NullDecisionLog m_log;
+    struct RecordingLog final : DecisionLog {
+        void record(const Decision& decision) override { lines.add(formatDecision(decision)); }
+        RecordedLines lines;
+    };
+
+    RecordingLog m_log;
     SteadyClock m_clock;
     Dispatcher m_dispatcher;
     SynchronizedDispatcher m_sharedDispatcher;
--- a/src/libnet/request_handler.cpp
+++ b/src/libnet/request_handler.cpp
@@ -184,8 +184,13 @@
 
 void RequestHandler::recordAttempt(const Assignment& assigned, const AttemptOutcome& outcome)
 {
-    if (outcome.cause)
+    if (outcome.cause) {
         m_entry.metrics.countTermination(*outcome.cause);
+        const bool instanceFailed
+            = terminationRule(*outcome.cause).party == TerminationParty::Instance;
+        if (instanceFailed && m_entry.log != nullptr)
+            m_entry.log->record(attemptDecision(m_context, assigned, outcome));
+    }
     m_mayHaveRun = m_mayHaveRun || outcome.mayHaveRun;
     m_waitTime += outcome.instanceWait;
     m_responseBytes += outcome.responseBytes;
--- a/src/libnet/session.cpp
+++ b/src/libnet/session.cpp
@@ -139,7 +139,7 @@
 {
     m_entry->metrics.countConnectionEnd(end);
     m_caller.close();
-    if (m_entry->log == nullptr || end == ConnectionEnd::Caller)
+    if (m_entry->placementProvider == nullptr || end == ConnectionEnd::Caller)
         return;
     Decision decision { "session", end == ConnectionEnd::Idle ? "idle" : "incomplete-head" };
     decision.facts["ms"] = Json::Int64(toMillis(std::chrono::steady_clock::now() - m_idleSince));
