laburnumctl: a malformed response of a control host is no answer

What operators saw: a response with the status 000, 099 or an odd interim one, or with a body that is not JSON, ended the command with "a control host refused" although nobody had; one with a field name that is no token was taken for an answer, with `Content-Length : 2` read as no length. The other control hosts were not asked.

Cause: cpp-httplib accepts any three digits as a status and any bytes in front of a colon as a name; ControlClient mapped what it did not know to Io, and an unreadable body to InvalidArgument, which are refusals.

Change: a malformed response counts as none, as a lost one does: the next control host is asked, and when none answers the outcome is unknown (exit code 3). What a status and a field name may be is defined once, in http_message.h, for the decoder and the client.

--- a/src/include/laburnumroute/http_message.h
+++ b/src/include/laburnumroute/http_message.h
@@ -35,6 +35,17 @@
     std::string_view field(std::string_view name) const;
 };
 
+inline constexpr unsigned firstStatusCode = 100;
+inline constexpr unsigned lastStatusCode = 599;
+
+/// True for the status codes that a response may have (RFC 9110, section 15).
+constexpr bool isStatusCode(unsigned status) noexcept
+{
+    return status >= firstStatusCode && status <= lastStatusCode;
+}
+/// True when `text` is a token (RFC 9110, section 5.6.2), as the name of a header field has to be.
+bool isFieldName(std::string_view text) noexcept;
+
 /// Compares two strings ignoring ASCII case.
 bool equalsIgnoreCase(std::string_view a, std::string_view b) noexcept;
 
--- a/src/laburnumctl/commands_test.cpp
+++ b/src/laburnumctl/commands_test.cpp
@@ -162,6 +162,44 @@
     REQUIRE(jsonOf(unreachable)["error"] == "unavailable");
 }
 
+// Guards against a broken response that is taken for an answer or a refusal of the control host.
+TEST_CASE("a control host that responds with an invalid response has not answered")
+{
+    const std::string sound = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n";
+    const auto response = GENERATE_COPY(values<std::string>({
+        "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n[]",
+        "HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\n[]",
+        "HTTP/1.1 20 X\r\nContent-Length: 2\r\n\r\n[]",
+        "HTTP/1.1 0200 X\r\nContent-Length: 2\r\n\r\n[]",
+        "HTTP/1.1 103 X\r\n\r\n" + sound + "[]",
+        "HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\n[]",
+        "HTTP/1.1 999 X\r\nContent-Length: 2\r\n\r\n[]",
+        "HTTP/1.1 -200 X\r\nContent-Length: 2\r\n\r\n[]",
+        "HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: 2\r\n\r\n[]",
+        "HTTP/1.1 200 OK\r\nX\001Bad: 1\r\nContent-Length: 2\r\n\r\n[]",
+        "HTTP/1.1 200 OK\r\nX\177Bad: 1\r\nContent-Length: 2\r\n\r\n[]",
+        "HTTP/1.1 200 OK\r\nX\xe9: 1\r\nContent-Length: 2\r\n\r\n[]",
+        "HTTP/1.1 200 OK\r\n: 1\r\nContent-Length: 2\r\n\r\n[]",
+        "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n[]",
+        "HTTP/1.1 409 Conflict\r\nX Bad: 1\r\nContent-Length: 2\r\n\r\n{}",
+        "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n[]",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n[]\r\n",
+        "HTTP/1.1 200 OK\r\n\r\n[{\"revision\": 1",
+        sound.substr(0, 17),
+        "",
+    }));
+    const bool isReset = GENERATE(false, true);
+    CAPTURE(response, isReset);
+    FaultyControl faulty(response, isReset);
+    StandinControl control;
+    const Outcome moved
+        = runCtl({ "history", "--control", faulty.address(), "--control", control.address() });
+    CHECK(moved.exitCode == ExitOk);
+    CHECK(control.state().requests == 1);
+    CHECK(runCtl({ "history", "--control", faulty.address() }).exitCode == ExitUnreachable);
+    CHECK(runCtl({ "drain", "a-1", "--control", faulty.address() }).exitCode == ExitUnreachable);
+}
+
 TEST_CASE("apply with an unknown outcome prints how to submit it again")
 {
     StandinControl control;
--- a/src/laburnumctl/control_client.cpp
+++ b/src/laburnumctl/control_client.cpp
@@ -1,7 +1,10 @@
 #include "control_client.h"
 
+#include <algorithm>
+
 #include <httplib.h>
 
+#include <laburnumroute/http_message.h>
 #include <laburnumroute/json.h>
 
 namespace laburnum::ctl {
@@ -45,6 +48,17 @@
             message.value_or("HTTP status " + std::to_string(response.status)) };
     }
 
+    /// The defect of a response that cpp-httplib accepts, or null. A malformed response does not
+    /// tell the outcome of the request.
+    const char* findDefect(const httplib::Response& response)
+    {
+        if (response.status < statusOk || !isStatusCode(static_cast<unsigned>(response.status)))
+            return "invalid status code";
+        const bool namesValid = std::all_of(response.headers.begin(), response.headers.end(),
+            [](const auto& field) { return isFieldName(field.first); });
+        return namesValid ? nullptr : "header field name is not a token";
+    }
+
     WallTime wallClock()
     {
         return std::chrono::time_point_cast<WallTime::duration>(std::chrono::system_clock::now());
@@ -163,9 +177,14 @@
                                  : client.Get(request.target, headers);
     if (!response)
         return fail(ErrorCode::Unavailable, httplib::to_string(response.error()));
+    if (const char* defect = findDefect(*response))
+        return fail(ErrorCode::Unavailable, std::string("malformed response: ") + defect);
     if (response->status != statusOk)
         return tl::unexpected<Error>(errorFrom(*response));
-    return parseJson(response->body);
+    auto body = parseJson(response->body);
+    if (!body)
+        return fail(ErrorCode::Unavailable, "malformed response: " + body.error().message);
+    return body;
 }
 
 } // namespace laburnum::ctl
--- a/src/laburnumctl/control_client.h
+++ b/src/laburnumctl/control_client.h
@@ -36,8 +36,8 @@
     ControlClient(ControlAccess access, TimeSource time);
 
     /// Submits a change and returns its revision. Fails with Conflict when another change was
-    /// accepted first, and with Unavailable when no host answered: the outcome is then unknown, and
-    /// the same change can be submitted again.
+    /// accepted first, and with Unavailable when no host sent a valid response: the outcome is then
+    /// unknown, and the same change can be submitted again.
     Expected<Revision> submit(const ConfigChange& change);
     /// The version of `revision`, or the newest.
     Expected<ConfigVersion> version(std::optional<Revision> revision);
--- a/src/laburnumctl/standin_control_pvt.h
+++ b/src/laburnumctl/standin_control_pvt.h
@@ -5,6 +5,10 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
 
 #include <laburnumroute/admin_server.h>
 #include <laburnumroute/config_ledger.h>
@@ -50,4 +54,24 @@
     AdminServer m_server;
 };
 
+/// A control host that sends the same bytes for each request and ends the connection.
+class FaultyControl {
+public:
+    FaultyControl(std::string response, bool resets);
+    ~FaultyControl();
+    FaultyControl(const FaultyControl&) = delete;
+    FaultyControl& operator=(const FaultyControl&) = delete;
+
+    std::string address() const;
+
+private:
+    void serve();
+
+    std::string m_response;
+    bool m_resets;
+    asio::io_context m_context;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::thread m_thread;
+};
+
 } // namespace laburnum::ctl
--- a/src/laburnumctl/standin_control_test.cpp
+++ b/src/laburnumctl/standin_control_test.cpp
@@ -2,8 +2,10 @@
 
 #include <catch2/catch.hpp>
 
-#include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
+#include <sys/socket.h>
+
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
 
 #include <laburnumroute/json.h>
 
@@ -140,4 +142,44 @@
     return jsonResponse(Json::Value(Json::objectValue));
 }
 
+FaultyControl::FaultyControl(std::string response, bool resets)
+    : m_response(std::move(response))
+    , m_resets(resets)
+    , m_acceptor(m_context, { asio::ip::make_address("127.0.0.1"), 0 })
+    , m_thread([this] { serve(); })
+{
+}
+
+FaultyControl::~FaultyControl()
+{
+    ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
+    m_thread.join();
+}
+
+std::string FaultyControl::address() const
+{
+    return "http://127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+}
+
+void FaultyControl::serve()
+{
+    while (true) {
+        std::error_code code;
+        asio::ip::tcp::socket socket(m_context);
+        m_acceptor.accept(socket, code);
+        if (code)
+            return;
+        std::string request;
+        asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", code);
+        asio::write(socket, asio::buffer(m_response), code);
+        if (m_resets)
+            socket.set_option(asio::ip::tcp::socket::linger(true, 0), code);
+        else
+            socket.shutdown(asio::ip::tcp::socket::shutdown_send, code);
+        // Whatever is left of the request does not turn the end into a reset.
+        while (!m_resets && !code)
+            socket.read_some(asio::buffer(request.data(), request.size()), code);
+    }
+}
+
 } // namespace laburnum::ctl
--- a/src/libnet/http_decoder.cpp
+++ b/src/libnet/http_decoder.cpp
@@ -77,7 +77,7 @@
                     break;
                 readByte(c);
             }
-            return !m_complete || (m_digits == statusDigits && pvt::isStatusCode(m_value));
+            return !m_complete || (m_digits == statusDigits && isStatusCode(m_value));
         }
 
     private:
@@ -155,17 +155,6 @@
 
     constexpr int abortParsing = -1;
 
-    /// True when `text` consists of the characters that RFC 9110 allows in a field name.
-    bool isToken(std::string_view text)
-    {
-        static constexpr std::string_view tokenMarks = "!#$%&'*+-.^_`|~";
-        return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
-            const bool alphanumeric
-                = (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
-            return alphanumeric || tokenMarks.find(c) != std::string_view::npos;
-        });
-    }
-
     template <class State> State& stateOf(http_parser* parser)
     {
         return *static_cast<State*>(parser->data);
@@ -200,7 +189,7 @@
     const char* findHeadError(const HttpHead& head)
     {
         const bool namesValid = std::all_of(head.fields.begin(), head.fields.end(),
-            [](const HeaderField& field) { return isToken(field.name); });
+            [](const HeaderField& field) { return isFieldName(field.name); });
         if (!namesValid)
             return "header field name is not a token";
         std::size_t codings = 0;
@@ -249,7 +238,7 @@
         State& state = stateOf<State>(parser);
         trimValues(state.trailers);
         for (const auto& field : state.trailers) {
-            if (!isToken(field.name) || hasControlCharacter(field.value)) {
+            if (!isFieldName(field.name) || hasControlCharacter(field.value)) {
                 state.errorDetail = "malformed trailer field";
                 return abortParsing;
             }
--- a/src/libnet/http_message.cpp
+++ b/src/libnet/http_message.cpp
@@ -57,6 +57,16 @@
 
 } // namespace
 
+bool isFieldName(std::string_view text) noexcept
+{
+    static constexpr std::string_view tokenMarks = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+        const bool alphanumeric
+            = (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+        return alphanumeric || tokenMarks.find(c) != std::string_view::npos;
+    });
+}
+
 bool equalsIgnoreCase(std::string_view a, std::string_view b) noexcept
 {
     return std::equal(a.begin(), a.end(), b.begin(), b.end(),
--- a/src/libnet/http_status_pvt.h
+++ b/src/libnet/http_status_pvt.h
@@ -23,15 +23,6 @@
 inline constexpr unsigned statusUnavailable = 503;
 inline constexpr unsigned statusGatewayTimeout = 504;
 
-inline constexpr unsigned firstStatus = statusContinue;
-inline constexpr unsigned lastStatus = 599;
-
-/// True for the status codes that a response may have (RFC 9110, section 15).
-constexpr bool isStatusCode(unsigned status)
-{
-    return status >= firstStatus && status <= lastStatus;
-}
-
 /// True when responses with this status have no body (RFC 9112, section 6.3).
 constexpr bool isBodiless(unsigned status)
 {
