A stored response whose status is not final is not replayed

What callers would see: a response with a status such as 0200 or 600, or one below 200, that an earlier version stored for an idempotency key or another host still stores, is replayed to each caller who sends the key again.

Change: a stored response is replayed if its status is final, from 200 to 599; otherwise the caller gets 409 `answered-without-copy`, as for a response that was too large to store. The request does not run again.

--- a/src/libnet/entry_claim_test.cpp
+++ b/src/libnet/entry_claim_test.cpp
@@ -257,6 +257,24 @@
     CHECK(claims.stored->body == std::string(2000, 'x'));
 }
 
+// Guards against a response that an earlier version stored.
+TEST_CASE("a stored response whose status is not final is not replayed")
+{
+    const auto [status, valid] = GENERATE(table<unsigned, bool>({ { 0, false }, { 99, false },
+        { 100, false }, { 199, false }, { 200, true }, { 599, true }, { 600, false } }));
+    FakeClaimClient claims;
+    claims.decision = verdict(ClaimVerdict::Replay);
+    claims.decision.answer = { status, {}, "made" };
+    CountingUpstream instance(created);
+    EntryFixture fixture({}, &claims);
+    fixture.addInstance(instance.upstream.endpoint());
+    const std::string got = fixture.exchange(keyedRequest("abc"));
+    CAPTURE(status, got);
+    CHECK(got.starts_with(valid ? "HTTP/1.1 " + std::to_string(status) : "HTTP/1.1 409 "));
+    CHECK((got.find("answered-without-copy") != std::string::npos) == !valid);
+    CHECK(instance.runs == 0);
+}
+
 TEST_CASE("a response with an invalid status or field name is not stored")
 {
     const auto response
--- a/src/libnet/http_status_pvt.h
+++ b/src/libnet/http_status_pvt.h
@@ -1,6 +1,8 @@
 /// HTTP status codes (RFC 9110, section 15) that libnet sends or examines.
 #pragma once
 
+#include <laburnumroute/http_message.h>
+
 namespace laburnum::pvt {
 
 inline constexpr unsigned statusContinue = 100;
@@ -23,6 +25,9 @@
 inline constexpr unsigned statusUnavailable = 503;
 inline constexpr unsigned statusGatewayTimeout = 504;
 
+/// True for the status codes of responses that are not interim.
+constexpr bool isFinalStatus(unsigned status) { return status >= statusOk && isStatusCode(status); }
+
 /// True when responses with this status have no body (RFC 9112, section 6.3).
 constexpr bool isBodiless(unsigned status)
 {
--- a/src/libnet/request_handler.cpp
+++ b/src/libnet/request_handler.cpp
@@ -343,7 +343,8 @@
 
 asio::awaitable<void> RequestHandler::respondToClaim(const ClaimDecision& decision)
 {
-    if (decision.verdict == ClaimVerdict::Replay) {
+    const bool replays = decision.verdict == ClaimVerdict::Replay;
+    if (replays && isFinalStatus(decision.answer.status)) {
         m_keepAlive = m_request.keepAlive && m_body.complete() && !m_entry.closesConnections();
         co_await m_stream.write(renderReplay(decision.answer, responseContext()));
         recordMetrics(RequestOutcome::Answered, decision.answer.status);
@@ -355,7 +356,7 @@
         refusal = { statusConflict, unknown, reasons::inProgress };
     else if (decision.verdict == ClaimVerdict::Unknown)
         refusal = { statusConflict, unknown, reasons::claimUnknown };
-    else if (decision.verdict == ClaimVerdict::ResponseNotStored)
+    else if (replays || decision.verdict == ClaimVerdict::ResponseNotStored)
         refusal = { statusConflict, unknown, reasons::answeredWithoutCopy };
     else if (decision.verdict == ClaimVerdict::Mismatch)
         refusal = { statusConflict, RequestOutcome::NotRun, reasons::keyReused };
