Tests: an invalid response of a hedged attempt leaves the other one at work

The other's sound response reaches the caller and each instance gets its own report. Holds on the sources as they are; retried, buffered, streamed, listed and captured responses are in the tests before.

--- a/src/libnet/entry_invalid_response_test.cpp
+++ b/src/libnet/entry_invalid_response_test.cpp
@@ -354,6 +354,41 @@
     CHECK(provider.reports.wait(2) == std::vector<std::string> { "failure", "success" });
 }
 
+// Guards against a broken response that ends another attempt, or that is taken as its response.
+TEST_CASE("fleet: an invalid response of a hedged attempt leaves the other one at work")
+{
+    const bool isFirst = GENERATE(false, true);
+    const auto invalid = GENERATE(as<std::string>(), response("000"), response("099"),
+        response("600"), "HTTP/1.1 000 X\r\n\r\n" + sound,
+        stampedHead + "X Bad: 1\r\nContent-Length: 5\r\n\r\nwrong",
+        interimHead + "X\001Bad: 1\r\n\r\n" + sound);
+    Signal hedged;
+    Signal ended;
+    ScriptedUpstream upstream([&](Connection& connection, int index) {
+        connection.readHead();
+        if (index == 1)
+            hedged.set();
+        hedged.wait();
+        if ((index == 0) == isFirst) {
+            connection.send(invalid);
+            connection.waitForClose();
+            return ended.set();
+        }
+        ended.wait();
+        connection.send(sound);
+        connection.readAll();
+    });
+    OrderedPlacementProvider provider;
+    provider.route.objective = 300ms;
+    provider.instances = { upstream.endpoint(), upstream.endpoint() };
+    OrderedFleetFixture fixture(provider);
+    CAPTURE(isFirst, invalid);
+    const std::string got = fixture.exchange(request("GET"));
+    CHECK(got.starts_with("HTTP/1.1 200 "));
+    CHECK(got.ends_with("\r\n\r\nsound"));
+    CHECK(provider.reports.wait(2) == std::vector<std::string> { "failure", "success" });
+}
+
 TEST_CASE("every character of a token is passed on in a field name")
 {
     const std::string name = "aZ09!#$%&'*+-.^_`|~";
