--- a/testsuite/e2e/seeded_harness.py
+++ b/testsuite/e2e/seeded_harness.py
@@ -134,8 +134,7 @@
             protocol_version = "HTTP/1.1"
 
             def handle_request(self):
-                self.rfile.read(int(self.headers.get("Content-Length", "0")))
-                instance.answer(self)
+                instance.receive(self)
 
             do_GET = handle_request
             do_POST = handle_request
@@ -148,6 +147,10 @@
         self.threads = [threading.Thread(target=self.server.serve_forever, daemon=True),
                         threading.Thread(target=self.announce, daemon=True)]
 
+    def receive(self, handler):
+        handler.rfile.read(int(handler.headers.get("Content-Length", "0")))
+        self.answer(handler)
+
     def answer(self, handler):
         request = handler.headers[e2e_calls.REQUEST_ID]
         try:
@@ -263,13 +266,13 @@
 class SeededFleet:
     """Three control hosts, an entry host and a held instance of the service "s"."""
 
-    def __init__(self, grace_ms=20000):
+    def __init__(self, grace_ms=20000, instance_type=HeldInstance):
         self.folder = tempfile.TemporaryDirectory(prefix="laburnum-")
         scratch = pathlib.Path(self.folder.name)
         peer_port, calls_port = fleets.free_port(), fleets.free_port()
         self.controls = [ControlHost(i, scratch, peer_port, calls_port) for i in (1, 2, 3)]
         self.entry = EntryHost(scratch, self.controls, grace_ms)
-        self.instance = HeldInstance("i-1", "s", self.controls)
+        self.instance = instance_type("i-1", "s", self.controls)
 
     def start(self):
         """Starts all and waits until the configuration 0, the least, is in force and the instance serves."""
