--- a/src/libnet/exchange.cpp
+++ b/src/libnet/exchange.cpp
@@ -151,6 +151,7 @@
             break;
         m_caller.body.rewind();
         m_outcome.cause.reset();
+        m_outcome.error.clear();
         mayReuse = false;
     }
     m_outcome.latency = m_outcome.status != 0 ? m_outcome.latency : Duration(steadyNow() - m_start);
--- a/src/libnet/http_stream.cpp
+++ b/src/libnet/http_stream.cpp
@@ -92,8 +92,8 @@
             m_buffer = std::make_unique<std::array<char, readBytes>>();
         const auto [code, count]
             = co_await m_socket.async_read_some(asio::buffer(*m_buffer), useTuple);
-        if (code && m_brokenOff)
-            co_return fail(ErrorCode::Closed, "write: " + m_brokenOff.message());
+        if (code && m_writeError)
+            co_return fail(ErrorCode::Closed, "write: " + m_writeError.message());
         if (code) {
             if (code != asio::error::eof || !m_decoder.started())
                 co_return fail(ErrorCode::Closed, "read: " + code.message());
@@ -169,10 +169,10 @@
         const auto [code, count] = co_await m_socket.async_write_some(
             asio::buffer(bytes.data() + written, bytes.size() - written), useTuple);
         if (code) {
-            // A broken pipe means that the peer had sent a FIN before: the end that a read finds is
-            // the peer's own.
-            if (code != asio::error::broken_pipe && !m_brokenOff)
-                m_brokenOff = code;
+            // A broken pipe means that the peer had sent a FIN before, so the end that a read finds
+            // is the peer's own.
+            if (code != asio::error::broken_pipe && !m_writeError)
+                m_writeError = code;
             co_return fail(ErrorCode::Closed, "write: " + code.message());
         }
         written += count;
--- a/src/libnet/http_stream_pvt.h
+++ b/src/libnet/http_stream_pvt.h
@@ -104,9 +104,9 @@
     std::uint64_t m_bytesRead = 0;
     std::optional<std::size_t> m_readLimitLeft;
     bool m_closesIdle = false;
-    /// Why a write found the connection broken off. The failed write took the error from the
-    /// socket, so that a read finds what looks like a FIN of the peer.
-    std::error_code m_brokenOff;
+    /// Set if a write found the connection reset or lost. It took the error from the socket, so
+    /// that a read finds what looks like a FIN of the peer.
+    std::error_code m_writeError;
     std::shared_ptr<PeerWatch> m_watch;
 };
 
