--- a/src/libnet/exchange_pvt.h
+++ b/src/libnet/exchange_pvt.h
@@ -135,13 +135,6 @@
     std::string error;
 };
 
-/// Stable word for logs.
-const char* attemptEndName(AttemptEnd end);
-
-/// Log line of an attempt that has ended.
-Decision attemptDecision(
-    const CallerContext& caller, const Assignment& assigned, const AttemptOutcome& outcome);
-
 /// Runs one attempt. Must be used from the session's strand.
 class Exchange {
 public:
--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -7,6 +7,7 @@
 #include <laburnumroute/account_directory.h>
 #include <laburnumroute/hedge_delay.h>
 
+#include "attempt_log_pvt.h"
 #include "http_status_pvt.h"
 #include "request_validation_pvt.h"
 
--- a/src/libnet/request_handler.cpp
+++ b/src/libnet/request_handler.cpp
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include "attempt_log_pvt.h"
 #include "claim_wait_pvt.h"
 #include "http_status_pvt.h"
 #include "request_validation_pvt.h"
