--- a/src/libnet/entry_claim_test.cpp
+++ b/src/libnet/entry_claim_test.cpp
@@ -322,7 +322,9 @@
     fixture.addInstance(upstream.endpoint());
     Connection caller = fixture.connect();
     caller.send("POST /s HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k1\r\n"
-                "Content-Length: 100000000\r\n\r\n");
+                "Content-Length: 100000000\r\n\r\n"
+        + std::string(std::size_t { 64 } * 1024, 'u'));
+    CHECK(caller.readUntil("part").ends_with("part"));
     caller.sendUntilBlocked('u');
     uploadWaits.set();
     CAPTURE(isReset);
--- a/src/libnet/entry_reset_response_test.cpp
+++ b/src/libnet/entry_reset_response_test.cpp
@@ -110,9 +110,12 @@
     return "POST /s HTTP/" + version + "\r\nHost: h\r\nId: 7\r\n" + framing + "\r\n";
 }
 
-const std::string lengthHead = "Content-Length: 100000000\r\n";
-/// One chunk larger than what is sent of it.
-const std::string chunkedHead = "Transfer-Encoding: chunked\r\n\r\n5f5e100";
+const std::string uploadLength = "Content-Length: 100000000\r\n";
+
+/// Heads of requests with more body than is sent: with a length, in one chunk, and from a caller to
+/// whom a response without length ends with its connection.
+const std::vector<std::string> uploadHeads { uploadHead(uploadLength),
+    uploadHead("Transfer-Encoding: chunked\r\n\r\n5f5e100"), uploadHead(uploadLength, "1.0") };
 
 EntryOptions smallBuffers(EntryOptions options)
 {
@@ -155,18 +158,6 @@
     return looksComplete(got, caller);
 }
 
-std::string uploadForms(int form)
-{
-    switch (form) {
-    case 0:
-        return uploadHead(lengthHead);
-    case 1:
-        return uploadHead(chunkedHead);
-    default:
-        return uploadHead(lengthHead, "1.0");
-    }
-}
-
 } // namespace
 
 // Guards against a part of a response that is passed on as a whole one because a failed write of
@@ -175,7 +166,7 @@
 {
     const auto form = GENERATE(from_range(responseForms));
     const auto moment = GENERATE(Moment::WithHead, Moment::WithResponse, Moment::AfterResponse);
-    const std::string head = uploadForms(GENERATE(0, 1, 2));
+    const auto head = GENERATE(from_range(uploadHeads));
     EndingUpstream upstream(form.text, moment, reset);
     std::string got;
     CAPTURE(form.name, static_cast<int>(moment), head);
@@ -201,7 +192,7 @@
 {
     const auto moment = GENERATE(Moment::WithHead, Moment::WithResponse, Moment::AfterResponse);
     const auto ending = GENERATE(as<Ending>(), finish, finishAndClose);
-    const std::string head = uploadForms(GENERATE(0, 1, 2));
+    const auto head = GENERATE(from_range(uploadHeads));
     EndingUpstream upstream(responseForms.front().text, moment, ending);
     std::string got;
     CAPTURE(static_cast<int>(moment), head);
