With several threads, a read waits for the write that a reset is about to fail

Cause: the reactor performs the write, which takes the error, and then the read, which finds an end of the connection. It runs the write's handler itself and posts the read's; another thread may run the latter first, and the stream does not know of the failed write yet.

The same binary beside 10 busy loops on 8 cores, 16 copies of the reset tests: 8 of 16 fail; 24 copies without load: none.

Change: a read that finds the end while a write is in progress on a connection that is hung up in both directions waits for that write, which is bound to fail, and then decides by its error. After a FIN alone the connection is not hung up: the read ends at once and the write may go on.

Result: beside the same load 0 of 16 copies fail, without load 0 of 24 (x86_64).

--- a/src/libnet/http_stream.cpp
+++ b/src/libnet/http_stream.cpp
@@ -92,6 +92,8 @@
             m_buffer = std::make_unique<std::array<char, readBytes>>();
         const auto [code, count]
             = co_await m_socket.async_read_some(asio::buffer(*m_buffer), useTuple);
+        if (code == asio::error::eof)
+            co_await awaitFailingWrite();
         if (code && m_writeError)
             co_return fail(ErrorCode::Closed, "write: " + m_writeError.message());
         if (code) {
@@ -165,23 +167,40 @@
     std::string bytes, std::function<void()> onProgress)
 {
     std::size_t written = 0;
-    while (written < bytes.size()) {
+    std::error_code failed;
+    m_writing = true;
+    while (!failed && written < bytes.size()) {
         const auto [code, count] = co_await m_socket.async_write_some(
             asio::buffer(bytes.data() + written, bytes.size() - written), useTuple);
-        if (code) {
-            // A broken pipe means that the peer had sent a FIN before, so the end that a read finds
-            // is the peer's own.
-            if (code != asio::error::broken_pipe && !m_writeError)
-                m_writeError = code;
-            co_return fail(ErrorCode::Closed, "write: " + code.message());
-        }
+        failed = code;
         written += count;
-        if (onProgress && written < bytes.size())
+        if (!failed && onProgress && written < bytes.size())
             onProgress();
     }
+    m_writing = false;
+    // A broken pipe means that the peer had sent a FIN before, so the end that a read finds is the
+    // peer's own.
+    if (failed && failed != asio::error::broken_pipe && !m_writeError)
+        m_writeError = failed;
+    if (m_writeEnded)
+        m_writeEnded->set();
+    if (failed)
+        co_return fail(ErrorCode::Closed, "write: " + failed.message());
     co_return Expected<void> {};
 }
 
+asio::awaitable<void> HttpStream::awaitFailingWrite()
+{
+    pollfd state { m_socket.native_handle(), 0, 0 };
+    const bool hungUp
+        = m_socket.is_open() && ::poll(&state, 1, 0) == 1 && (state.revents & POLLHUP) != 0;
+    if (!m_writing || !hungUp)
+        co_return;
+    m_writeEnded = std::make_unique<AsyncEvent>(m_socket.get_executor());
+    while (m_writing)
+        co_await m_writeEnded->wait();
+}
+
 asio::awaitable<void> HttpStream::lingeringClose()
 {
     std::error_code code;
--- a/src/libnet/http_stream_pvt.h
+++ b/src/libnet/http_stream_pvt.h
@@ -14,6 +14,8 @@
 
 #include <laburnumroute/http_decoder.h>
 
+#include "async_event_pvt.h"
+
 namespace laburnum::pvt {
 
 /// Completion token: co_await returns a tuple that starts with the error code instead of throwing.
@@ -92,6 +94,10 @@
     struct PeerWatch;
 
     asio::awaitable<Expected<void>> readMore();
+    /// At the end of the connection, waits for the write in progress if it is bound to fail. With
+    /// several threads, a read may end before the write that took the error. After a FIN alone the
+    /// connection is not hung up, and the write may go on.
+    asio::awaitable<void> awaitFailingWrite();
     Expected<void> decodeBuffered();
 
     static constexpr std::size_t readBytes = std::size_t { 16 } * 1024;
@@ -107,6 +113,9 @@
     /// Set if a write found the connection reset or lost. It took the error from the socket, so
     /// that a read finds what looks like a FIN of the peer.
     std::error_code m_writeError;
+    bool m_writing = false;
+    /// Set while a read waits for a write to end.
+    std::unique_ptr<AsyncEvent> m_writeEnded;
     std::shared_ptr<PeerWatch> m_watch;
 };
 
