--- a/review/tmp12/run.py
+++ b/review/14/run.py
@@ -1,4 +1,4 @@
-"""Case 12: a deployment in which a value of `bounds` is a fraction."""
+"""Case 14: a deployment in which a value of `bounds` is a fraction."""
 
 import os
 import pathlib
@@ -27,7 +27,8 @@
                 continue
             ends[machine.name] += 1
             last = machine.log.read_text(encoding="utf-8", errors="replace").strip().splitlines()[-1:]
-            record(f"{machine.name} ended by itself with code {code}: {' '.join(last)}")
+            record(f"{machine.name} ended by itself with code {code}: "
+                   f"{' '.join(last).replace(str(fleet.folder), 'FOLDER')}")
             if ends[machine.name] < ENDS:
                 machine.start(bootstrap=False)
         configured = configured or fleet.put(stand.configuration(3), 1.0)
--- a/review/common-3/stand.py
+++ b/review/common-3/stand.py
@@ -391,13 +391,13 @@
         return f"{_last_request[0]:016x}"
 
 
-def request(fleet, machine, kind="unsafe", body=b"", timeout=6.0, deadline_ms=5000):
+def request(fleet, machine, kind="unsafe", body=b"", timeout=6.0, deadline_ms=5000, host="review.example"):
     """One client attempt on a new channel: its id, the status (0: none) and the fields and body of the answer."""
     name = new_id()
     method = "GET" if kind == "safe" else "POST"
     try:
         with socket.create_connection((machine.ip, fleet.ports["front"]), timeout=timeout) as channel:
-            channel.sendall((f"{method} /{kind}/x HTTP/1.1\r\nHost: review.example\r\n{PREFIX}Request-Id: {name}\r\n"
+            channel.sendall((f"{method} /{kind}/x HTTP/1.1\r\nHost: {host}\r\n{PREFIX}Request-Id: {name}\r\n"
                              f"{PREFIX}Deadline-Ms: {deadline_ms}\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body)
             file = channel.makefile("rb")
             head = read_head(file)
