--- a/review/common-3/stand.py
+++ b/review/common-3/stand.py
@@ -11,6 +11,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -25,6 +26,10 @@
           "recovery_s": 15, "probes_per_s": 3, "floor_share": 0.7}
 
 
+# A script that is told to end still ends its processes.
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
+
 class Impossible(Exception):
     """The case could not run."""
 
@@ -117,13 +122,10 @@
         self.settings.write_text(render(template, self.fields(bootstrap)), encoding="utf-8")
         words = [str(self.settings) if w == "/etc/laburnumroute/settings.yaml" else w
                  for w in self.role[1]["run"].split()]
-        words[0] = os.environ.get("REVIEW_BINARY", words[0])
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen(words, cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
                                             env={"PATH": os.environ.get("PATH", ""), "HOME": "/", "LANG": "C",
-                                                 "LABURNUMROUTE_BOOT": str(self.settings),
-                                                 **({"ASAN_OPTIONS": os.environ["ASAN_OPTIONS"]}
-                                                    if "ASAN_OPTIONS" in os.environ else {})})
+                                                 "LABURNUMROUTE_BOOT": str(self.settings)})
 
     def signal(self, number):
         if self.process and self.process.poll() is None:
@@ -214,8 +216,7 @@
         for machine in self.cores + self.fronts:
             machine.signal(signal.SIGCONT)
             machine.kill()
-        if not os.environ.get("REVIEW_KEEP"):
-            shutil.rmtree(self.folder, ignore_errors=True)
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def free_ports(count):
@@ -334,7 +335,8 @@
 
     def work(self, channel, line, fields, request, body):
         time.sleep(self.work_s)
-        self.send(channel, 200, request, f"{self.name} did {request}\n".encode(), {PREFIX + "Response-Stamp": f"{self.name}.{request}"})
+        self.send(channel, 200, request, f"{self.name} did {request}\n".encode(),
+                  {PREFIX + "Response-Stamp": f"{self.name}.{request}"})
         return True
 
     def send(self, channel, status, request, body, fields=None):
@@ -397,8 +399,9 @@
     method = "GET" if kind == "safe" else "POST"
     try:
         with socket.create_connection((machine.ip, fleet.ports["front"]), timeout=timeout) as channel:
-            channel.sendall((f"{method} /{kind}/x HTTP/1.1\r\nHost: {host}\r\n{PREFIX}Request-Id: {name}\r\n"
-                             f"{PREFIX}Deadline-Ms: {deadline_ms}\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body)
+            head = (f"{method} /{kind}/x HTTP/1.1\r\nHost: {host}\r\n{PREFIX}Request-Id: {name}\r\n"
+                    f"{PREFIX}Deadline-Ms: {deadline_ms}\r\nContent-Length: {len(body)}\r\n\r\n")
+            channel.sendall(head.encode() + body)
             file = channel.makefile("rb")
             head = read_head(file)
             if head is None:
