--- a/review/14/run.py
+++ b/review/14/run.py
@@ -1,4 +1,4 @@
-"""Case 14: a deployment in which a value of `bounds` is a fraction."""
+"""Case 14: two hosts of a configuration differ in their ports only, and their routes go to different services."""
 
 import os
 import pathlib
@@ -9,47 +9,48 @@
 import stand
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-GRACE_S = 6.5 if TROUBLE else 6
-ENDS = 3
+HOSTS = ({"svc-a": "review.example:8080", "svc-b": "review.example:8443"} if TROUBLE else
+         {"svc-a": "a.review.example", "svc-b": "b.review.example"})
 
 
 def play(record, fleet):
-    stand.BOUNDS["grace_s"] = GRACE_S
-    record(f"all machines start; bounds.grace_s is {GRACE_S}")
     fleet.start()
-    ends = {machine.name: 0 for machine in fleet.cores + fleet.fronts}
-    began = time.monotonic()
-    configured = False
-    while time.monotonic() < began + 15:
-        for machine in fleet.cores + fleet.fronts:
-            code = machine.ended()
-            if code is None or ends[machine.name] == ENDS:
-                continue
-            ends[machine.name] += 1
-            last = machine.log.read_text(encoding="utf-8", errors="replace").strip().splitlines()[-1:]
-            record(f"{machine.name} ended by itself with code {code}: "
-                   f"{' '.join(last).replace(str(fleet.folder), 'FOLDER')}")
-            if ends[machine.name] < ENDS:
-                machine.start(bootstrap=False)
-        configured = configured or fleet.put(stand.configuration(3), 1.0)
-        time.sleep(0.3)
-    if not configured:
-        raise stand.Impossible("no configuration was acknowledged")
-    instances = [stand.Instance(fleet, f"i-{number}", f"{fleet.block}.{101 + number}") for number in range(3)]
+    first = stand.configuration(3)
+    first["hosts"][0]["host"] = "first.example"
+    if not fleet.put(first):
+        raise stand.Impossible("the first configuration was not acknowledged")
+    fleet.await_ready()
+    zones = list(stand.ZONES)
+    instances = [stand.Instance(fleet, f"i-{service[-1]}{number}", f"{fleet.block}.{101 + 10 * at + number}",
+                                service=service, zone=zones[number]) for at, service in enumerate(HOSTS)
+                 for number in range(3)]
     for instance in instances:
-        instance.beat()
-    time.sleep(1.5)
-    for instance in instances:
-        instance.beat()
-    answers = [stand.request(fleet, machine) for machine in fleet.fronts for _ in range(5)]
-    for name, status, _, _ in answers:
-        record(f"client: {name}: {status or 'no answer'}")
-    dead = [name for name, count in ends.items() if count == ENDS]
-    served = sum(1 for answer in answers if answer[1] == 200)
-    record(f"machines whose process ended by itself {ENDS} times: {', '.join(dead) or 'none'}")
-    record(f"requests served: {served} of {len(answers)}")
-    limit = max(2, len(ends) / 10)
-    return len(dead) >= limit or served == 0
+        if not instance.beat():
+            raise stand.Impossible("a ping was not acknowledged")
+        instance.announce()
+    time.sleep(4)
+    changed = stand.configuration(5)
+    changed["hosts"] = [{"host": host, "paths": stand.configuration(5, service=service)["hosts"][0]["paths"]}
+                        for service, host in HOSTS.items()]
+    for service, host in HOSTS.items():
+        record(f"r5: host {host} goes to {service}")
+    if not fleet.put(changed):
+        raise stand.Impossible("the change was not acknowledged")
+    time.sleep(stand.BOUNDS["config_apply_ms"] / 1000 + 1)
+    sent = {}  # request id: service that the configuration names
+    for _ in range(10):
+        for machine in fleet.fronts:
+            for service, host in HOSTS.items():
+                name, status, _, body = stand.request(fleet, machine, host=host)
+                sent[name] = service
+                record(f"client: {name} for {host} at {machine.name}: {status or 'no answer'} {body.decode().strip()}")
+    foreign = [(name, instance.service) for instance in instances for _, name in instance.runs
+               if sent.get(name, instance.service) != instance.service]
+    runs = sum(1 for instance in instances for _, name in instance.runs if name in sent)
+    if runs == 0:
+        raise stand.Impossible("no request has run")
+    record(f"requests run: {runs}; run by the other host's service: {len(foreign)}")
+    return bool(foreign)
 
 
 def main():
@@ -62,7 +63,7 @@
         return 2
     finally:
         fleet.stop()
-    record("Fault" if broken else "no fault")
+    record("ROUTE is broken" if broken else "ROUTE held")
     return 1 if broken else 0
 
 
