Hosts of routes are compared as HTTP does, in one place

Cause: RouteTable removed ports from the hosts of a configuration and from `Host`, and compared IPv6 literals by their spelling; the check of new configurations compared hosts as written, that of TOML files without case. Entries that had become one were neither kept apart nor refused.

Change: host_name.h states the rule once (case, default port, IPv6 by address; an entry with a port covers that port, one without a port also the ports that no entry gives), and RouteTable, the checks of TOML files and of the platform's configurations and the fingerprint of claims use it. TOML files may give ports: "a:80" was listed as a host that no request can match, which was true of the old table only; it is a valid host now, and twelve malformed ones stand where six did.

Why it works: the table keeps hosts with a port apart from names, and looks a name up only if no entry has the request's port; both sides pass through parseHostName().

--- a/src/include/laburnumroute/configuration.h
+++ b/src/include/laburnumroute/configuration.h
@@ -66,7 +66,7 @@
 /// Assigns matching requests to a service, or splits them among services. The longest matching
 /// prefix wins.
 struct RouteSpec {
-    /// Host name in the request, without port; empty matches every host name.
+    /// Host of the request, with or without a port (host_name.h); empty matches every host.
     std::string host;
     /// Path prefix; matches whole path segments.
     std::string prefix = "/";
--- a/src/libdeclare/config_checks.cpp
+++ b/src/libdeclare/config_checks.cpp
@@ -7,6 +7,8 @@
 #include <set>
 #include <utility>
 
+#include <laburnumroute/host_name.h>
+
 namespace laburnum::pvt {
 
 namespace {
@@ -113,7 +115,7 @@
     std::set<ServiceId> known;
     for (const auto& service : services)
         known.insert(service.spec.name);
-    std::map<std::pair<std::string, std::string>, std::vector<const LocatedRoute*>> byHostAndPrefix;
+    std::map<std::pair<HostName, std::string>, std::vector<const LocatedRoute*>> byHostAndPrefix;
     for (const auto& route : routes) {
         const ServiceId& service = route.spec.service;
         if (!service.value().empty() && !known.contains(service))
@@ -127,7 +129,7 @@
                         + share.service.value() + "'");
         }
         auto& sameHostAndPrefix
-            = byHostAndPrefix[{ lowerCase(route.spec.host), route.spec.prefix }];
+            = byHostAndPrefix[{ parseHostName(route.spec.host), route.spec.prefix }];
         for (const LocatedRoute* earlier : sameHostAndPrefix)
             checkOverlap(*earlier, route, findings);
         sameHostAndPrefix.push_back(&route);
--- a/src/libdeclare/config_printer_test.cpp
+++ b/src/libdeclare/config_printer_test.cpp
@@ -46,7 +46,8 @@
 
 RouteSpec randomRoute(Random& random, const ServiceSpec& service, std::size_t serial)
 {
-    static constexpr std::array<const char*, 3> hosts { "", "book.example", "[::1]" };
+    static constexpr std::array<const char*, 6> hosts { "", "book.example", "[::1]",
+        "Book.example:8080", "book.example:80", "[::1]:65535" };
     static constexpr std::array<const char*, 4> methods { "GET", "POST", "PROPFIND", "M'`|~" };
     RouteSpec route;
     route.host = anyOf(random, hosts);
--- a/src/libdeclare/config_reader_pvt.h
+++ b/src/libdeclare/config_reader_pvt.h
@@ -55,12 +55,10 @@
 
 /// True for a method name by RFC 9110: one or more token characters.
 bool isToken(std::string_view text) noexcept;
-/// True for a DNS name, an IPv4 address or a bracketed IPv6 address, without a port.
-bool isHostName(std::string_view text) noexcept;
+/// True for a DNS name, an IPv4 address or a bracketed IPv6 address, with or without a port.
+bool isHostName(std::string_view text);
 /// True for visible ASCII characters without `?` and `#`, starting with `/`.
 bool isPathPrefix(std::string_view text) noexcept;
-/// `text` with ASCII letters in lower case.
-std::string lowerCase(std::string_view text);
 /// `text` with ASCII letters in upper case.
 std::string upperCase(std::string_view text);
 
--- a/src/libdeclare/config_reader_test.cpp
+++ b/src/libdeclare/config_reader_test.cpp
@@ -74,6 +74,23 @@
             .empty());
 }
 
+// Guards against checks that disagree with the route table about which hosts are one (review/14).
+TEST_CASE("routes overlap if their hosts are one host in HTTP's sense")
+{
+    const auto routesFor = [](const std::string& a, const std::string& b) {
+        return findingsOf(validService + "[[route]]\nhost = \"" + a
+            + "\"\nservice = \"a\"\n[[route]]\nhost = \"" + b + "\"\nservice = \"a\"\n");
+    };
+    CHECK(routesFor("a.b", "a.b:8080").empty());
+    CHECK(routesFor("a.b:8443", "A.b:8080").empty());
+    CHECK(routesFor("[::1]:8443", "[::1]").empty());
+    CHECK(routesFor("a.b", "A.B:80")
+        == "x.toml:7:1: error: route 'A.B:80/' takes every method as the route in line 4 already "
+           "does\n");
+    CHECK_FALSE(routesFor("a.b:8080", "A.B:08080").empty());
+    CHECK_FALSE(routesFor("[::1]", "[0::1]").empty());
+}
+
 TEST_CASE("prefixes, methods and hosts that no request can match are findings")
 {
     const auto routeWith = [](const std::string& line) {
@@ -85,10 +102,12 @@
     REQUIRE(routeWith("methods = [\"GET\", \"G T\"]")
         == "x.toml:6:19: error: 'G T' is not a method name\n");
     REQUIRE(routeWith("methods = [\"get\"]").starts_with("x.toml:6:12: warning: method 'get'"));
-    for (const char* bad : { "a b", "a:80", "-a", "a..b", "[::1", "a/b" })
+    for (const char* bad : { "a b", "a:", "a:x", "a:65536", ":80", "-a", "a..b", "[::1", "[::1]:x",
+             "::1", "a/b", "a:80:80" })
         REQUIRE(
             routeWith("host = \"" + std::string(bad) + "\"").starts_with("x.toml:6:8: error: "));
-    for (const char* good : { "a", "A.example", "10.0.0.1", "[::1]", "x-1.example" })
+    for (const char* good :
+        { "a", "A.example", "10.0.0.1", "[::1]", "x-1.example", "a:80", "A:65535", "[::1]:8080" })
         REQUIRE(routeWith("host = \"" + std::string(good) + "\"").empty());
 }
 
--- a/src/libdeclare/http_syntax.cpp
+++ b/src/libdeclare/http_syntax.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include <laburnumroute/host_name.h>
+
 namespace laburnum::pvt {
 
 namespace {
@@ -30,16 +32,6 @@
             && text.find_first_not_of("0123456789abcdefABCDEF:.", 1) == text.size() - 1;
     }
 
-    std::string shiftRange(std::string_view text, char first, char last, int shift)
-    {
-        std::string result(text);
-        for (char& c : result) {
-            if (c >= first && c <= last)
-                c = static_cast<char>(c + shift);
-        }
-        return result;
-    }
-
 } // namespace
 
 bool isToken(std::string_view text) noexcept
@@ -50,8 +42,11 @@
     });
 }
 
-bool isHostName(std::string_view text) noexcept
+bool isHostName(std::string_view text)
 {
+    const HostName host = parseHostName(text);
+    if (host.hasPort)
+        text = text.substr(0, text.rfind(':'));
     if (isBracketedAddress(text))
         return true;
     if (text.empty() || text.size() > maxHostBytes)
@@ -73,7 +68,14 @@
     });
 }
 
-std::string lowerCase(std::string_view text) { return shiftRange(text, 'A', 'Z', 'a' - 'A'); }
-std::string upperCase(std::string_view text) { return shiftRange(text, 'a', 'z', 'A' - 'a'); }
+std::string upperCase(std::string_view text)
+{
+    std::string result(text);
+    for (char& c : result) {
+        if (c >= 'a' && c <= 'z')
+            c = static_cast<char>(c - 'a' + 'A');
+    }
+    return result;
+}
 
 } // namespace laburnum::pvt
--- a/src/libdeclare/route_reader.cpp
+++ b/src/libdeclare/route_reader.cpp
@@ -80,7 +80,7 @@
     {
         std::string host = reader.text("host", "", false);
         if (!host.empty() && !isHostName(host))
-            reader.errorAt("host", "'" + host + "' is not a host name without port");
+            reader.errorAt("host", "'" + host + "' is not a host name, with or without a port");
         return host;
     }
 
--- a/src/libnet/entry_claim_test.cpp
+++ b/src/libnet/entry_claim_test.cpp
@@ -124,6 +124,26 @@
     CHECK(claims.specs[0].fingerprint != claims.specs[3].fingerprint);
 }
 
+// Guards against a resent request that is taken for another one because its host is spelled
+// otherwise.
+TEST_CASE("the fingerprint does not depend on the spelling of the host")
+{
+    FakeClaimClient claims;
+    EntryFixture fixture({}, &claims);
+    CountingUpstream instance(created);
+    fixture.addInstance(instance.upstream.endpoint());
+    for (const std::string host : { "h", "H:80", "h:8080" }) {
+        std::string request = keyedRequest("abc");
+        const std::string original = "Host: h\r\n";
+        REQUIRE(request.find(original) != std::string::npos);
+        request.replace(request.find(original), original.size(), "Host: " + host + "\r\n");
+        fixture.exchange(request);
+    }
+    REQUIRE(claims.specs.size() == 3);
+    CHECK(claims.specs[0].fingerprint == claims.specs[1].fingerprint);
+    CHECK(claims.specs[0].fingerprint != claims.specs[2].fingerprint);
+}
+
 TEST_CASE("the fingerprint of a large body does not depend on its segmentation")
 {
     FakeClaimClient claims;
--- a/src/libnet/request_handler.cpp
+++ b/src/libnet/request_handler.cpp
@@ -2,6 +2,8 @@
 
 #include <xxhash.h>
 
+#include <laburnumroute/host_name.h>
+
 #include "attempt_log_pvt.h"
 #include "claim_wait_pvt.h"
 #include "http_status_pvt.h"
@@ -283,8 +285,9 @@
 {
     const std::string length
         = m_request.contentLength ? std::to_string(*m_request.contentLength) : "-";
-    const std::string text = m_request.method + '\n' + std::string(m_request.field("host")) + '\n'
-        + m_request.target + '\n' + length + '\n' + m_body.buffered().substr(0, fingerprintedBytes);
+    const std::string host = formatHostName(parseHostName(m_request.field("host")));
+    const std::string text = m_request.method + '\n' + host + '\n' + m_request.target + '\n'
+        + length + '\n' + m_body.buffered().substr(0, fingerprintedBytes);
     const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
     std::array<char, 33> digits {};
     std::snprintf(digits.data(), digits.size(), "%016llx%016llx",
--- a/src/libroute/route_table.cpp
+++ b/src/libroute/route_table.cpp
@@ -1,24 +1,11 @@
 #include <laburnumroute/route_table.h>
 
 #include <algorithm>
-#include <cctype>
 
 namespace laburnum {
 
 namespace {
 
-    std::string normalizedHost(std::string_view host)
-    {
-        const auto bracket = host.rfind(']');
-        const auto colon = host.rfind(':');
-        const bool hasPort = colon != std::string_view::npos
-            && (bracket == std::string_view::npos || colon > bracket);
-        std::string result(host.substr(0, hasPort ? colon : host.size()));
-        std::transform(result.begin(), result.end(), result.begin(),
-            [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-        return result;
-    }
-
     bool isPathPrefix(std::string_view prefix, std::string_view path)
     {
         if (!path.starts_with(prefix))
@@ -37,21 +24,40 @@
 
 RouteTable::RouteTable(const std::vector<RouteSpec>& routes)
 {
-    for (const auto& route : routes)
-        m_byHost[normalizedHost(route.host)].push_back(route);
-    for (auto& [host, rules] : m_byHost)
+    for (const auto& route : routes) {
+        const HostName host = parseHostName(route.host);
+        if (host.hasPort)
+            m_byHost[host].push_back(route);
+        else
+            m_byName[host.name].push_back(route);
+    }
+    for (auto& [host, rules] : m_byHost) {
+        const auto sameHost = m_byName.find(host.name);
+        if (host.port == defaultHttpPort && sameHost != m_byName.end())
+            rules.insert(rules.end(), sameHost->second.begin(), sameHost->second.end());
         std::stable_sort(rules.begin(), rules.end(), goesBefore);
+    }
+    for (auto& [name, rules] : m_byName)
+        std::stable_sort(rules.begin(), rules.end(), goesBefore);
+}
+
+const RouteTable::Rules* RouteTable::rulesOf(const HostName& host) const
+{
+    if (const auto found = m_byHost.find(host); found != m_byHost.end())
+        return &found->second;
+    const auto found = m_byName.find(host.name);
+    return found == m_byName.end() ? nullptr : &found->second;
 }
 
 const RouteSpec* RouteTable::find(
     std::string_view method, std::string_view host, std::string_view target) const
 {
     const std::string_view path = target.substr(0, target.find('?'));
-    for (const std::string& key : { normalizedHost(host), std::string() }) {
-        const auto found = m_byHost.find(key);
-        if (found == m_byHost.end())
+    for (const HostName& key : { parseHostName(host), HostName() }) {
+        const Rules* rules = rulesOf(key);
+        if (rules == nullptr)
             continue;
-        if (const RouteSpec* route = findIn(found->second, method, path))
+        if (const RouteSpec* route = findIn(*rules, method, path))
             return route;
     }
     return nullptr;
--- a/testsuite/e2e/seeded_harness.py
+++ b/testsuite/e2e/seeded_harness.py
@@ -224,7 +224,11 @@
 
 def put_configuration(controls, number, accounts=None):
     """Has a configuration with routes to the service "s" acknowledged; `accounts` maps names to keys."""
-    body = e2e_calls.configuration(number, harness.HOST_NAME, "s", accounts)
+    acknowledge(controls, number, e2e_calls.configuration(number, harness.HOST_NAME, "s", accounts))
+
+
+def acknowledge(controls, number, body):
+    """Sends the configuration `body` to the control hosts until one acknowledges it."""
     fleets.wait_until(lambda: any(call(host, e2e_calls.PUT_CONFIGURATION, body) == 200 for host in controls),
                       f"configuration {number} is acknowledged")
 
@@ -232,9 +236,9 @@
 class Caller:
     """One request in a thread of its own; `answer` is all that came until the connection ended."""
 
-    def __init__(self, entry, request, kind, key=None):
+    def __init__(self, entry, request, kind, key=None, host=harness.HOST_NAME):
         self.request, self.answer = request, b""
-        self.text = (f"{'GET' if kind == 'safe' else 'POST'} /{kind}/x HTTP/1.1\r\nHost: {harness.HOST_NAME}\r\n"
+        self.text = (f"{'GET' if kind == 'safe' else 'POST'} /{kind}/x HTTP/1.1\r\nHost: {host}\r\n"
                      f"{e2e_calls.REQUEST_ID}: {request}\r\nContent-Length: 0\r\nConnection: close\r\n"
                      + (f"{e2e_calls.ACCOUNT_KEY}: {key}\r\n" if key else "") + "\r\n").encode()
         self.address = (entry.address, entry.port)
