Numbers of the settings may be fractions or missing and end no start

Cause: the templates wrote 000 behind seconds (6.5000 is a float and a thousandth of the value), the reader took integers only, a missing field left `key = ` behind, and every finding ends the process.

A reload reads by the same function, and the grace period of a changed file takes hold. The line `start` has the numbers in use.

--- a/src/include/laburnumroute/toml_table.h
+++ b/src/include/laburnumroute/toml_table.h
@@ -48,6 +48,12 @@
     /// An integer in [low, high]; `fallback` when the key is missing or its value is invalid.
     std::int64_t integer(
         const std::string& key, std::int64_t fallback, std::int64_t low, std::int64_t high);
+    /// True when `key` is present and not an empty text.
+    bool isStated(const std::string& key);
+    /// A number in [low, high], written as an integer, a float or the text of either. `fallback`
+    /// when the key is not stated or its value is no number; the nearest bound when it is out of
+    /// range. Both problems are warnings: for values that a host can do without.
+    double number(const std::string& key, double fallback, double low, double high);
     /// A boolean; `fallback` when the key is missing or has a wrong type.
     bool flag(const std::string& key, bool fallback);
     /// Reports every key that was never requested as an error.
@@ -57,6 +63,7 @@
     Findings& findings() noexcept { return m_findings; }
     /// Reports an error at the value of `key`, or at the table when the key is missing.
     void errorAt(const std::string& key, std::string message);
+    void warnAt(const std::string& key, std::string message);
 
 private:
     const toml::value& m_table;
--- a/src/laburnumd/entry_node.cpp
+++ b/src/laburnumd/entry_node.cpp
@@ -81,6 +81,9 @@
             , m_settingsWatcher(m_context, std::move(settingsPath), *m_log,
                   [this](const SeededSettings& changed) {
                       m_client.setSeeds(controlHostIds(changed.seeds));
+                      // A stop in progress keeps the grace period with which it began.
+                      if (!m_stopping)
+                          m_settings.stopGrace = changed.stopGrace;
                   })
             , m_signals(m_context, SIGTERM, SIGINT)
             , m_ticker(m_context)
--- a/src/laburnumd/seeded_node.cpp
+++ b/src/laburnumd/seeded_node.cpp
@@ -34,6 +34,16 @@
     decision.facts["seeds"] = Json::Value(Json::arrayValue);
     for (const Endpoint& seed : settings.seeds)
         decision.facts["seeds"].append(formatEndpoint(seed));
+    decision.facts["repeat_ratio"] = settings.retryBudget.ratio;
+    decision.facts["repeat_window_ms"] = Json::Int64(toMillis(settings.retryBudget.window));
+    if (settings.control) {
+        decision.facts["repeat_slack"] = settings.retryBudget.slack;
+        decision.facts["bear_losses"] = settings.toleratedFailures;
+    } else {
+        decision.facts["stop_grace_ms"] = Json::Int64(toMillis(settings.stopGrace));
+        decision.facts["key_validity_ms"] = Json::Int64(toMillis(settings.keyValidity));
+        decision.facts["buffer_bytes"] = Json::UInt64(settings.bufferBytes);
+    }
     log.record(decision);
 }
 
--- a/src/laburnumd/seeded_settings.cpp
+++ b/src/laburnumd/seeded_settings.cpp
@@ -8,21 +8,36 @@
 namespace {
 
     constexpr std::int64_t maxPort = 65535;
-    constexpr std::int64_t maxToleratedFailures = 16;
-    constexpr std::int64_t maxRetryWindowMs = 3'600'000;
-    constexpr std::int64_t maxRetrySlack = 1'000'000;
-    constexpr std::int64_t maxKeyValidityMs = 86'400'000;
-    constexpr std::int64_t maxGraceMs = 86'400'000;
-    constexpr std::int64_t maxMemoryMib = 1'000'000'000;
-    constexpr std::int64_t maxBufferBytes = 1'000'000'000'000;
-    constexpr std::size_t bytesPerMib = std::size_t { 1024 } * 1024;
-    constexpr std::size_t memoryDivisor = 4;
+    constexpr double maxToleratedFailures = 16;
+    constexpr double maxRetryRatio = 1'000;
+    constexpr double maxRetrySlack = 1'000'000;
+    constexpr double maxMemoryMib = 1'000'000'000;
+    constexpr double maxBufferBytes = 1'000'000'000'000;
+    constexpr double bytesPerMib = 1024.0 * 1024.0;
+    constexpr double memoryDivisor = 4;
+    constexpr double msPerSecond = 1000.0;
+
+    struct DurationRange {
+        Duration low;
+        Duration high;
+    };
+    constexpr DurationRange graceRange { Duration::zero(), std::chrono::hours(24) };
+    constexpr DurationRange retryWindowRange { std::chrono::milliseconds(1),
+        std::chrono::hours(24 * 365) };
+    constexpr DurationRange keyValidityRange { std::chrono::milliseconds(1),
+        std::chrono::hours(24) };
+    constexpr DurationRange delayRange { Duration::zero(), std::chrono::hours(24) };
+
+    double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
     std::optional<Endpoint> readEndpoint(TableReader& reader, const std::string& key, bool required)
     {
         const std::string text = reader.text(key, "", required);
-        if (text.empty())
+        if (text.empty()) {
+            if (required && reader.has(key))
+                reader.errorAt(key, "'" + key + "' must not be empty");
             return std::nullopt;
+        }
         const auto endpoint = parseEndpoint(text);
         if (endpoint)
             return *endpoint;
@@ -66,40 +81,49 @@
         return centres;
     }
 
-    /// Reads a number that is written as an integer or a float.
-    double readRatio(TableReader& reader, const std::string& key, double fallback)
+    /// Reads the key `name` with the unit `_s` or `_ms`.
+    Duration readDuration(
+        TableReader& reader, const std::string& name, Duration fallback, const DurationRange& range)
     {
-        const toml::value* value = reader.find(key);
-        if (value == nullptr)
-            return fallback;
-        const double ratio = value->is_floating() ? value->as_floating()
-            : value->is_integer()                 ? static_cast<double>(value->as_integer())
-                                                  : -1.0;
-        if (ratio >= 0.0)
-            return ratio;
-        reader.errorAt(key, "'" + key + "' must be a number of at least 0");
-        return fallback;
+        const std::string seconds = name + "_s";
+        const std::string millis = name + "_ms";
+        const double unitsPerSecond = reader.has(seconds) ? 1.0 : msPerSecond;
+        if (reader.has(seconds) && reader.has(millis))
+            reader.warnAt(millis, "'" + seconds + "' is used in place of '" + millis + "'");
+        const double number = reader.number(reader.has(seconds) ? seconds : millis,
+            toSeconds(fallback) * unitsPerSecond, toSeconds(range.low) * unitsPerSecond,
+            toSeconds(range.high) * unitsPerSecond);
+        return std::chrono::round<std::chrono::microseconds>(
+            std::chrono::duration<double>(number / unitsPerSecond));
+    }
+
+    /// A validity that cannot be read is the shortest one: removed keys must not stay valid.
+    Duration readKeyValidity(TableReader& reader)
+    {
+        const bool isStated
+            = reader.isStated("key_validity_s") || reader.isStated("key_validity_ms");
+        return readDuration(reader, "key_validity",
+            isStated ? keyValidityRange.low : Duration::zero(), keyValidityRange);
     }
 
     RetryBudgetLimits readRetryBudget(TableReader& reader)
     {
         RetryBudgetLimits limits;
-        limits.ratio = readRatio(reader, "repeat_ratio", limits.ratio);
-        limits.slack = static_cast<double>(reader.integer("repeat_slack", 0, 0, maxRetrySlack));
-        limits.window = std::chrono::milliseconds(
-            reader.integer("repeat_window_ms", toMillis(limits.window), 1, maxRetryWindowMs));
+        limits.ratio = reader.number("repeat_ratio", limits.ratio, 0.0, maxRetryRatio);
+        limits.slack = reader.number("repeat_slack", limits.slack, 0.0, maxRetrySlack);
+        limits.window = readDuration(reader, "repeat_window", limits.window, retryWindowRange);
         return limits;
     }
 
     /// `buffer_bytes`, or else a quarter of `memory_mb`, the memory limit of the host.
     std::size_t readBufferBytes(TableReader& reader, std::size_t fallback)
     {
-        const std::int64_t memoryMib = reader.integer("memory_mb", 0, 0, maxMemoryMib);
-        const std::int64_t bytes = reader.integer("buffer_bytes", 0, 0, maxBufferBytes);
+        const double memoryMib = reader.number("memory_mb", 0, 0, maxMemoryMib);
+        const double bytes = reader.number("buffer_bytes", 0, 0, maxBufferBytes);
         if (bytes > 0)
             return static_cast<std::size_t>(bytes);
         if (memoryMib > 0)
-            return static_cast<std::size_t>(memoryMib) * bytesPerMib / memoryDivisor;
+            return static_cast<std::size_t>(memoryMib * bytesPerMib / memoryDivisor);
         return fallback;
     }
 
@@ -129,14 +153,12 @@
     settings.dataFolder = reader.text("data_folder", "", settings.control);
     settings.dataCentres = readDataCentres(reader);
     settings.toleratedFailures = static_cast<unsigned>(
-        reader.integer("bear_losses", settings.toleratedFailures, 0, maxToleratedFailures));
+        reader.number("bear_losses", settings.toleratedFailures, 0, maxToleratedFailures));
     settings.retryBudget = readRetryBudget(reader);
-    settings.spilloverFrom = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double, std::milli>(readRatio(reader, "spillover_from_ms", 0.0)));
-    settings.stopGrace = std::chrono::milliseconds(
-        reader.integer("stop_grace_ms", toMillis(settings.stopGrace), 0, maxGraceMs));
-    settings.keyValidity
-        = std::chrono::milliseconds(reader.integer("key_validity_ms", 0, 1, maxKeyValidityMs));
+    settings.spilloverFrom
+        = readDuration(reader, "spillover_from", settings.spilloverFrom, delayRange);
+    settings.stopGrace = readDuration(reader, "stop_grace", settings.stopGrace, graceRange);
+    settings.keyValidity = readKeyValidity(reader);
     settings.bufferBytes = readBufferBytes(reader, settings.bufferBytes);
     settings.logFile = reader.text("log_file", "", false);
     reader.reportUnknownKeys();
--- a/src/libdeclare/toml_table.cpp
+++ b/src/libdeclare/toml_table.cpp
@@ -1,7 +1,43 @@
 #include <laburnumroute/toml_table.h>
 
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <limits>
+#include <sstream>
+
 namespace laburnum {
 
+namespace {
+
+    std::optional<double> parseNumber(std::string_view text)
+    {
+        double number = 0.0;
+        const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), number);
+        if (code != std::errc() || end != text.data() + text.size() || std::isnan(number))
+            return std::nullopt;
+        return number;
+    }
+
+    std::optional<double> numberOf(const toml::value& value)
+    {
+        if (value.is_integer())
+            return static_cast<double>(value.as_integer());
+        if (value.is_floating() && !std::isnan(value.as_floating()))
+            return value.as_floating();
+        return value.is_string() ? parseNumber(value.as_string().str) : std::nullopt;
+    }
+
+    std::string numberText(double number)
+    {
+        std::ostringstream text;
+        text.precision(std::numeric_limits<double>::max_digits10 - 2);
+        text << number;
+        return text.str();
+    }
+
+} // namespace
+
 TableReader::TableReader(const toml::value& table, std::string file, Findings& findings)
     : m_table(table)
     , m_file(std::move(file))
@@ -44,6 +80,11 @@
     m_findings.error(locationOfValue(key), std::move(message));
 }
 
+void TableReader::warnAt(const std::string& key, std::string message)
+{
+    m_findings.warning(locationOfValue(key), std::move(message));
+}
+
 std::string TableReader::text(const std::string& key, std::string fallback, bool required)
 {
     const toml::value* value = find(key);
@@ -89,6 +130,26 @@
     return fallback;
 }
 
+bool TableReader::isStated(const std::string& key)
+{
+    const toml::value* value = find(key);
+    return value && !(value->is_string() && value->as_string().str.empty());
+}
+
+double TableReader::number(const std::string& key, double fallback, double low, double high)
+{
+    if (!isStated(key))
+        return fallback;
+    const auto number = numberOf(*find(key));
+    if (number && *number >= low && *number <= high)
+        return *number;
+    const double used = number ? std::clamp(*number, low, high) : fallback;
+    warnAt(key,
+        "'" + key + "' must be a number from " + numberText(low) + " to " + numberText(high)
+            + "; using " + numberText(used));
+    return used;
+}
+
 bool TableReader::flag(const std::string& key, bool fallback)
 {
     const toml::value* value = find(key);
