Hosts without a leader keep to the retry budget of their settings

With a ratio of 0 an entry host without a leader retried 180 of 1,000 requests (BUDGET).

Cause: LocalScheduler took its share of a constant 0.2 in 10 s, whatever the operators' budget.

Change: entry hosts read repeat_ratio and repeat_window, and LocalScheduler takes its share of them. With the users' 0.2 and 10 s nothing changes.

Evidence: "a host without a leader takes its share of the retry budget that was set" failed with the constant in its place (180 retries for ratios of 0, 0.05 and 1000 and for a window of 1 ms; 4 of 9 checks), passes now.

--- a/src/include/laburnumroute/controller_client.h
+++ b/src/include/laburnumroute/controller_client.h
@@ -89,6 +89,12 @@
     /// Time for which account keys may be used after a confirmation; zero, the default, switches
     /// the check off. To be called before the first link is opened.
     void setKeyValidity(Duration validity) { m_keys = KeyConfirmation(validity); }
+    /// Sets the retry budget of the whole fleet, of which the host takes a share while it has no
+    /// leader. To be called before the first request.
+    void setRetryBudget(const RetryBudgetLimits& budget)
+    {
+        m_localScheduler.setRetryBudget(budget);
+    }
     /// Whether the configuration in force has account keys, which the leader has to confirm.
     void requireKeyConfirmation(bool required, TimePoint now, ControllerClientActions& actions);
     const KeyConfirmation& keys() const noexcept { return m_keys; }
--- a/src/include/laburnumroute/local_scheduler.h
+++ b/src/include/laburnumroute/local_scheduler.h
@@ -67,6 +67,8 @@
     /// After choose() found none: if rate limits are the reason, the time after which some host may
     /// place a request at one of the instances.
     std::optional<Duration> rateLimitDelay(const PlacementRequest& request, TimePoint now) const;
+    /// Sets the retry budget of the whole fleet; to be called before the first request.
+    void setRetryBudget(const RetryBudgetLimits& budget) { m_retryBudget = budget; }
     /// Takes one retry from this host's share of the budget (RetryBudgetShares).
     bool takeRetry(const ServiceId& service, TimePoint now);
     /// Counts a new request: in full when choose() follows at the same time, otherwise as one that
@@ -77,11 +79,15 @@
     void recordClosure(const InstanceId& id, const PlacementReport& report, TimePoint now);
     void recordOutcome(const InstanceId& id, const PlacementReport& report, TimePoint now);
     bool fits(const InstanceRecord& record, const PlacementRequest& request, TimePoint now) const;
+    RetryWindow& retryWindow(const ServiceId& service);
     double cost(const InstanceRecord& record, const PlacementRequest& request, TimePoint now) const;
     std::uint32_t inFlight(const InstanceId& id) const;
     bool isPathBroken(const InstanceId& id, TimePoint now) const;
     double explorationWeight(const InstanceRecord& record, TimePoint now) const;
 
+    /// Retries per request that the fleet's budget allows unless it is set.
+    static constexpr double defaultRetryRatio = 0.2;
+
     HostLocation m_location;
     Random m_random;
     std::map<InstanceId, InstanceRecord> m_records;
@@ -95,6 +101,7 @@
     LocalRateLimits m_rateLimits;
     std::set<InstanceId> m_doubtful;
     TimePoint m_doubtfulAt {};
+    RetryBudgetLimits m_retryBudget { defaultRetryRatio };
     std::map<ServiceId, RetryWindow> m_retryWindows;
     std::optional<std::pair<ServiceId, TimePoint>> m_latestRequest;
 };
--- a/src/laburnumd/entry_node.cpp
+++ b/src/laburnumd/entry_node.cpp
@@ -90,6 +90,7 @@
             , m_stopTimer(m_context)
         {
             m_client.setKeyValidity(m_settings.keyValidity);
+            m_client.setRetryBudget(m_settings.retryBudget);
         }
 
         Expected<void> start() override
--- a/src/libplace/local_scheduler.cpp
+++ b/src/libplace/local_scheduler.cpp
@@ -17,9 +17,6 @@
     /// Time for which a path that failed is avoided; about the duration of a network cut.
     constexpr auto pathAvoidTime = std::chrono::milliseconds(3000);
     constexpr double brokenPathFailureProbability = 0.5;
-    /// Retries per request that the fleet's budget allows.
-    constexpr double fleetRetryRatio = 0.2;
-    constexpr double localRetryRatio = fleetRetryRatio * RetryBudgetShares::localOnlyShare;
     /// Weight of a request that may have been sent to the fleet scheduler.
     constexpr double scheduledRequestWeight
         = RetryBudgetShares::fallbackShare / RetryBudgetShares::localOnlyShare;
@@ -258,7 +255,7 @@
 std::optional<InstanceId> LocalScheduler::choose(const PlacementRequest& request, TimePoint now)
 {
     if (!request.resubmitted && m_latestRequest == std::pair(request.service, now))
-        m_retryWindows[request.service].onRequest(now, 1.0 - scheduledRequestWeight);
+        retryWindow(request.service).onRequest(now, 1.0 - scheduledRequestWeight);
     m_latestRequest.reset();
     struct Candidate {
         const InstanceRecord* record = nullptr;
@@ -300,14 +297,21 @@
 
 bool LocalScheduler::takeRetry(const ServiceId& service, TimePoint now)
 {
-    auto& window = m_retryWindows[service];
-    window.setLimits({ localRetryRatio, 0.0 });
-    return window.take(now);
+    return retryWindow(service).take(now);
+}
+
+RetryWindow& LocalScheduler::retryWindow(const ServiceId& service)
+{
+    const auto [window, inserted] = m_retryWindows.try_emplace(service);
+    if (inserted)
+        window->second.setLimits(
+            { m_retryBudget.ratio * RetryBudgetShares::localOnlyShare, 0.0, m_retryBudget.window });
+    return window->second;
 }
 
 void LocalScheduler::onRequest(const ServiceId& service, TimePoint now)
 {
-    m_retryWindows[service].onRequest(now, scheduledRequestWeight);
+    retryWindow(service).onRequest(now, scheduledRequestWeight);
     m_latestRequest.emplace(service, now);
 }
 
--- a/src/libplace/local_scheduler_test.cpp
+++ b/src/libplace/local_scheduler_test.cpp
@@ -412,6 +412,40 @@
     REQUIRE(retries >= 3);
 }
 
+// Guards against hosts without a leader that retry by another budget than the operators' one.
+TEST_CASE("a host without a leader takes its share of the retry budget that was set")
+{
+    const auto retriesWith = [](const RetryBudgetLimits& budget) {
+        LocalScheduler scheduler(HostLocation {}, 1);
+        scheduler.setRetryBudget(budget);
+        InstanceRecord record;
+        record.id = InstanceId("i");
+        record.service = service;
+        scheduler.upsert(record);
+        PlacementRequest request;
+        request.service = service;
+        unsigned retries = 0;
+        // 1,000 requests in 10 s, each of which would retry once.
+        for (unsigned i = 0; i < 1000; ++i) {
+            const TimePoint now = TimePoint(100s) + i * 10ms;
+            scheduler.onRequest(service, now);
+            scheduler.choose(request, now);
+            retries += scheduler.takeRetry(service, now) ? 1 : 0;
+        }
+        return retries;
+    };
+    CHECK(retriesWith({ 0.0, 64.0, 10s }) == 0);
+    CHECK(retriesWith({ 0.05, 64.0, 10s }) <= 45);
+    CHECK(retriesWith({ 0.05, 64.0, 10s }) >= 40);
+    CHECK(retriesWith({ 0.2, 0.0, 10s }) <= 180);
+    CHECK(retriesWith({ 0.2, 0.0, 10s }) >= 170);
+    CHECK(retriesWith({ 1000.0, 1'000'000.0, 10s }) == 1000);
+    // Ends of the range of windows: no window of 1 ms holds the requests for a retry.
+    CHECK(retriesWith({ 0.2, 0.0, 1ms }) == 0);
+    CHECK(retriesWith({ 0.2, 0.0, std::chrono::hours(24 * 365) }) <= 180);
+    CHECK(retriesWith({ 0.2, 0.0, 7500ms }) > 150);
+}
+
 // Guards against work for an instance that said that it is leaving, or wants nothing for a time.
 TEST_CASE("an instance that closed itself gets nothing until it starts again or its pause is over")
 {
