Entry hosts learn of new control hosts from the leader and from each other

What this fault does: an entry host whose leader is lost after the other control hosts were replaced serves by an old configuration without end.

Cause: the list of control hosts came with the welcome and was never updated; a host that was suspended or cut off meanwhile had nobody to ask but hosts that are gone.

Change: the leader welcomes its entry hosts again when the members change. After 1 s without a leader a host asks three entry hosts of its region for the control hosts that they know.

Why it works: with a leader elected and one sound neighbour, the names of the present control hosts reach a host whatever became of those it knew.

--- a/src/include/laburnumroute/controller_client.h
+++ b/src/include/laburnumroute/controller_client.h
@@ -14,6 +14,7 @@
 #include <laburnumroute/delay_meter.h>
 #include <laburnumroute/fleet_state.h>
 #include <laburnumroute/key_confirmation.h>
+#include <laburnumroute/leader_search.h>
 #include <laburnumroute/local_scheduler.h>
 #include <laburnumroute/local_usage_caps.h>
 #include <laburnumroute/placement_types.h>
@@ -46,8 +47,8 @@
     /// Results of placement requests.
     std::vector<PlacementResult> answers;
     std::vector<Decision> decisions;
-    /// Datagrams to other entry hosts of the region, which report failed and overdue attempts
-    /// while no leader responds.
+    /// Datagrams to other entry hosts of the region, which report failed and overdue attempts and
+    /// ask for control hosts while no leader responds.
     std::vector<std::pair<Endpoint, std::string>> datagrams;
     /// A newer configuration arrived; see config().
     bool configChanged = false;
@@ -76,10 +77,11 @@
     void receive(
         LinkId link, std::string_view frame, TimePoint now, ControllerClientActions& actions);
     /// Handles a datagram from another entry host; unknown senders are ignored.
-    void receiveDatagram(const Endpoint& from, std::string_view bytes, TimePoint now);
+    void receiveDatagram(const Endpoint& from, std::string_view bytes, TimePoint now,
+        ControllerClientActions& actions);
     void tick(TimePoint now, ControllerClientActions& actions);
     Duration tickInterval() const noexcept;
-    void setSeeds(std::vector<HostId> seeds) { m_seeds = std::move(seeds); }
+    void setSeeds(std::vector<HostId> seeds) { m_search.setSeeds(std::move(seeds)); }
     /// The accounts of the configuration in force, for their caps while there is no leader.
     void setAccounts(const std::vector<ClientAccountSpec>& accounts)
     {
@@ -121,6 +123,7 @@
     /// Time of the last heartbeat or welcome of a leader; the clock's epoch when there was none.
     TimePoint lastLeaderContact() const noexcept { return m_lastHeartbeat; }
     bool hasLeader() const noexcept { return m_leader.has_value(); }
+    const LeaderSearch& leaderSearch() const noexcept { return m_search; }
     const LocalScheduler& localScheduler() const noexcept { return m_localScheduler; }
     const LocalUsageCaps& localCaps() const noexcept { return m_localCaps; }
     std::size_t pendingPlacements() const noexcept { return m_pendingRequests.size(); }
@@ -165,7 +168,8 @@
     /// The link is open, or may still open in the usual time.
     static bool isPromising(const Link& link, TimePoint now);
     bool isConnectedTo(const HostId& host, TimePoint now) const;
-    std::vector<HostId> candidateHosts() const;
+    /// Asks some of the other entry hosts for control hosts, when that is due.
+    void queryNeighbours(TimePoint now, ControllerClientActions& actions);
     void loseLeader(const char* reason, TimePoint now, ControllerClientActions& actions);
     void sendRequest(DispatchId id, const PendingRequest& pending, TimePoint now,
         ControllerClientActions& actions) const;
@@ -215,8 +219,6 @@
     TimePoint lastAuthority() const;
 
     HostLocation m_location;
-    std::vector<HostId> m_seeds;
-    std::vector<HostId> m_discoveredHosts;
     /// The leader according to the latest redirect, until one is joined.
     std::optional<HostId> m_namedLeader;
     /// The search contacted the named leader last; next, it is another host's turn.
@@ -232,6 +234,7 @@
     /// The leader asked for delays.
     bool m_reportsDelays = false;
     Random m_random;
+    LeaderSearch m_search;
     std::map<LinkId, Link> m_links;
     LinkId m_lastLink;
     std::optional<LinkId> m_leader;
@@ -241,7 +244,6 @@
     /// When the leader sent its latest frame of any kind.
     TimePoint m_lastHeard {};
     TimePoint m_nextSearch {};
-    std::size_t m_nextCandidate;
     /// The leader missed the deadline of a placement request and has sent nothing since. Meanwhile
     /// new requests are placed locally, and other control hosts are contacted.
     bool m_leaderSuspected = false;
--- a/src/laburnumd/entry_node.cpp
+++ b/src/laburnumd/entry_node.cpp
@@ -163,7 +163,9 @@
         {
             return m_neighbourSocket.listen(
                 *m_settings.peer, [this](const Endpoint& from, std::string_view bytes) {
-                    m_client.receiveDatagram(from, bytes, m_clock.now());
+                    withClient([&](TimePoint now, ControllerClientActions& actions) {
+                        m_client.receiveDatagram(from, bytes, now, actions);
+                    });
                 });
         }
 
@@ -321,6 +323,10 @@
             add("laburnum_leader_heard_seconds_ago",
                 std::chrono::duration<double>(m_clock.now() - m_client.lastLeaderContact())
                     .count());
+            add("laburnum_leader_search_seconds",
+                std::chrono::duration<double>(m_client.leaderSearch().searchTime(m_clock.now()))
+                    .count());
+            text += m_client.leaderSearch().render();
             add("laburnum_asks_open", static_cast<double>(m_client.pendingPlacements()));
             add("laburnum_attempts_open", static_cast<double>(m_client.activePlacements()));
             add("laburnum_log_lines_dropped", static_cast<double>(m_log->dropped()));
--- a/src/libhub/controller.cpp
+++ b/src/libhub/controller.cpp
@@ -357,6 +357,7 @@
                 syncScheduler(now);
                 m_caps.apply(state.config(), now);
             }
+            announceControlHosts(actions);
             for (auto& [link, session] : m_sessions) {
                 if (m_isLeader || session.isFollowing)
                     update(link, session, actions);
@@ -380,11 +381,29 @@
         m_newNeighbours.clear();
         syncScheduler(now);
         recordDecision("lead", "started", actions);
+        m_announcedMembers = log->membership();
         for (auto& [link, session] : m_sessions)
             welcome(link, session, now, actions);
         m_nextHeartbeat = now;
     }
 
+    /// Tells entry hosts which control hosts they can turn to without this one.
+    void announceControlHosts(ControllerActions& actions)
+    {
+        if (!m_isLeader || log->membership() == m_announcedMembers)
+            return;
+        m_announcedMembers = log->membership();
+        for (const auto& [link, session] : m_sessions) {
+            if (session.isSubscribed)
+                actions.frames.emplace_back(link, welcomeFrame());
+        }
+    }
+
+    std::string welcomeFrame() const
+    {
+        return pack(WelcomeFrame { controlHosts(), options.spilloverFrom > Duration::zero() });
+    }
+
     void stopLeading(TimePoint now, ControllerActions& actions)
     {
         m_isLeader = false;
@@ -513,8 +532,7 @@
     void welcome(LinkId link, Session& session, TimePoint now, ControllerActions& actions)
     {
         session.isSubscribed = true;
-        actions.frames.emplace_back(
-            link, pack(WelcomeFrame { controlHosts(), options.spilloverFrom > Duration::zero() }));
+        actions.frames.emplace_back(link, welcomeFrame());
         for (const auto& placement : session.hello.activePlacements)
             adopt(link, placement, now);
         session.hello.activePlacements.clear();
@@ -868,6 +886,8 @@
     RateLimitCoordinator m_rateLimits { scheduler };
     std::vector<PlacementReply> m_replies;
     std::deque<QueuedFrame> m_backlog;
+    /// The members that entry hosts were told of.
+    Membership m_announcedMembers;
     std::set<std::string> m_announcedNeighbours;
     /// New neighbours by region, not announced to the other hosts yet.
     std::map<std::string, NeighboursFrame> m_newNeighbours;
--- a/src/libhub/controller_client.cpp
+++ b/src/libhub/controller_client.cpp
@@ -67,11 +67,10 @@
 ControllerClient::ControllerClient(HostLocation location, std::vector<HostId> seeds,
     std::uint64_t seed, std::optional<Endpoint> neighbour)
     : m_location(location)
-    , m_seeds(std::move(seeds))
     , m_neighbour(std::move(neighbour))
     , m_localScheduler(std::move(location), seed)
     , m_random(seed)
-    , m_nextCandidate(m_random() % 1000)
+    , m_search(std::move(seeds), m_random() % 1000)
     , m_lastRequest(static_cast<std::uint32_t>(m_random()))
 {
 }
@@ -81,16 +80,6 @@
     return m_pendingRequests.empty() && m_leader ? idleTickInterval : busyTickInterval;
 }
 
-std::vector<HostId> ControllerClient::candidateHosts() const
-{
-    std::vector<HostId> hosts = m_seeds;
-    for (const HostId& host : m_discoveredHosts) {
-        if (std::find(hosts.begin(), hosts.end(), host) == hosts.end())
-            hosts.push_back(host);
-    }
-    return hosts;
-}
-
 bool ControllerClient::isPromising(const Link& link, TimePoint now)
 {
     return link.open || now - link.since <= connectTimeout;
@@ -122,11 +111,19 @@
     if ((m_leader && !m_leaderSuspected) || now < m_nextSearch)
         return;
     m_nextSearch = now + searchInterval;
+    if (!m_leader)
+        m_search.onSearching(now);
+    queryNeighbours(now, actions);
+    if (auto report = m_search.takeReport(now))
+        actions.decisions.push_back(std::move(*report));
     std::vector<LinkId> stale;
     bool isUnreachable = false;
     for (const auto& [id, link] : m_links) {
-        if (id != m_leader && now - link.since > (link.open ? idleLinkTimeout : abandonTimeout))
+        if (id != m_leader && now - link.since > (link.open ? idleLinkTimeout : abandonTimeout)) {
             stale.push_back(id);
+            if (!link.open)
+                m_search.count(ConnectResult::TimedOut);
+        }
         isUnreachable = isUnreachable || (link.host == m_namedLeader && !isPromising(link, now));
     }
     if (isUnreachable)
@@ -138,11 +135,11 @@
     if (m_namedLeader && !isConnectedTo(*m_namedLeader, now)
         && !std::exchange(m_triedNamedLeader, !m_triedNamedLeader))
         return open(*m_namedLeader, now, actions);
-    const auto hosts = candidateHosts();
+    const auto hosts = m_search.candidates();
     const auto links = static_cast<std::size_t>(std::count_if(m_links.begin(), m_links.end(),
         [&](const auto& item) { return isPromising(item.second, now); }));
     for (std::size_t i = 0; i < hosts.size() && links < maxSearchLinks; ++i) {
-        const HostId& host = hosts[m_nextCandidate++ % hosts.size()];
+        const HostId& host = m_search.nextCandidate(hosts);
         if (!isConnectedTo(host, now)) {
             open(host, now, actions);
             return;
@@ -177,6 +174,7 @@
         return;
     found->second.open = true;
     found->second.since = now;
+    m_search.count(ConnectResult::Opened);
     for (const auto& [dispatch, placement] : m_placements)
         found->second.announcedPlacements.insert(dispatch);
     found->second.usageReportedAt = now;
@@ -188,6 +186,8 @@
     const auto closed = m_links.extract(link);
     if (!closed)
         return;
+    if (!closed.mapped().open)
+        m_search.count(ConnectResult::Failed);
     if (m_leader == link)
         loseLeader("closed", now, actions);
     else if (!closed.mapped().open && closed.mapped().host == m_namedLeader)
@@ -243,11 +243,13 @@
 void ControllerClient::onWelcome(LinkId link, const std::vector<std::string>& hosts, TimePoint now,
     ControllerClientActions& actions)
 {
+    m_search.setControlHosts(hosts);
     if (m_leader == link)
         return;
     if (m_leader)
         close(*m_leader, actions);
     m_leader = link;
+    m_search.onJoined();
     m_links.at(link).updatesRequested = false;
     m_namedLeader.reset();
     m_leaderUnreachable = false;
@@ -255,9 +257,6 @@
     const TimePoint lastLeader = lastAuthority();
     m_lastHeartbeat = now;
     m_leaderSince = now;
-    m_discoveredHosts.clear();
-    for (const auto& host : hosts)
-        m_discoveredHosts.emplace_back(host);
     Decision decision { "leader", "joined" };
     decision.facts["leader"] = m_links.at(link).host.value();
     actions.decisions.push_back(std::move(decision));
@@ -309,12 +308,7 @@
 void ControllerClient::onRedirect(LinkId link, const std::string& leader,
     const std::vector<std::string>& hosts, TimePoint now, ControllerClientActions& actions)
 {
-    for (const auto& host : hosts) {
-        const HostId id(host);
-        if (std::find(m_discoveredHosts.begin(), m_discoveredHosts.end(), id)
-            == m_discoveredHosts.end())
-            m_discoveredHosts.push_back(id);
-    }
+    m_search.addControlHosts(hosts);
     if (m_leader == link) {
         m_links[link].since = now;
         m_leader.reset();
@@ -512,10 +506,31 @@
         actions.datagrams.emplace_back(neighbour, datagram);
 }
 
-void ControllerClient::receiveDatagram(const Endpoint& from, std::string_view bytes, TimePoint now)
+void ControllerClient::queryNeighbours(TimePoint now, ControllerClientActions& actions)
+{
+    if (m_neighbours.empty() || !m_search.takeNeighbourQuery(now))
+        return;
+    const std::string query = pack(ControlHostsQueryFrame { wireMs(m_search.searchTime(now)) });
+    std::vector<Endpoint> chosen;
+    std::sample(m_neighbours.begin(), m_neighbours.end(), std::back_inserter(chosen),
+        LeaderSearch::neighboursPerQuery, m_random);
+    for (const Endpoint& neighbour : chosen)
+        actions.datagrams.emplace_back(neighbour, query);
+}
+
+void ControllerClient::receiveDatagram(
+    const Endpoint& from, std::string_view bytes, TimePoint now, ControllerClientActions& actions)
 {
     if (!m_neighbours.contains(from))
         return;
+    if (unpack<ControlHostsQueryFrame>(bytes) && m_leader && !m_leaderSuspected) {
+        ControlHostsFrame answer;
+        for (const HostId& host : m_search.discoveredHosts())
+            answer.controlHosts.push_back(host.value());
+        actions.datagrams.emplace_back(from, pack(answer));
+    }
+    if (const auto answer = unpack<ControlHostsFrame>(bytes); answer && !m_leader)
+        m_search.addControlHosts(answer->controlHosts);
     if (const auto limit = unpack<PeerRateLimitFrame>(bytes)) {
         for (const InstanceRateLimit& each : currentLimits({ limit->row }, now))
             m_localScheduler.rateLimits().onPeerStatement(each, now);
--- a/src/libhub/controller_messages_pvt.h
+++ b/src/libhub/controller_messages_pvt.h
@@ -175,7 +175,8 @@
 
 // From control hosts to entry hosts.
 
-/// This control host is the leader and serves placement requests from now on.
+/// This control host is the leader and serves placement requests from now on. Sent again when the
+/// control hosts have changed.
 struct WelcomeFrame {
     static constexpr std::uint8_t type = 32;
     std::vector<std::string> controlHosts;
@@ -291,6 +292,21 @@
     MSGPACK_DEFINE(row)
 };
 
+/// The sender has no leader, and asks for the control hosts that the receiver knows.
+struct ControlHostsQueryFrame {
+    static constexpr std::uint8_t type = 66;
+    /// Time for which it has had none.
+    std::uint32_t searchMs = 0;
+    MSGPACK_DEFINE(searchMs)
+};
+
+/// The answer of an entry host that has a leader.
+struct ControlHostsFrame {
+    static constexpr std::uint8_t type = 67;
+    std::vector<std::string> controlHosts;
+    MSGPACK_DEFINE(controlHosts)
+};
+
 // Between control hosts.
 
 /// A message of the replicated log.
--- a/src/libhub/leader_search_test.cpp
+++ b/src/libhub/leader_search_test.cpp
@@ -1,8 +1,12 @@
 // Entry hosts that lose their leader find what is in force, whatever the host that was named the
 // leader does: nothing depends on one process, or on one connection.
 
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
+#include <laburnumroute/random.h>
+
 #include "fakes/controller_fleet.h"
 
 using namespace laburnum;
@@ -16,6 +20,8 @@
 constexpr std::uint64_t seeds = 50;
 /// Time within which a configuration is in force after its acknowledgement.
 constexpr auto applyTime = 2500ms;
+/// Time within which an entry host joins a leader that is elected and reachable.
+constexpr auto joinTime = 2500ms;
 
 HostId c(unsigned i) { return ControllerFleet::control(i); }
 HostId e(unsigned i) { return ControllerFleet::entry(i); }
@@ -64,6 +70,40 @@
         return count;
     }
 
+    unsigned hostsWithoutLeader()
+    {
+        unsigned count = 0;
+        for (unsigned i = 1; i <= entries; ++i)
+            count += fleet.client(e(i)).hasLeader() ? 0 : 1;
+        return count;
+    }
+
+    /// Replaces all control hosts but the leader, one after the other, by new ones. Returns the new
+    /// ones.
+    std::vector<HostId> replaceFollowers()
+    {
+        const HostId leader = *fleet.leader();
+        std::vector<HostId> present { leader };
+        for (unsigned i = 1; i <= controls; ++i) {
+            if (c(i) == leader)
+                continue;
+            fleet.wipe(c(i));
+            fleet.setSeeds(present);
+            fleet.startControl(c(controls + i));
+            present.push_back(c(controls + i));
+            const auto isMember = [&] {
+                const auto& members = fleet.controller(leader)->log().membership().members();
+                return std::any_of(members.begin(), members.end(), [&](const Member& member) {
+                    return member.host == c(controls + i) && member.voter;
+                });
+            };
+            REQUIRE(fleet.runUntil(10s, isMember));
+            fleet.run(2s);
+        }
+        REQUIRE(fleet.leader() == leader);
+        return { present.begin() + 1, present.end() };
+    }
+
     HostId followerOf(const HostId& leader)
     {
         for (unsigned i = 1; i <= controls; ++i) {
@@ -188,3 +228,140 @@
             4s, [&] { return search.hostsWithout(2) > 0 || search.hostsThatServe("i") > 0; }));
     }
 }
+
+// Guards against entry hosts that only know the control hosts of the time at which they joined.
+TEST_CASE("entry hosts find the next leader after all control hosts but the last were replaced")
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        SearchFleet search(seed);
+        ControllerFleet& fleet = search.fleet;
+        const HostId leader = *fleet.leader();
+        search.replaceFollowers();
+        REQUIRE(search.hostsWithoutLeader() == 0);
+        fleet.wipe(leader);
+        fleet.run(3s);
+        REQUIRE(fleet.leader().has_value());
+        CHECK(search.hostsWithoutLeader() == 0);
+        REQUIRE(fleet.callAnywhere(config(2)));
+        fleet.run(applyTime);
+        CHECK(search.hostsWithout(2) == 0);
+    }
+}
+
+// The same for hosts that were suspended or cut off meanwhile: only other entry hosts can tell
+// them.
+TEST_CASE("an entry host that was out of contact while all control hosts were replaced joins again")
+{
+    enum class Form { Frozen, Cut };
+    for (const Form form : { Form::Frozen, Form::Cut }) {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            CAPTURE(static_cast<int>(form), seed);
+            SearchFleet search(seed);
+            ControllerFleet& fleet = search.fleet;
+            const HostId leader = *fleet.leader();
+            const std::vector<HostId> out { e(1), e(2) };
+            for (const HostId& host : out) {
+                if (form == Form::Frozen) {
+                    fleet.freeze(host);
+                    continue;
+                }
+                for (unsigned i = 1; i <= controls; ++i)
+                    fleet.cut(host, c(i));
+            }
+            search.replaceFollowers();
+            fleet.wipe(leader);
+            fleet.run(3s);
+            REQUIRE(fleet.leader().has_value());
+            for (const HostId& host : out) {
+                if (form == Form::Frozen)
+                    fleet.freeze(host, false);
+            }
+            fleet.run(5s);
+            CHECK(search.hostsWithoutLeader() == 0);
+        }
+    }
+}
+
+namespace {
+
+enum class Loss { Wiped, Killed, Silent, Frozen, Refusing };
+
+void lose(ControllerFleet& fleet, const HostId& host, Loss loss)
+{
+    switch (loss) {
+    case Loss::Wiped:
+        return fleet.wipe(host);
+    case Loss::Killed:
+        return fleet.kill(host);
+    case Loss::Silent:
+        for (unsigned i = 1; i <= controls + 2; ++i)
+            fleet.cut(host, c(i));
+        for (unsigned i = 1; i <= entries; ++i)
+            fleet.cut(host, e(i));
+        return;
+    case Loss::Frozen:
+        return fleet.freeze(host);
+    case Loss::Refusing:
+        for (unsigned i = 1; i <= controls + 2; ++i)
+            fleet.cut(host, c(i));
+        fleet.refuseConnections(host);
+        fleet.resetConnections(host);
+        return;
+    }
+}
+
+std::chrono::milliseconds drawTime(Random& random, unsigned limitMs)
+{
+    return std::chrono::milliseconds(uniformBelow(random, limitMs));
+}
+
+} // namespace
+
+// Guards against entry hosts that stay without a leader when two control hosts are lost (review/6):
+// in every form, with elections that come late and connections that end at any step of the search.
+TEST_CASE("entry hosts join the next leader whatever is lost, and whenever their connections end")
+{
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+        CAPTURE(seed);
+        SearchFleet search(seed);
+        ControllerFleet& fleet = search.fleet;
+        Random random(seed);
+        const HostId leader = *fleet.leader();
+        const HostId second = search.followerOf(leader);
+        const auto firstLoss = static_cast<Loss>(uniformBelow(random, 5));
+        const auto secondLoss = static_cast<Loss>(uniformBelow(random, 5));
+        lose(fleet, leader, firstLoss);
+        fleet.schedule(drawTime(random, 1000),
+            [&fleet, second, secondLoss] { lose(fleet, second, secondLoss); });
+        // The remaining hosts do not hear each other at first, so that the election is late.
+        for (unsigned i = 1; i <= controls; ++i) {
+            for (unsigned j = 1; j < i; ++j)
+                fleet.cut(c(i), c(j));
+        }
+        fleet.schedule(drawTime(random, 1500), [&] {
+            for (unsigned i = 1; i <= controls; ++i) {
+                for (unsigned j = 1; j < i; ++j) {
+                    const auto isLost
+                        = [&](const HostId& host) { return host == leader || host == second; };
+                    if (!isLost(c(i)) && !isLost(c(j)))
+                        fleet.cut(c(i), c(j), false);
+                }
+            }
+        });
+        for (unsigned i = 1; i <= entries; ++i) {
+            for (int resets = 0; resets < 4; ++resets)
+                fleet.schedule(
+                    drawTime(random, 2500), [&fleet, i] { fleet.resetConnections(e(i)); });
+        }
+        for (unsigned i = 1; i <= 2; ++i)
+            fleet.schedule(
+                drawTime(random, 2500), [&fleet, i] { fleet.startControl(c(controls + i)); });
+        fleet.run(2500ms);
+        REQUIRE(fleet.runUntil(10s, [&] { return fleet.leader().has_value(); }));
+        CHECK(fleet.runUntil(joinTime, [&] { return search.hostsWithoutLeader() == 0; }));
+        REQUIRE(fleet.callAnywhere(config(2)));
+        fleet.run(applyTime);
+        CHECK(search.hostsWithout(2) == 0);
+    }
+}
--- a/testsuite/fakes/controller_fleet.cpp
+++ b/testsuite/fakes/controller_fleet.cpp
@@ -34,6 +34,8 @@
 
 std::vector<HostId> ControllerFleet::seedHosts() const
 {
+    if (!m_seeds.empty())
+        return m_seeds;
     std::vector<HostId> seeds;
     for (unsigned i = 1; i <= m_options.seeds; ++i)
         seeds.push_back(control(i));
@@ -470,8 +472,13 @@
     }
     for (auto& [to, bytes] : actions.datagrams)
         schedule(m_options.delay, [this, host, to = HostId(to.address), bytes = std::move(bytes)] {
-            if (!isCut(host, to) && isUp(to))
-                client(to).receiveDatagram({ host.value(), 1 }, bytes, m_now);
+            if (isCut(host, to) || !isUp(to))
+                return;
+            deliver(to, [this, host, to, bytes] {
+                withClient(to, [&](ControllerClient& receiver, ControllerClientActions& out) {
+                    receiver.receiveDatagram({ host.value(), 1 }, bytes, m_now, out);
+                });
+            });
         });
     for (auto& answer : actions.answers) {
         if (m_onAnswer)
--- a/testsuite/fakes/controller_fleet.h
+++ b/testsuite/fakes/controller_fleet.h
@@ -88,6 +88,8 @@
     static HostId control(unsigned i) { return HostId("c" + std::to_string(i)); }
     static HostId entry(unsigned i) { return HostId("e" + std::to_string(i)); }
 
+    /// Seeds of the processes that start from now on, in place of the first control hosts.
+    void setSeeds(std::vector<HostId> seeds) { m_seeds = std::move(seeds); }
     /// Starts a control host; a new one gets an empty disk.
     void startControl(const HostId& host, bool mayBootstrap = false);
     void startEntry(const HostId& host, const DataCentreId& dataCentre = DataCentreId("d"),
@@ -234,6 +236,7 @@
     std::set<std::pair<HostId, HostId>> m_cuts;
     std::set<HostId> m_refusing;
     std::map<HostId, Duration> m_extraDelays;
+    std::vector<HostId> m_seeds;
     std::map<LinkId, Link> m_links;
     LinkId m_lastLink;
     std::vector<CallRecord> m_calls;
