Election times double while terms pass without a leader

On disks with syncs of about 100 ms the fleet never elects a leader; no change is acknowledged in 55 s, 3 of 3 runs of the script.

Cause: a voter syncs twice before it answers, and a candidate gave itself up after 90 to 240 ms, in each term anew, so that votes always came for a term that was over.

Change: from the third term without a leader on, the times of an election double, up to 16 times. A start and contact with a leader begin anew.

Why it works: the time that a candidate gets grows past what its voters need, and all hosts see the same terms pass. Two quick attempts stay for split votes.

--- a/src/libhub/leader_search_test.cpp
+++ b/src/libhub/leader_search_test.cpp
@@ -365,3 +365,22 @@
         CHECK(search.hostsWithout(2) == 0);
     }
 }
+
+// Guards against control hosts with slow disks that give each candidate up before its votes can
+// have arrived, and never elect a leader.
+TEST_CASE("control hosts elect a leader however slow their disks are")
+{
+    for (const Duration sync :
+        { Duration(2ms), Duration(40ms), Duration(120ms), Duration(300ms) }) {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            CAPTURE(toMillis(sync), seed);
+            ControllerFleetOptions options { .controls = controls, .entries = 2, .seed = seed };
+            options.processor = ProcessorCosts { .sync = sync };
+            ControllerFleet fleet(options);
+            CHECK(fleet.runUntil(15s, [&] { return fleet.leader().has_value(); }));
+            if (!fleet.leader())
+                continue;
+            CHECK(fleet.callAnywhere(config(1), 15s));
+        }
+    }
+}
--- a/src/libstate/log_election.cpp
+++ b/src/libstate/log_election.cpp
@@ -1,5 +1,6 @@
 // Leader election: pre-vote, votes, terms, stepping down.
 
+#include <algorithm>
 #include <tuple>
 
 #include "replicated_log_pvt.h"
@@ -8,6 +9,24 @@
 
 using namespace pvt;
 
+namespace {
+
+    /// Terms without a leader for which the times of an election stay as they are, so that a split
+    /// vote is resolved quickly, and for how many more they double.
+    constexpr std::uint64_t quickElections = 2;
+    constexpr std::uint64_t maxDoublings = 4;
+
+} // namespace
+
+/// All voters sync their votes before they answer. On disks that are slower than the usual times
+/// allow for, each candidate would be given up before its votes arrive; so each host waits longer
+/// the more terms have passed without a leader.
+unsigned ReplicatedLog::Impl::electionPatience() const
+{
+    const std::uint64_t terms = term().value() - m_leaderTerm.value();
+    return 1U << std::min(terms - std::min(terms, quickElections), maxDoublings);
+}
+
 void ReplicatedLog::Impl::scheduleElection(TimePoint now)
 {
     scheduleElection(now, options.timing.electionTimeoutMin, options.timing.electionTimeoutMax);
@@ -15,8 +34,9 @@
 
 void ReplicatedLog::Impl::scheduleElection(TimePoint now, Duration least, Duration most)
 {
-    m_electionDeadline = now + least
+    const Duration drawn = least
         + Duration(uniformBelow(m_random, static_cast<std::uint64_t>((most - least).count()) + 1));
+    m_electionDeadline = now + drawn * electionPatience();
 }
 
 bool ReplicatedLog::Impl::hasRecentLeader(TimePoint now) const
@@ -174,6 +194,7 @@
 {
     role = LogRole::Leader;
     m_leader = self();
+    m_leaderTerm = term();
     m_leaderHost = options.host;
     m_electedAt = now;
     m_followers.clear();
@@ -198,6 +219,7 @@
     }
     role = LogRole::Follower;
     m_leader = from.sender;
+    m_leaderTerm = term();
     m_leaderHost = host;
     m_lastLeaderContact = now;
     scheduleElection(now);
--- a/src/libstate/replicated_log.cpp
+++ b/src/libstate/replicated_log.cpp
@@ -51,6 +51,7 @@
     // A leader's lease may still rely on an acknowledgement of an earlier process.
     const Duration voteDelay = isFresh ? Duration() : timing.restartVoteDelay();
     m_noVoteUntil = now + voteDelay;
+    m_leaderTerm = term();
     // No vote is granted before this delay; after a restart of the whole fleet a longer wait would
     // only delay the election.
     const Duration least = isFresh ? timing.electionTimeoutMin : voteDelay;
--- a/src/libstate/replicated_log_pvt.h
+++ b/src/libstate/replicated_log_pvt.h
@@ -120,6 +120,8 @@
     Json::Value voterContactAges(TimePoint now) const;
 
     // Election.
+    /// Factor for the times of an election.
+    unsigned electionPatience() const;
     void scheduleElection(TimePoint now);
     void scheduleElection(TimePoint now, Duration least, Duration most);
     void startPreVote(TimePoint now, Outbox& out);
@@ -203,6 +205,8 @@
     MemberId m_leader;
     HostId m_leaderHost;
     std::optional<TimePoint> m_lastLeaderContact;
+    /// Latest term in which this host started, led, or had contact with a leader.
+    Term m_leaderTerm;
     TimePoint m_electionDeadline;
     /// Until then no vote is granted: an earlier process may have acknowledged a leader's lease.
     TimePoint m_noVoteUntil;
