Control hosts that restart before the founding may still found the log

Cause: only a host whose settings say first_start may vote for a founder. A restart forgets that, though the disk, which the rule is about, is still there.

Change: a folder that is created at the first start keeps the listed hosts (file `founding`, written before the identity); with an empty log its host may vote and found in that list, whatever the settings say now.

Why it works: the permission lives and ends with the disk; an emptied disk has none, and all votes are of one list.

In the older test of one lost host, one that is restarted with its disk may lead now, and the change may be accepted by it; before it could not, because it could not vote.

--- a/src/include/laburnumroute/log_store.h
+++ b/src/include/laburnumroute/log_store.h
@@ -57,12 +57,16 @@
 public:
     /// Opens the store, or creates it with the member id `newMember` when the folder is empty.
     /// Truncates a torn tail. A Corrupt error names the file and offset. `storage` must outlive the
-    /// store.
-    static Expected<LogStore> open(Storage& storage, const MemberId& newMember);
+    /// store. `foundingHosts` are the hosts that may found the log, if this is the first start of
+    /// the whole group; a created store keeps them.
+    static Expected<LogStore> open(
+        Storage& storage, const MemberId& newMember, const std::vector<HostId>& foundingHosts = {});
 
     /// The member id with which the folder was created.
     const MemberId& member() const noexcept { return m_member; }
     const Vote& vote() const noexcept { return m_vote; }
+    /// The hosts that may found the log; empty unless the folder was created at the first start.
+    const std::vector<HostId>& foundingHosts() const noexcept { return m_foundingHosts; }
     const LogSnapshot& snapshot() const noexcept { return m_snapshot; }
 
     /// Entries up to and including the base are compacted. The base is at or before the snapshot.
@@ -103,7 +107,9 @@
     {
     }
 
-    Expected<void> create(const MemberId& newMember, const std::vector<std::string>& names);
+    Expected<void> create(const MemberId& newMember, const std::vector<HostId>& foundingHosts,
+        const std::vector<std::string>& names);
+    Expected<void> readFoundingHosts();
     Expected<void> recover(const std::vector<std::string>& names);
     Expected<void> readSnapshot();
     Expected<void> readSegments(const std::vector<std::string>& names);
@@ -119,6 +125,7 @@
     Storage* m_storage;
     MemberId m_member;
     Vote m_vote;
+    std::vector<HostId> m_foundingHosts;
     LogSnapshot m_snapshot;
     LogIndex m_baseIndex;
     Term m_baseTerm;
--- a/src/laburnumd/control_node.cpp
+++ b/src/laburnumd/control_node.cpp
@@ -138,12 +138,14 @@
             if (!storage)
                 return tl::unexpected<Error>(storage.error());
             m_storage = std::move(*storage);
-            auto store = LogStore::open(*m_storage, randomMemberId());
+            const std::vector<HostId> seeds = controlHostIds(m_settings.seeds);
+            auto store = LogStore::open(*m_storage, randomMemberId(),
+                m_settings.firstStart ? seeds : std::vector<HostId>());
             if (!store)
                 return tl::unexpected<Error>(store.error());
             ControllerOptions options;
             options.host = m_self;
-            options.seeds = controlHostIds(m_settings.seeds);
+            options.seeds = seeds;
             options.mayBootstrap = m_settings.firstStart;
             options.seed = randomSeed();
             options.toleratedFailures = m_settings.toleratedFailures;
--- a/src/libstate/log_codec.cpp
+++ b/src/libstate/log_codec.cpp
@@ -55,6 +55,25 @@
     return Vote { term, votedFor };
 }
 
+std::string encodeHosts(const std::vector<HostId>& hosts)
+{
+    ByteWriter writer;
+    for (const HostId& host : hosts)
+        writer.text(host.value());
+    return writer.take();
+}
+
+Expected<std::vector<HostId>> decodeHosts(std::string_view payload)
+{
+    ByteReader reader(payload);
+    std::vector<HostId> hosts;
+    while (!reader.failed() && !reader.finished())
+        hosts.emplace_back(reader.text());
+    if (reader.failed())
+        return corruptRecord("list of hosts");
+    return hosts;
+}
+
 std::string encodeSnapshot(const StoredSnapshot& stored)
 {
     ByteWriter writer;
--- a/src/libstate/log_founding.cpp
+++ b/src/libstate/log_founding.cpp
@@ -23,9 +23,16 @@
 
 } // namespace
 
+/// The hosts of the first start, as the folder keeps them: those in the settings may change before
+/// the log is founded, and the votes of two lists do not exclude each other.
+const std::vector<HostId>& ReplicatedLog::Impl::listedHosts() const
+{
+    return store.foundingHosts().empty() ? options.controlHosts : store.foundingHosts();
+}
+
 bool ReplicatedLog::Impl::isListed(const HostId& host) const
 {
-    const auto& hosts = options.controlHosts;
+    const auto& hosts = listedHosts();
     return std::find(hosts.begin(), hosts.end(), host) != hosts.end();
 }
 
@@ -34,7 +41,7 @@
 /// A listed host that lost its disk may vote again with Admission::Listed, so all are needed there.
 std::size_t ReplicatedLog::Impl::foundingQuorum() const
 {
-    const std::size_t listed = options.controlHosts.size();
+    const std::size_t listed = listedHosts().size();
     if (options.admission == Admission::Listed)
         return listed;
     std::size_t founders = 1;
@@ -45,14 +52,15 @@
 
 bool ReplicatedLog::Impl::mayFound() const
 {
-    return options.mayBootstrap && store.lastIndex() == LogIndex(0) && isListed(options.host);
+    const bool isAllowed = options.mayBootstrap || !store.foundingHosts().empty();
+    return isAllowed && store.lastIndex() == LogIndex(0) && isListed(options.host);
 }
 
 /// The other listed hosts whose logs are empty, in order of their ids; nothing if one has entries.
 std::optional<std::vector<HostId>> ReplicatedLog::Impl::emptyListedHosts(TimePoint now) const
 {
     std::vector<HostId> empty;
-    for (const HostId& host : options.controlHosts) {
+    for (const HostId& host : listedHosts()) {
         const auto candidate = m_joinCandidates.find(host);
         if (host == options.host || candidate == m_joinCandidates.end()
             || !candidate->second.answered || now - candidate->second.lastJoin > joinTimeout)
@@ -78,7 +86,7 @@
     }
     const auto rank
         = std::lower_bound(present->begin(), present->end(), options.host) - present->begin();
-    const bool isComplete = present->size() + 1 == options.controlHosts.size();
+    const bool isComplete = present->size() + 1 == listedHosts().size();
     if (!m_founding.nextAttempt || (isComplete && !m_founding.wasComplete)) {
         m_founding.wasComplete = isComplete;
         m_founding.nextAttempt
@@ -99,13 +107,13 @@
     m_founding.term = term();
     m_founding.votes.clear();
     Json::Value facts(Json::objectValue);
-    facts["listed"] = Json::UInt64(options.controlHosts.size());
+    facts["listed"] = Json::UInt64(listedHosts().size());
     facts["asked"] = Json::UInt64(hosts.size());
     logDecision("founding", out, std::move(facts));
     for (const HostId& host : hosts)
         out.send(
             host, methodFounding, encode(FoundingRequest { header(m_joinCandidates.at(host).id) }));
-    countFoundingVotes(options.controlHosts.size(), now, out);
+    countFoundingVotes(listedHosts().size(), now, out);
 }
 
 /// A vote for a founder is a vote in its term: each host gives one a term, and none once its log
@@ -137,7 +145,7 @@
     if (!vote.granted || !m_founding.asked || vote.requested != m_founding.term)
         return;
     m_founding.votes[from] = vote.header.sender;
-    countFoundingVotes(options.controlHosts.size(), now, out);
+    countFoundingVotes(listedHosts().size(), now, out);
 }
 
 /// Writes the first membership, of the hosts that voted, if there are `needed` with this one.
--- a/src/libstate/log_recovery.cpp
+++ b/src/libstate/log_recovery.cpp
@@ -30,24 +30,38 @@
 
 } // namespace
 
-Expected<LogStore> LogStore::open(Storage& storage, const MemberId& newMember)
+Expected<LogStore> LogStore::open(
+    Storage& storage, const MemberId& newMember, const std::vector<HostId>& foundingHosts)
 {
     const auto names = storage.list();
     if (!names)
         return tl::unexpected<Error>(names.error());
     LogStore store(storage);
-    const Expected<void> opened
-        = contains(*names, identityFile) ? store.recover(*names) : store.create(newMember, *names);
+    if (contains(*names, foundingFile)) {
+        if (auto read = store.readFoundingHosts(); !read)
+            return tl::unexpected<Error>(read.error());
+    }
+    const Expected<void> opened = contains(*names, identityFile)
+        ? store.recover(*names)
+        : store.create(newMember, foundingHosts, *names);
     if (!opened)
         return tl::unexpected<Error>(opened.error());
     return store;
 }
 
 /// The identity is written last, so that a folder with an identity is complete.
-Expected<void> LogStore::create(const MemberId& newMember, const std::vector<std::string>& names)
+Expected<void> LogStore::create(const MemberId& newMember, const std::vector<HostId>& foundingHosts,
+    const std::vector<std::string>& names)
 {
     if (holdsState(names))
         return corruptFile(identityFile, "it is missing, but the folder holds a log");
+    if (!foundingHosts.empty()) {
+        const std::string content
+            = encodeFileHeader(FileKind::Founding, 0) + encodeRecord(encodeHosts(foundingHosts));
+        if (auto saved = m_storage->replace(foundingFile, content); !saved)
+            return saved;
+        m_foundingHosts = foundingHosts;
+    }
     if (auto saved = saveVote({}); !saved)
         return saved;
     m_member = newMember;
@@ -89,6 +103,21 @@
     return saveVote(*vote);
 }
 
+Expected<void> LogStore::readFoundingHosts()
+{
+    const auto content = m_storage->read(foundingFile);
+    if (!content)
+        return tl::unexpected<Error>(content.error());
+    const auto payload = scanSingleRecord(foundingFile, *content, FileKind::Founding);
+    if (!payload)
+        return tl::unexpected<Error>(payload.error());
+    auto hosts = decodeHosts(*payload);
+    if (!hosts)
+        return corruptFile(foundingFile, hosts.error().message);
+    m_foundingHosts = std::move(*hosts);
+    return {};
+}
+
 Expected<void> LogStore::readSnapshot()
 {
     const auto content = m_storage->read(snapshotFile);
--- a/src/libstate/log_store_pvt.h
+++ b/src/libstate/log_store_pvt.h
@@ -12,6 +12,7 @@
 constexpr const char* identityFile = "identity";
 constexpr const char* voteFile = "vote";
 constexpr const char* snapshotFile = "snapshot";
+constexpr const char* foundingFile = "founding";
 constexpr std::string_view segmentPrefix = "log-";
 /// A segment that has reached this size in bytes is closed.
 constexpr std::uint64_t segmentSizeLimit = std::uint64_t { 1 } << 20U;
@@ -30,6 +31,8 @@
     std::uint64_t firstSequence = 1;
 };
 
+std::string encodeHosts(const std::vector<HostId>& hosts);
+Expected<std::vector<HostId>> decodeHosts(std::string_view payload);
 std::string encodeVote(const Vote& vote);
 Expected<Vote> decodeVote(std::string_view payload);
 std::string encodeSnapshot(const StoredSnapshot& stored);
--- a/src/libstate/log_store_test.cpp
+++ b/src/libstate/log_store_test.cpp
@@ -155,6 +155,32 @@
     }
 }
 
+// Guards against a first start that is forgotten with the process (review/12).
+TEST_CASE("a store keeps the hosts of the first start, whatever write it is killed in")
+{
+    const std::vector<HostId> hosts { HostId("a"), HostId("b"), HostId("c") };
+    unsigned kept = 0;
+    for (const StopPoint point : { StopPoint::Before, StopPoint::Half, StopPoint::After }) {
+        for (unsigned operation = 1; operation <= 12; ++operation) {
+            CAPTURE(static_cast<int>(point), operation);
+            FakeStorage storage;
+            storage.stopAt(operation, point);
+            const bool isCreated = LogStore::open(storage, newMember, hosts).has_value();
+            storage.resume();
+            const auto store = LogStore::open(storage, MemberId("next"));
+            REQUIRE(store);
+            const bool isKept = store->foundingHosts() == hosts;
+            CHECK((isKept || store->foundingHosts().empty()));
+            CHECK((isKept || !isCreated));
+            kept += isKept ? 1 : 0;
+        }
+    }
+    CHECK(kept > 0);
+    FakeStorage later;
+    CHECK(LogStore::open(later, newMember)->foundingHosts().empty());
+    CHECK(LogStore::open(later, newMember, hosts)->foundingHosts().empty());
+}
+
 TEST_CASE("a folder with a missing file is refused")
 {
     FakeStorage intact;
--- a/src/libstate/record_file_pvt.h
+++ b/src/libstate/record_file_pvt.h
@@ -11,7 +11,13 @@
 namespace laburnum::pvt {
 
 /// The kind of content of a file; part of its header.
-enum class FileKind : std::uint8_t { Identity = 1, Vote = 2, Snapshot = 3, Segment = 4 };
+enum class FileKind : std::uint8_t {
+    Identity = 1,
+    Vote = 2,
+    Snapshot = 3,
+    Segment = 4,
+    Founding = 5
+};
 
 /// The only version that this program reads and writes.
 constexpr std::uint8_t formatVersion = 1;
--- a/src/libstate/replicated_log_pvt.h
+++ b/src/libstate/replicated_log_pvt.h
@@ -188,6 +188,7 @@
     void trackFollowers(TimePoint now);
 
     // Founding of a new log.
+    const std::vector<HostId>& listedHosts() const;
     bool isListed(const HostId& host) const;
     std::size_t foundingQuorum() const;
     bool mayFound() const;
--- a/testsuite/fakes/controller_fleet.cpp
+++ b/testsuite/fakes/controller_fleet.cpp
@@ -243,8 +243,9 @@
     ++control.identities;
     control.controller.reset();
     control.reopens = false;
-    auto store = LogStore::open(
-        control.storage, MemberId(host.value() + '-' + std::to_string(control.identities)));
+    auto store = LogStore::open(control.storage,
+        MemberId(host.value() + '-' + std::to_string(control.identities)),
+        mayBootstrap ? seedHosts() : std::vector<HostId>());
     if (!store)
         return reopenLater(host);
     ControllerOptions options;
--- a/testsuite/fakes/state_cluster.cpp
+++ b/testsuite/fakes/state_cluster.cpp
@@ -83,7 +83,9 @@
     if (host.identities == 0 || !m_options.mutations.keepsIdentity)
         ++host.identities;
     const MemberId newMember(id.value() + "-" + std::to_string(host.identities));
-    auto store = LogStore::open(host.storage, newMember);
+    const bool isFounding = m_options.admission == Admission::Open && isFirstStart;
+    auto store = LogStore::open(
+        host.storage, newMember, isFounding ? listedHosts() : std::vector<HostId>());
     if (!store) {
         host.refusal = store.error();
         return;
