--- a/src/libhub/leader_search_test.cpp
+++ b/src/libhub/leader_search_test.cpp
@@ -285,7 +285,8 @@
 
 namespace {
 
-enum class Loss { Wiped, Killed, Silent, Frozen, Refusing };
+enum class Loss { Wiped, Killed, Silent, Frozen, Refusing, Replaced };
+constexpr std::uint64_t lossForms = 6;
 
 void lose(ControllerFleet& fleet, const HostId& host, Loss loss)
 {
@@ -302,6 +303,9 @@
         return;
     case Loss::Frozen:
         return fleet.freeze(host);
+    case Loss::Replaced:
+        fleet.wipe(host);
+        return fleet.acceptSilently(host);
     case Loss::Refusing:
         for (unsigned i = 1; i <= controls + 2; ++i)
             fleet.cut(host, c(i));
@@ -329,8 +333,8 @@
         Random random(seed);
         const HostId leader = *fleet.leader();
         const HostId second = search.followerOf(leader);
-        const auto firstLoss = static_cast<Loss>(uniformBelow(random, 5));
-        const auto secondLoss = static_cast<Loss>(uniformBelow(random, 5));
+        const auto firstLoss = static_cast<Loss>(uniformBelow(random, lossForms));
+        const auto secondLoss = static_cast<Loss>(uniformBelow(random, lossForms));
         lose(fleet, leader, firstLoss);
         fleet.schedule(drawTime(random, 1000),
             [&fleet, second, secondLoss] { lose(fleet, second, secondLoss); });
--- a/testsuite/fakes/controller_fleet.cpp
+++ b/testsuite/fakes/controller_fleet.cpp
@@ -494,7 +494,8 @@
     schedule(2 * m_options.delay, [this, entry, entryLinkId, control] {
         if (isCut(entry, control) || !isUp(entry))
             return;
-        if (!isUp(control) || m_refusing.contains(control)) {
+        const bool isAccepted = isUp(control) || m_silent.contains(control);
+        if (!isAccepted || m_refusing.contains(control)) {
             withClient(entry, [&](ControllerClient& client, ControllerClientActions& out) {
                 client.linkClosed(entryLinkId, m_now, out);
             });
--- a/testsuite/fakes/controller_fleet.h
+++ b/testsuite/fakes/controller_fleet.h
@@ -113,6 +113,9 @@
     void fillDisk(const HostId& host, bool isFull = true);
     /// A control host that refuses takes no new connections of entry hosts; open ones go on.
     void refuseConnections(const HostId& host, bool isRefusing = true);
+    /// The address of a host that is gone belongs to something that accepts connections and sends
+    /// nothing.
+    void acceptSilently(const HostId& host) { m_silent.insert(host); }
     /// Resets the connections between this host and control hosts or entry hosts.
     void resetConnections(const HostId& host) { closeLinksOf(host); }
     /// A frozen host does nothing, its inputs wait, and its connections stay open.
@@ -235,6 +238,7 @@
     std::map<HostId, EntryHost> m_entries;
     std::set<std::pair<HostId, HostId>> m_cuts;
     std::set<HostId> m_refusing;
+    std::set<HostId> m_silent;
     std::map<HostId, Duration> m_extraDelays;
     std::vector<HostId> m_seeds;
     std::map<LinkId, Link> m_links;
