--- a/src/libhub/leader_search_test.cpp
+++ b/src/libhub/leader_search_test.cpp
@@ -320,6 +320,13 @@
     return std::chrono::milliseconds(uniformBelow(random, limitMs));
 }
 
+/// Frames between control hosts overtake each other when the delays become shorter.
+void drawDelays(ControllerFleet& fleet, Random& random)
+{
+    for (unsigned i = 1; i <= controls + 2; ++i)
+        fleet.delayFrames(c(i), drawTime(random, 40));
+}
+
 } // namespace
 
 // Guards against entry hosts that stay without a leader when two control hosts are lost (review/6):
@@ -331,6 +338,9 @@
         SearchFleet search(seed);
         ControllerFleet& fleet = search.fleet;
         Random random(seed);
+        drawDelays(fleet, random);
+        for (int changes = 0; changes < 10; ++changes)
+            fleet.schedule(drawTime(random, 2500), [&] { drawDelays(fleet, random); });
         const HostId leader = *fleet.leader();
         const HostId second = search.followerOf(leader);
         const auto firstLoss = static_cast<Loss>(uniformBelow(random, lossForms));
