A finished response no longer counts when its connection has begun another request

A kept connection that is sending its next head at the abort was left open until the exit, and the number of cut requests in the log wrapped below zero.

Cause: RequestCut::isResponseRead of the last request stayed set after its end.

Change: the request clears it when it ends, as it does with its callback; then it is set only while a request is in flight, which is what the count relies on.

--- a/src/libnet/entry_slow_reader_test.cpp
+++ b/src/libnet/entry_slow_reader_test.cpp
@@ -219,6 +219,35 @@
     CHECK(caller.wasReset() != isFinished);
 }
 
+// Guards against a finished response that still counts when its connection has begun another
+// request.
+TEST_CASE("slow readers: a stop ends a kept connection whose next request has no whole head")
+{
+    ScriptedUpstream upstream(respondShortly());
+    OrderedPlacementProvider provider;
+    provider.instances = { upstream.endpoint() };
+    OrderedFleetFixture fixture(provider, slowReaderOptions(mebibyte));
+    Connection caller = fixture.connect();
+    caller.send(get);
+    CHECK(caller.readMessage().ends_with("ok"));
+    caller.send("GET /s HTTP/1.1\r\nHost: h\r\n");
+    fixture.run([] {});
+    const PlannedStop stop(12s);
+    Signal drained;
+    DrainReport report;
+    fixture.server().drain([&](DrainReport result) {
+        report = result;
+        drained.set();
+    });
+    fixture.run([&] {
+        fixture.server().startLameDuck(stop);
+        fixture.server().abort(TerminationCause::StopAbort, { 1, stop.abortAfter() });
+    });
+    REQUIRE(drained.wait());
+    CHECK(report.cut == 0);
+    CHECK(caller.readAll().empty());
+}
+
 // Guards against a host that runs out of memory, or keeps others waiting, because of slow callers.
 TEST_CASE("load pattern: hundreds of callers read a byte at a time, and others are served")
 {
--- a/src/libnet/fleet_request.cpp
+++ b/src/libnet/fleet_request.cpp
@@ -132,7 +132,11 @@
     m_cut.onCut = [this] { logCut(); };
 }
 
-FleetRequest::~FleetRequest() { m_cut.onCut = nullptr; }
+FleetRequest::~FleetRequest()
+{
+    m_cut.onCut = nullptr;
+    m_cut.isResponseRead = false;
+}
 
 asio::awaitable<bool> FleetRequest::run()
 {
